--- /dev/null
+++ b/comfreyrail/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin is the HTTP interface for operators.
+package admin
--- /dev/null
+++ b/comfreyrail/internal/control/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe asks the backend servers for their status.
+package probe
--- /dev/null
+++ b/comfreyrail/internal/process/doc.go
@@ -0,0 +1,2 @@
+// Package process builds the supervisor tree of a process.
+package process
--- /dev/null
+++ b/comfreyrail/internal/process/process.go
@@ -0,0 +1,61 @@
+package process
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
+)
+
+// Process is the root of the supervisor tree.
+type Process struct {
+	root *suture.Supervisor
+}
+
+// Branches are the services below the root.
+type Branches struct {
+	// Control owns the state.
+	Control *control.Control
+	// Sync reads the tables.
+	Sync *configsync.Sync
+	// Prober asks the backend servers for their status.
+	Prober *probe.Prober
+	// Entry serves callers.
+	Entry *entry.Entry
+	// Admin serves operators.
+	Admin *admin.Admin
+}
+
+// New returns a Process with the branches under supervisors of their own.
+func New(branches Branches, log *logrus.Entry) *Process {
+	spec := suture.Spec{EventHook: func(event suture.Event) {
+		log.WithFields(logrus.Fields(event.Map())).Warn("supervisor event")
+	}}
+	root := suture.New("root", spec)
+	state := suture.New("control", spec)
+	state.Add(branches.Control)
+	state.Add(branches.Sync)
+	state.Add(branches.Prober)
+	traffic := suture.New("traffic", spec)
+	traffic.Add(branches.Entry)
+	root.Add(state)
+	root.Add(traffic)
+	root.Add(branches.Admin)
+	return &Process{root: root}
+}
+
+// Serve runs the tree until the context ends.
+func (p *Process) Serve(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "process")
+	if err = p.root.Serve(ctx); ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/comfreyrail/internal/process/providers.go
@@ -0,0 +1,83 @@
+package process
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/kv"
+)
+
+// maxIdlePerServer is the number of idle connections kept to each backend server.
+const maxIdlePerServer = 64
+
+func provideLog(loaded settings.Settings) (*logrus.Entry, error) {
+	level, err := logrus.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logger.WithFields(logrus.Fields{"instance": loaded.Name, "zone": loaded.Zone}), nil
+}
+
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
+
+func provideHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, DisableCompression: true}}
+}
+
+func provideChecker(log *logrus.Entry, registry metrics.Registry) *invariant.Checker {
+	return &invariant.Checker{Report: func(violation *invariant.Violation) {
+		metrics.GetOrRegisterCounter("invariant."+violation.Name, registry).Inc(1)
+		log.WithField("invariant", violation.Name).Error(violation.Detail)
+	}}
+}
+
+func provideStore(loaded settings.Settings) *kv.Client {
+	return &kv.Client{Address: loaded.Platform.Address}
+}
+
+func provideControl(log *logrus.Entry, checker *invariant.Checker) *control.Control {
+	return control.New(control.Config{Log: log, Checker: checker})
+}
+
+func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry) *configsync.Sync {
+	return configsync.New(configsync.Config{Store: store, Control: state, Log: log})
+}
+
+func provideProber(state *control.Control, client *http.Client) *probe.Prober {
+	return probe.New(probe.Config{Control: state, HTTP: client})
+}
+
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+}
+
+func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
+	return relay.New(relay.Config{Control: state, HTTP: client})
+}
+
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+	return entry.New(entry.Config{
+		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Log: log, Metrics: registry,
+	})
+}
+
+func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, registry metrics.Registry) *admin.Admin {
+	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry})
+}
--- /dev/null
+++ b/comfreyrail/internal/process/wire.go
@@ -0,0 +1,19 @@
+//go:build wireinject
+
+package process
+
+import (
+	"github.com/google/wire"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+)
+
+// Build builds a Process from its settings.
+func Build(loaded settings.Settings) (*Process, error) {
+	wire.Build(
+		provideLog, provideMetrics, provideHTTP, provideChecker, provideStore, provideControl,
+		provideSync, provideProber, provideRunner, provideRelay, provideEntry, provideAdmin,
+		wire.Struct(new(Branches), "*"), New,
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/comfreyrail/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings of a process.
+package settings
--- /dev/null
+++ b/comfreyrail/internal/settings/settings.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"bytes"
+	stderrors "errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// Settings are the settings of one process.
+type Settings struct {
+	// Name identifies the instance in the fleet.
+	Name string `toml:"name"`
+	// Zone is the availability zone of the instance.
+	Zone string `toml:"zone"`
+	// Caller configures the listener for callers.
+	Caller Caller `toml:"caller"`
+	// Admin configures the listener for operators.
+	Admin Admin `toml:"admin"`
+	// Platform configures the calls to the platform's service.
+	Platform Platform `toml:"platform"`
+	// Log configures the log.
+	Log Log `toml:"log"`
+}
+
+// Caller configures the listener for callers.
+type Caller struct {
+	// Listen is the host and port to listen on.
+	Listen string `toml:"listen"`
+	// MaxBodyBytes is the greatest size of a request body.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxConcurrent is the greatest number of requests in progress.
+	MaxConcurrent int `toml:"max_concurrent"`
+}
+
+// Admin configures the listener for operators.
+type Admin struct {
+	// Listen is the host and port to listen on.
+	Listen string `toml:"listen"`
+}
+
+// Platform configures the calls to the platform's service.
+type Platform struct {
+	// Address is the host and port of the service.
+	Address string `toml:"address"`
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is the least severe level that is written.
+	Level string `toml:"level"`
+}
+
+// Defaults returns the settings that apply where the file sets none.
+func Defaults() Settings {
+	return Settings{
+		Caller: Caller{MaxBodyBytes: 1 << 20, MaxConcurrent: 1024},
+		Log:    Log{Level: "info"},
+	}
+}
+
+// Load reads and checks the settings in the file.
+func Load(path string) (loaded Settings, err error) {
+	defer errors.DeferredAnnotatef(&err, "settings %s", path)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(content)
+}
+
+// Parse reads and checks settings written in TOML.
+func Parse(content []byte) (parsed Settings, err error) {
+	parsed = Defaults()
+	decoder := toml.NewDecoder(bytes.NewReader(content)).DisallowUnknownFields()
+	if err = decoder.Decode(&parsed); err != nil {
+		return Settings{}, explain(err)
+	}
+	if problems := parsed.problems(); len(problems) > 0 {
+		return Settings{}, fmt.Errorf("%s", strings.Join(problems, "; "))
+	}
+	return parsed, nil
+}
+
+// explain names the line of a syntax error and the unknown keys.
+func explain(err error) error {
+	var unknown *toml.StrictMissingError
+	if stderrors.As(err, &unknown) {
+		keys := make([]string, 0, len(unknown.Errors))
+		for _, field := range unknown.Errors {
+			row, _ := field.Position()
+			keys = append(keys, fmt.Sprintf("line %d: unknown key %q; remove it or correct its name", row, strings.Join(field.Key(), ".")))
+		}
+		return fmt.Errorf("%s", strings.Join(keys, "; "))
+	}
+	var syntax *toml.DecodeError
+	if stderrors.As(err, &syntax) {
+		row, column := syntax.Position()
+		return fmt.Errorf("line %d, column %d: %w", row, column, err)
+	}
+	return err
+}
+
+// problems returns a line for each invalid field, with its value and how to mend it.
+func (s Settings) problems() []string {
+	var problems []string
+	report := func(field string, value any, fix string) {
+		problems = append(problems, fmt.Sprintf("%s = %q: %s", field, fmt.Sprint(value), fix))
+	}
+	if s.Name == "" {
+		report("name", s.Name, "give the instance a name that no other instance has")
+	}
+	if s.Zone == "" {
+		report("zone", s.Zone, "give the availability zone of the instance")
+	}
+	addresses := []struct{ field, value string }{
+		{"caller.listen", s.Caller.Listen},
+		{"admin.listen", s.Admin.Listen},
+		{"platform.address", s.Platform.Address},
+	}
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			report(address.field, address.value, "write it as host:port")
+		}
+	}
+	if s.Caller.MaxBodyBytes <= 0 {
+		report("caller.max_body_bytes", s.Caller.MaxBodyBytes, "use a positive number of bytes")
+	}
+	if s.Caller.MaxConcurrent <= 0 {
+		report("caller.max_concurrent", s.Caller.MaxConcurrent, "use a positive number of requests")
+	}
+	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
+		report("log.level", s.Log.Level, "use error, warn, info or debug")
+	}
+	return problems
+}
--- /dev/null
+++ b/comfreyrail/internal/traffic/completion/doc.go
@@ -0,0 +1,2 @@
+// Package completion runs completion requests on chains of model engines.
+package completion
--- /dev/null
+++ b/comfreyrail/internal/traffic/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the HTTP interface for callers.
+package entry
--- /dev/null
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// WorkspaceHeader is the header that names the caller's workspace.
+const WorkspaceHeader = "Comfrey-Workspace"
+
+// Limits of the listener.
+const (
+	maxHeaderBytes    = 32 << 10
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxTokens         = 4096
+)
+
+// Config configures an Entry.
+type Config struct {
+	// Settings configures the listener.
+	Settings settings.Caller
+	// Control publishes the state.
+	Control *control.Control
+	// Completions runs completion requests.
+	Completions *completion.Runner
+	// Relay passes plain requests on.
+	Relay *relay.Relay
+	// Log receives the log.
+	Log *logrus.Entry
+	// Metrics receives the counts of outcomes.
+	Metrics metrics.Registry
+}
+
+// Entry serves callers.
+type Entry struct {
+	config    Config
+	container *restful.Container
+	slots     chan struct{}
+}
+
+// New returns an Entry.
+func New(config Config) *Entry {
+	e := &Entry{
+		config:    config,
+		container: restful.NewContainer(),
+		slots:     make(chan struct{}, config.Settings.MaxConcurrent),
+	}
+	service := new(restful.WebService)
+	service.Route(service.POST("/v1/completions").To(e.complete))
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+		service.Route(service.Method(method).Path("/{path:*}").To(e.pass))
+	}
+	e.container.Add(service)
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case e.slots <- struct{}{}:
+		defer func() { <-e.slots }()
+	default:
+		e.fail(w, newID(), outcome.NotRunf(outcome.CodeOverload, "the instance has too many requests in progress"))
+		return
+	}
+	e.container.ServeHTTP(w, r)
+}
+
+// Serve listens for callers until the context ends.
+func (e *Entry) Serve(ctx context.Context) (err error) {
+	defer errors.DeferredAnnotatef(&err, "serve callers")
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", e.config.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler: e, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+	go func() {
+		<-ctx.Done()
+		_ = server.Shutdown(context.WithoutCancel(ctx))
+	}()
+	if err = server.Serve(listener); errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+func newID() string { return rand.Text() }
+
+// completionBody is the body of a completion request.
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// readCompletion reads and checks the body of a completion request.
+func (e *Entry) readCompletion(r *restful.Request, w http.ResponseWriter) (body completionBody, err error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Request.Body, e.config.Settings.MaxBodyBytes))
+	if err = decoder.Decode(&body); err != nil {
+		return body, outcome.NotRunf(outcome.CodeInvalid, "body is not a completion request: %v", err)
+	}
+	if body.Model == "" || body.Prompt == "" {
+		return body, outcome.NotRunf(outcome.CodeInvalid, "model and prompt must not be empty")
+	}
+	if body.MaxTokens <= 0 || body.MaxTokens > maxTokens {
+		return body, outcome.NotRunf(outcome.CodeInvalid, "max_tokens = %d is out of range; use 1 to %d", body.MaxTokens, maxTokens)
+	}
+	return body, nil
+}
+
+func (e *Entry) complete(r *restful.Request, w *restful.Response) {
+	id := newID()
+	body, err := e.readCompletion(r, w)
+	if err != nil {
+		e.fail(w, id, err)
+		return
+	}
+	workspace := r.Request.Header.Get(WorkspaceHeader)
+	route, ok := e.config.Control.Snapshot().Tables.MatchModel(body.Model, workspace)
+	if !ok {
+		e.fail(w, id, outcome.NotRunf(outcome.CodeNoRoute, "no route serves model %q for workspace %q", body.Model, workspace))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
+	defer cancel()
+	request := completion.Request{ID: id, Route: route, Prompt: body.Prompt, MaxTokens: body.MaxTokens}
+	writer := newAnswerWriter(w, id, body)
+	if err = e.config.Completions.Run(ctx, request, writer.token); err != nil && !writer.started() {
+		e.fail(w, id, err)
+		return
+	}
+	e.count(writer.finish(err))
+	e.config.Log.WithFields(logrus.Fields{"request": id, "workspace": workspace, "route": route.Name}).WithError(err).Info("completion")
+}
+
+// pass relays a plain request.
+func (e *Entry) pass(r *restful.Request, w *restful.Response) {
+	id := newID()
+	workspace := r.Request.Header.Get(WorkspaceHeader)
+	route, ok := e.config.Control.Snapshot().Tables.MatchPath(r.Request.URL.Path, workspace)
+	if !ok {
+		e.fail(w, id, outcome.NotRunf(outcome.CodeNoRoute, "no route serves path %q for workspace %q", r.Request.URL.Path, workspace))
+		return
+	}
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Request.Body, e.config.Settings.MaxBodyBytes))
+	if err != nil {
+		e.fail(w, id, outcome.NotRunf(outcome.CodeInvalid, "cannot read the body: %v", err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
+	defer cancel()
+	answer, err := e.config.Relay.Run(ctx, relay.Request{
+		ID: id, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
+		Header: r.Request.Header, Body: content,
+	})
+	if err != nil {
+		e.fail(w, id, err)
+		return
+	}
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(outcome.Header, string(outcome.Done))
+	w.Header().Set(outcome.RequestHeader, id)
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	e.count(outcome.Done)
+}
+
+// failureBody is the body of an answer that tells a failure.
+type failureBody struct {
+	Error *outcome.Failure `json:"error"`
+}
+
+// fail answers with a failure before anything else has been written.
+func (e *Entry) fail(w http.ResponseWriter, id string, err error) {
+	failure := outcome.From(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(outcome.Header, string(failure.Outcome))
+	w.Header().Set(outcome.RequestHeader, id)
+	w.WriteHeader(failure.Status())
+	_ = json.NewEncoder(w).Encode(failureBody{Error: failure})
+	e.count(failure.Outcome)
+	e.config.Log.WithFields(logrus.Fields{"request": id, "outcome": failure.Outcome}).Warn(failure.Message)
+}
+
+// count counts one request with its outcome.
+func (e *Entry) count(result outcome.Outcome) {
+	metrics.GetOrRegisterCounter("requests."+string(result), e.config.Metrics).Inc(1)
+}
--- /dev/null
+++ b/rail/chain/doc.go
@@ -0,0 +1,2 @@
+// Package chain chooses the backend servers that carry a request.
+package chain
--- /dev/null
+++ b/rail/kv/doc.go
@@ -0,0 +1,2 @@
+// Package kv is the client of the platform's key-value service.
+package kv
--- /dev/null
+++ b/rail/table/doc.go
@@ -0,0 +1,3 @@
+// Package table holds the operators' two tables, routes and pools, and checks
+// edits to them.
+package table
--- /dev/null
+++ b/rail/table/table.go
@@ -0,0 +1,135 @@
+package table
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind tells the two kinds of pools apart.
+type Kind string
+
+const (
+	// Model is the kind of a pool whose backend servers are model engines that hold ranges of layers.
+	Model Kind = "model"
+	// Plain is the kind of a pool whose backend servers are plain HTTP services.
+	Plain Kind = "plain"
+)
+
+// Route says which requests go to which pool, and how.
+type Route struct {
+	// Name identifies the route.
+	Name string `toml:"name" json:"name"`
+	// Model matches the model field of completion requests; empty for plain routes.
+	Model string `toml:"model,omitempty" json:"model,omitempty"`
+	// Prefix matches the path of plain requests; empty for model routes.
+	Prefix string `toml:"prefix,omitempty" json:"prefix,omitempty"`
+	// Workspaces limits the route to these workspaces; empty matches all.
+	Workspaces []string `toml:"workspaces,omitempty" json:"workspaces,omitempty"`
+	// Pool names the pool that serves the route.
+	Pool string `toml:"pool" json:"pool"`
+	// Priority orders requests under load, 0 the lowest and MaxPriority the highest.
+	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+	// Idempotent says that repeating a request has no further effect.
+	Idempotent bool `toml:"idempotent,omitempty" json:"idempotent,omitempty"`
+	// DeadlineMS is the longest time a request may take, in milliseconds; zero means DefaultDeadline.
+	DeadlineMS int `toml:"deadline_ms,omitempty" json:"deadline_ms,omitempty"`
+}
+
+// MaxPriority is the highest priority of a route.
+const MaxPriority = 9
+
+// DefaultDeadline is the longest time a request may take when its route sets none.
+const DefaultDeadline = 2 * time.Minute
+
+// Deadline returns the longest time a request of the route may take.
+func (r Route) Deadline() time.Duration {
+	if r.DeadlineMS == 0 {
+		return DefaultDeadline
+	}
+	return time.Duration(r.DeadlineMS) * time.Millisecond
+}
+
+// Server is a backend server as a pool lists it.
+type Server struct {
+	// Name identifies the backend server in all pools.
+	Name string `toml:"name" json:"name"`
+	// Address is the host and port of the backend server.
+	Address string `toml:"address" json:"address"`
+	// Zone is the availability zone of the backend server.
+	Zone string `toml:"zone" json:"zone"`
+	// Leaving keeps new work away from the backend server.
+	Leaving bool `toml:"leaving,omitempty" json:"leaving,omitempty"`
+}
+
+// Pool names a group of backend servers.
+type Pool struct {
+	// Name identifies the pool.
+	Name string `toml:"name" json:"name"`
+	// Kind is Model or Plain.
+	Kind Kind `toml:"kind" json:"kind"`
+	// Layers is the number of layers of the model; zero for plain pools.
+	Layers int `toml:"layers,omitempty" json:"layers,omitempty"`
+	// Servers lists the backend servers.
+	Servers []Server `toml:"servers" json:"servers"`
+}
+
+// Tables is one generation of both tables.
+type Tables struct {
+	// Generation counts accepted edits; a greater one is newer.
+	Generation uint64 `toml:"-" json:"generation"`
+	// Routes is the table of routes.
+	Routes []Route `toml:"routes" json:"routes"`
+	// Pools is the table of pools.
+	Pools []Pool `toml:"pools" json:"pools"`
+}
+
+// FindPool returns the pool of that name.
+func (t *Tables) FindPool(name string) (Pool, bool) {
+	for _, pool := range t.Pools {
+		if pool.Name == name {
+			return pool, true
+		}
+	}
+	return Pool{}, false
+}
+
+// MatchModel returns the route for a completion request, preferring one that names the workspace.
+func (t *Tables) MatchModel(model, workspace string) (found Route, ok bool) {
+	for _, route := range t.Routes {
+		if route.Model == "" || route.Model != model || !route.admits(workspace) {
+			continue
+		}
+		if !ok || len(route.Workspaces) > len(found.Workspaces) {
+			found, ok = route, true
+		}
+	}
+	return found, ok
+}
+
+// MatchPath returns the route with the longest matching prefix for a plain request.
+func (t *Tables) MatchPath(path, workspace string) (found Route, ok bool) {
+	for _, route := range t.Routes {
+		if route.Prefix == "" || !strings.HasPrefix(path, route.Prefix) || !route.admits(workspace) {
+			continue
+		}
+		longer := len(route.Prefix) > len(found.Prefix)
+		narrower := len(route.Prefix) == len(found.Prefix) && len(found.Workspaces) == 0
+		if !ok || longer || narrower {
+			found, ok = route, true
+		}
+	}
+	return found, ok
+}
+
+// admits reports whether the route serves the workspace.
+func (r Route) admits(workspace string) bool {
+	if len(r.Workspaces) == 0 {
+		return true
+	}
+	for _, name := range r.Workspaces {
+		if name == workspace {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rail/table/table_test.go
@@ -0,0 +1,26 @@
+package table
+
+import "testing"
+
+func TestMatchPath(t *testing.T) {
+	tables := Tables{Routes: []Route{
+		{Name: "all", Prefix: "/"},
+		{Name: "holds", Prefix: "/holds"},
+		{Name: "large", Prefix: "/holds", Workspaces: []string{"perth"}},
+	}}
+	tests := []struct {
+		name, path, workspace, want string
+	}{
+		{"longest prefix", "/holds/1", "albany", "holds"},
+		{"workspace goes first", "/holds/1", "perth", "large"},
+		{"rest", "/loans", "perth", "all"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			route, _ := tables.MatchPath(test.path, test.workspace)
+			if got := route.Name; got != test.want {
+				t.Errorf("MatchPath(%q, %q) = %q, want %q", test.path, test.workspace, got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rail/table/validate.go
@@ -0,0 +1,125 @@
+package table
+
+import (
+	"fmt"
+	"net"
+	"strings"
+)
+
+// Problem is one fault found in the tables.
+type Problem struct {
+	// Row names the faulty row, such as "route bookings".
+	Row string `json:"row"`
+	// Field names the faulty field.
+	Field string `json:"field"`
+	// Message says what is wrong and how to mend it.
+	Message string `json:"message"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s: %s: %s", p.Row, p.Field, p.Message)
+}
+
+// Validate returns every problem found in the tables, none if they may be accepted.
+func (t *Tables) Validate() []Problem {
+	var problems []Problem
+	pools := make(map[string]Pool, len(t.Pools))
+	for _, pool := range t.Pools {
+		if _, ok := pools[pool.Name]; ok {
+			problems = append(problems, Problem{"pool " + pool.Name, "name", "another pool has this name; rename one of them"})
+		}
+		pools[pool.Name] = pool
+		problems = append(problems, pool.problems()...)
+	}
+	names := make(map[string]bool, len(t.Routes))
+	matches := make(map[string]string, len(t.Routes))
+	for _, route := range t.Routes {
+		row := "route " + route.Name
+		if names[route.Name] {
+			problems = append(problems, Problem{row, "name", "another route has this name; rename one of them"})
+		}
+		names[route.Name] = true
+		problems = append(problems, route.problems(pools)...)
+		for _, key := range route.matchKeys() {
+			if other, ok := matches[key]; ok {
+				problems = append(problems, Problem{row, "match", fmt.Sprintf("overlaps with route %q; narrow one of them", other)})
+			}
+			matches[key] = route.Name
+		}
+	}
+	return problems
+}
+
+// matchKeys returns one key for each workspace that the route matches.
+func (r Route) matchKeys() []string {
+	base := r.Model + "\x00" + r.Prefix + "\x00"
+	if len(r.Workspaces) == 0 {
+		return []string{base}
+	}
+	keys := make([]string, 0, len(r.Workspaces))
+	for _, workspace := range r.Workspaces {
+		keys = append(keys, base+workspace)
+	}
+	return keys
+}
+
+func (r Route) problems(pools map[string]Pool) []Problem {
+	var problems []Problem
+	row := "route " + r.Name
+	report := func(field, format string, args ...any) {
+		problems = append(problems, Problem{row, field, fmt.Sprintf(format, args...)})
+	}
+	if r.Name == "" {
+		report("name", "is empty; give the route a name")
+	}
+	if (r.Model == "") == (r.Prefix == "") {
+		report("match", "set exactly one of model and prefix")
+	}
+	if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
+		report("prefix", "%q does not begin with a slash; write %q", r.Prefix, "/"+r.Prefix)
+	}
+	if r.Priority < 0 || r.Priority > MaxPriority {
+		report("priority", "%d is out of range; use 0 to %d", r.Priority, MaxPriority)
+	}
+	if r.DeadlineMS < 0 {
+		report("deadline_ms", "%d is negative; use 0 for the default", r.DeadlineMS)
+	}
+	pool, ok := pools[r.Pool]
+	if !ok {
+		report("pool", "pool %q does not exist; add it or name another", r.Pool)
+		return problems
+	}
+	if (r.Model != "") != (pool.Kind == Model) {
+		report("pool", "pool %q is of kind %q, which does not serve this match", r.Pool, pool.Kind)
+	}
+	return problems
+}
+
+func (p Pool) problems() []Problem {
+	var problems []Problem
+	row := "pool " + p.Name
+	report := func(field, format string, args ...any) {
+		problems = append(problems, Problem{row, field, fmt.Sprintf(format, args...)})
+	}
+	if p.Name == "" {
+		report("name", "is empty; give the pool a name")
+	}
+	if p.Kind != Model && p.Kind != Plain {
+		report("kind", "%q is unknown; use %q or %q", p.Kind, Model, Plain)
+	}
+	if p.Kind == Model && p.Layers <= 0 {
+		report("layers", "%d is not positive; give the number of layers of the model", p.Layers)
+	}
+	names := make(map[string]bool, len(p.Servers))
+	for _, server := range p.Servers {
+		if server.Name == "" || names[server.Name] {
+			report("servers", "name %q is empty or used twice", server.Name)
+		}
+		names[server.Name] = true
+		if _, _, err := net.SplitHostPort(server.Address); err != nil {
+			report("servers", "address %q of %q is not host:port", server.Address, server.Name)
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/railload/main.go
@@ -0,0 +1,5 @@
+// Railload sends requests to comfreyrail at a stated rate and reports what the
+// callers saw.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/engine/main.go
@@ -0,0 +1,33 @@
+// Engine is a stand-in for a model engine that holds a range of layers.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
+)
+
+func main() {
+	var config fakeengine.Config
+	listen := flag.String("listen", "127.0.0.1:7100", "host and port to listen on")
+	flag.StringVar(&config.Name, "name", "engine", "name of the backend server")
+	flag.StringVar(&config.Kind, "kind", "a", "kind of accelerator")
+	flag.IntVar(&config.First, "first", 0, "first layer")
+	flag.IntVar(&config.Last, "last", 8, "layer after the last one")
+	flag.StringVar(&config.Version, "version", "v1", "version of the model")
+	flag.DurationVar(&config.LayerTime, "layer-time", 500*time.Microsecond, "time of one layer for one batch")
+	flag.DurationVar(&config.LinkTime, "link-time", time.Millisecond, "time of an activation to the next stage")
+	flag.IntVar(&config.Slots, "slots", 16, "activations in one batch")
+	flag.DurationVar(&config.Lag, "lag", time.Second, "delay of the reported load")
+	flag.BoolVar(&config.ChecksFence, "checks-fence", false, "refuse orders with an old fencing number")
+	flag.Parse()
+	server := &http.Server{Addr: *listen, Handler: fakeengine.New(config)}
+	if err := server.ListenAndServe(); err != nil {
+		fmt.Fprintf(os.Stderr, "engine: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/platform/main.go
@@ -0,0 +1,26 @@
+// Platform is a stand-in for the platform's key-value service and its list of
+// instances; it keeps everything in memory.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+)
+
+func main() {
+	var config fakeplatform.Config
+	listen := flag.String("listen", "127.0.0.1:7000", "host and port to listen on")
+	flag.Float64Var(&config.Writes, "writes", fakeplatform.DefaultWrites, "rate of writes in calls per second")
+	flag.Float64Var(&config.Reads, "reads", fakeplatform.DefaultReads, "rate of reads in calls per second")
+	flag.DurationVar(&config.Lag, "lag", fakeplatform.DefaultLag, "delay of the list of instances")
+	flag.Parse()
+	server := &http.Server{Addr: *listen, Handler: fakeplatform.New(config)}
+	if err := server.ListenAndServe(); err != nil {
+		fmt.Fprintf(os.Stderr, "platform: %v\n", err)
+		os.Exit(1)
+	}
+}
