--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -5,12 +5,9 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/emicklei/go-restful/v3"
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -24,14 +21,8 @@
 // WorkspaceHeader is the header that names the caller's workspace.
 const WorkspaceHeader = "Comfrey-Workspace"
 
-// Limits of the listener.
-const (
-	maxHeaderBytes    = 32 << 10
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxTokens         = 4096
-)
+// maxTokens is the greatest number of tokens of one answer.
+const maxTokens = 4096
 
 // Config configures an Entry.
 type Config struct {
@@ -84,27 +75,6 @@
 	e.container.ServeHTTP(w, r)
 }
 
-// Serve listens for callers until the context ends.
-func (e *Entry) Serve(ctx context.Context) (err error) {
-	defer errors.DeferredAnnotatef(&err, "serve callers")
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", e.config.Settings.Listen)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{
-		Handler: e, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-	}
-	go func() {
-		<-ctx.Done()
-		_ = server.Shutdown(context.WithoutCancel(ctx))
-	}()
-	if err = server.Serve(listener); errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
-	}
-	return err
-}
-
 func newID() string { return rand.Text() }
 
 // completionBody is the body of a completion request.
--- /dev/null
+++ b/rail/member/doc.go
@@ -0,0 +1,2 @@
+// Package member describes the instances of the fleet to each other.
+package member
--- /dev/null
+++ b/rail/proof/proof.go
@@ -0,0 +1,78 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// defaultSeed is the seed of runs that name none, so that every run gives the same verdict.
+const defaultSeed = "20261204"
+
+// Tally counts what one proof did over all its checks.
+type Tally struct {
+	// Checks is the number of random histories.
+	Checks int
+	// Operations is the number of steps in all histories.
+	Operations int
+	// Violations is the number of invariants that did not hold.
+	Violations int
+
+	faults map[string]int
+}
+
+// Fault counts one injected fault of the kind.
+func (t *Tally) Fault(kind string) { t.faults[kind]++ }
+
+// Faults returns the number of injected faults of the kind.
+func (t *Tally) Faults(kind string) int { return t.faults[kind] }
+
+// Violate counts a violation and fails the history.
+func (t *Tally) Violate(rt *rapid.T, format string, args ...any) {
+	t.Violations++
+	rt.Fatalf(format, args...)
+}
+
+// String returns the tally on one line.
+func (t *Tally) String() string {
+	kinds := make([]string, 0, len(t.faults))
+	for kind, count := range t.faults {
+		kinds = append(kinds, fmt.Sprintf("%s:%d", kind, count))
+	}
+	sort.Strings(kinds)
+	return fmt.Sprintf("checks=%d operations=%d faults=[%s] violations=%d", t.Checks, t.Operations, strings.Join(kinds, " "), t.Violations)
+}
+
+// Run runs the history once for each check of the flag rapid.checks and prints a line that begins with "prove".
+//
+// The seed is the flag rapid.seed, or a fixed one, so that the verdict is the same in every run.
+func Run(t *testing.T, name string, history func(rt *rapid.T, tally *Tally)) {
+	t.Helper()
+	fixSeed(t)
+	tally := &Tally{faults: make(map[string]int)}
+	defer func() {
+		_, _ = fmt.Fprintf(os.Stdout, "prove %s: %s\n", name, tally)
+	}()
+	rapid.Check(t, func(rt *rapid.T) {
+		tally.Checks++
+		history(rt, tally)
+	})
+}
+
+// fixSeed sets the seed unless the command line names one, and keeps rapid from writing files.
+func fixSeed(t *testing.T) {
+	t.Helper()
+	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
+		if err := flag.Set("rapid.seed", defaultSeed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+}
