Decide membership by heartbeats on rings

Cause: instances must know which others are alive (duties, owners of claims, shares of limits) at a cost that does not grow with the fleet; the platform's leases cannot be renewed every few seconds by 490 instances.

--- a/rail/proof/proof.go
+++ b/rail/proof/proof.go
@@ -14,6 +14,9 @@
 // defaultSeed is the seed of runs that name none, so that every run gives the same verdict.
 const defaultSeed = "20261204"
 
+// shrinkTime is the longest time spent on making a failing history shorter.
+const shrinkTime = "5s"
+
 // Tally counts what one proof did over all its checks.
 type Tally struct {
 	// Checks is the number of random histories.
@@ -72,7 +75,10 @@
 			t.Fatal(err)
 		}
 	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		t.Fatal(err)
+	settings := []struct{ name, value string }{{"rapid.nofailfile", "true"}, {"rapid.shrinktime", shrinkTime}}
+	for _, setting := range settings {
+		if err := flag.Set(setting.name, setting.value); err != nil {
+			t.Fatal(err)
+		}
 	}
 }
--- /dev/null
+++ b/rail/spread/message.go
@@ -0,0 +1,87 @@
+package spread
+
+import "github.com/comfreyrail/comfreyrail/rail/member"
+
+// State is what is believed about a member.
+type State uint8
+
+const (
+	// Alive means that the member answers.
+	Alive State = iota
+	// Suspect means that the member failed to answer and may yet refute that it is dead.
+	Suspect
+	// Dead means that the member did not refute the suspicion in time.
+	Dead
+	// Left means that the incarnation stopped as planned and does not return.
+	Left
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	default:
+		return "left"
+	}
+}
+
+// Update is news about one member.
+type Update struct {
+	// Member is the member.
+	Member member.Member `cbor:"1,keyasint"`
+	// Beat grows each time the member refutes a suspicion.
+	Beat uint64 `cbor:"2,keyasint,omitempty"`
+	// State is what is believed about the member.
+	State State `cbor:"3,keyasint,omitempty"`
+}
+
+// newer reports whether the update supersedes the other one about the same member.
+func (u Update) newer(other Update) bool {
+	if u.Member.Epoch != other.Member.Epoch {
+		return u.Member.Epoch > other.Member.Epoch
+	}
+	if u.State == Left || other.State == Left {
+		return other.State != Left
+	}
+	if u.Beat != other.Beat {
+		return u.Beat > other.Beat
+	}
+	return u.State > other.State
+}
+
+// Head names a generation of the tables and its content.
+type Head struct {
+	// Generation is the generation.
+	Generation uint64 `cbor:"1,keyasint"`
+	// Hash is the hash of the content.
+	Hash string `cbor:"2,keyasint"`
+}
+
+// Message is one heartbeat or its reply.
+type Message struct {
+	// From is the name of the sender.
+	From string `cbor:"1,keyasint"`
+	// Epoch is the epoch of the sender's incarnation.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Head is the generation of the tables that the sender has in force.
+	Head Head `cbor:"3,keyasint"`
+	// Digest is the hash of the sender's view of the members.
+	Digest uint64 `cbor:"4,keyasint"`
+	// Updates is news about members.
+	Updates []Update `cbor:"5,keyasint,omitempty"`
+	// Full asks for all that the receiver knows about the members.
+	Full bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Beat is a heartbeat to send.
+type Beat struct {
+	// To is the member that receives the heartbeat.
+	To member.Member
+	// Message is the heartbeat.
+	Message Message
+}
