Join instances over QUIC with keys of their own

Cause: instances knew nothing of each other. Ruled out: one UDP socket for all connections (a new connection would share the 4-tuple of one that has gone silent); a file with keys or an authority. Change: comfreyrail/internal/peer carries typed CBOR calls over QUIC with mutual TLS, each incarnation's key pinned through its lease record; membership registers, renews and lists at rates that do not grow with the fleet, and runs the heartbeat decisions on the control goroutine. Before: a lone instance never published its own record (the test of unknown keys waited 30 s and failed), as its first revision equalled the published one. After: the tests pass: views of three, a kill during an outage of the platform, a planned stop, unknown keys refused at both ends.

--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -11,6 +11,8 @@
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -20,6 +22,12 @@
 	Tables *table.Tables
 	// Servers holds what is known about each backend server, by name.
 	Servers map[string]chain.Server
+	// Self is the record of this incarnation; its epoch is zero before it is registered.
+	Self member.Member
+	// Fleet holds what is known about every instance, by name.
+	Fleet []spread.Update
+	// Superseded tells that a later incarnation of this instance is known.
+	Superseded bool
 }
 
 // Event is a change to the state.
@@ -51,10 +59,13 @@
 
 // Control owns the state; Serve must run for events to take effect.
 type Control struct {
-	log      *logrus.Entry
-	checker  *invariant.Checker
-	events   chan Event
-	snapshot atomic.Pointer[Snapshot]
+	log     *logrus.Entry
+	checker *invariant.Checker
+	events  chan Event
+	peers   *spread.Node
+	// published is the revision of peers that the snapshot holds.
+	published uint64
+	snapshot  atomic.Pointer[Snapshot]
 }
 
 // Config configures a Control.
--- /dev/null
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -0,0 +1,171 @@
+package membership
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+)
+
+// instance is one instance with real connections to others.
+type instance struct {
+	control    *control.Control
+	membership *Membership
+	transport  *peer.Transport
+	identity   peer.Identity
+	stop       context.CancelFunc
+}
+
+func quiet() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+// freePort returns a loopback UDP address that was free a moment ago.
+func freePort(t *testing.T) string {
+	t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.LocalAddr().String()
+}
+
+func startPlatform(t *testing.T) (*fakeplatform.Server, *kv.Client) {
+	t.Helper()
+	platform := fakeplatform.New(fakeplatform.Config{})
+	server := httptest.NewServer(platform)
+	t.Cleanup(server.Close)
+	return platform, &kv.Client{Address: server.Listener.Addr().String()}
+}
+
+func startInstance(t *testing.T, name string, store *kv.Client) *instance {
+	t.Helper()
+	identity, err := peer.NewIdentity(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := freePort(t)
+	state := control.New(control.Config{Log: quiet(), Checker: new(invariant.Checker)})
+	members := New(Config{
+		Self:  member.Member{Name: name, Zone: "a", Incarnation: name, Address: address, Fingerprint: identity.Fingerprint},
+		Store: store, Control: state, Log: quiet(),
+	})
+	transport := peer.New(peer.Config{Listen: address, Identity: identity, Resolve: members.Resolve, Log: quiet()})
+	transport.Handle(KindHeartbeat, members.ServeHeartbeat)
+	transport.Handle(KindStatus, members.ServeStatus)
+	members.Call = transport.Call
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, serve := range []func(context.Context) error{state.Serve, transport.Serve, members.Serve} {
+		go func() { _ = serve(ctx) }()
+	}
+	return &instance{control: state, membership: members, transport: transport, identity: identity, stop: cancel}
+}
+
+// waitFor waits until the condition holds, or fails the test after a time far beyond the expected one.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 600 {
+		if condition() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+func (i *instance) sees(count int) func() bool {
+	return func() bool { return len(i.control.Snapshot().Members()) == count }
+}
+
+func TestInstancesSeeEachOther(t *testing.T) {
+	platform, store := startPlatform(t)
+	var fleet []*instance
+	for _, name := range []string{"rail-1", "rail-2", "rail-3"} {
+		fleet = append(fleet, startInstance(t, name, store))
+	}
+	for _, one := range fleet {
+		waitFor(t, "view of three instances", one.sees(3))
+	}
+
+	platform.SetFaults(fakeplatform.Faults{Outage: true})
+	fleet[2].stop()
+	for _, one := range fleet[:2] {
+		waitFor(t, "view without the killed instance during an outage", one.sees(2))
+	}
+	for _, status := range fleet[0].membership.Fleet(t.Context()) {
+		if got, want := status.Epoch > 0, true; got != want {
+			t.Errorf("epoch of %q is set = %v, want %v", status.Name, got, want)
+		}
+	}
+}
+
+func TestPlannedStopIsSeenAtOnce(t *testing.T) {
+	_, store := startPlatform(t)
+	first, second := startInstance(t, "rail-1", store), startInstance(t, "rail-2", store)
+	waitFor(t, "view of two instances", first.sees(2))
+	waitFor(t, "view of two instances", second.sees(2))
+	if err := second.membership.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "state left", func() bool {
+		for _, update := range first.control.Snapshot().Fleet {
+			if update.Member.Name == "rail-2" {
+				return update.State == spread.Left
+			}
+		}
+		return false
+	})
+	records, err := store.List(t.Context(), keyPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(records), 1; got != want {
+		t.Errorf("records after the stop = %d, want %d", got, want)
+	}
+}
+
+func TestUnknownKeysAreRefused(t *testing.T) {
+	_, store := startPlatform(t)
+	first := startInstance(t, "rail-1", store)
+	waitFor(t, "registration", first.sees(1))
+	intruder, err := peer.NewIdentity("rail-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := peer.New(peer.Config{Identity: intruder, Log: quiet()})
+	wrong := first.control.Snapshot().Self
+	wrong.Fingerprint = intruder.Fingerprint
+	tests := []struct {
+		name string
+		to   member.Member
+	}{
+		{"server with another key", wrong},
+		{"client with another key", first.control.Snapshot().Self},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			var status member.Member
+			if err := transport.Call(ctx, test.to, KindStatus, struct{}{}, &status); err == nil {
+				t.Errorf("Call got status %+v, want an error", status)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/comfreyrail/internal/control/peers.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+)
+
+// Members returns the instances that are alive or suspect, this one included, by name.
+func (s *Snapshot) Members() []member.Member {
+	members := make([]member.Member, 0, len(s.Fleet))
+	for _, update := range s.Fleet {
+		if update.State <= spread.Suspect {
+			members = append(members, update.Member)
+		}
+	}
+	return members
+}
+
+// Registered tells that this incarnation has its record in the platform's service.
+type Registered struct {
+	// Self is the record.
+	Self member.Member
+}
+
+func (e Registered) apply(c *Control, next *Snapshot) {
+	if c.peers == nil {
+		c.peers = spread.New(spread.Config{Self: e.Self, Checker: c.checker})
+	} else {
+		c.peers.SetSelf(e.Self)
+	}
+	next.Self = e.Self
+	c.publishPeers(next)
+}
+
+// MembersListed tells which members the platform's service lists.
+type MembersListed struct {
+	// At is the time of the listing.
+	At time.Time
+	// Members are the records.
+	Members []member.Member
+}
+
+func (e MembersListed) apply(c *Control, next *Snapshot) {
+	if c.peers == nil {
+		return
+	}
+	c.peers.Learn(e.At, e.Members)
+	c.publishPeers(next)
+}
+
+// HeartbeatsDue asks for the heartbeats to send.
+type HeartbeatsDue struct {
+	// At is the present time.
+	At time.Time
+	// Beats receives the heartbeats; it must have room for them.
+	Beats chan<- []spread.Beat
+}
+
+func (e HeartbeatsDue) apply(c *Control, next *Snapshot) {
+	if c.peers == nil {
+		e.Beats <- nil
+		return
+	}
+	e.Beats <- c.peers.Tick(e.At)
+	c.publishPeers(next)
+}
+
+// HeadInstalled tells that a generation of the tables is in force and asks for the heartbeats that announce it.
+type HeadInstalled struct {
+	// Head is the generation.
+	Head spread.Head
+	// Beats receives the heartbeats; it must have room for them.
+	Beats chan<- []spread.Beat
+}
+
+func (e HeadInstalled) apply(c *Control, _ *Snapshot) {
+	if c.peers == nil {
+		e.Beats <- nil
+		return
+	}
+	c.peers.SetHead(e.Head)
+	e.Beats <- c.peers.Announce()
+}
+
+// HeartbeatReceived brings a heartbeat of another instance and asks for the reply.
+type HeartbeatReceived struct {
+	// At is the time of arrival.
+	At time.Time
+	// Message is the heartbeat.
+	Message spread.Message
+	// Reply receives the reply; it must have room for it.
+	Reply chan<- spread.Message
+}
+
+func (e HeartbeatReceived) apply(c *Control, next *Snapshot) {
+	if c.peers == nil {
+		close(e.Reply)
+		return
+	}
+	e.Reply <- c.peers.Receive(e.At, e.Message)
+	c.publishPeers(next)
+}
+
+// HeartbeatAnswered brings the reply to a heartbeat.
+type HeartbeatAnswered struct {
+	// At is the time of arrival.
+	At time.Time
+	// Name is the name of the instance that was asked.
+	Name string
+	// Reply is the reply.
+	Reply spread.Message
+}
+
+func (e HeartbeatAnswered) apply(c *Control, next *Snapshot) {
+	c.peers.Answered(e.At, e.Name, e.Reply)
+	c.publishPeers(next)
+}
+
+// HeartbeatFailed tells that a heartbeat had no reply.
+type HeartbeatFailed struct {
+	// At is the present time.
+	At time.Time
+	// Name is the name of the instance that was asked.
+	Name string
+	// Epoch is the epoch of the incarnation that was asked.
+	Epoch uint64
+}
+
+func (e HeartbeatFailed) apply(c *Control, next *Snapshot) {
+	c.peers.Failed(e.At, e.Name, e.Epoch)
+	c.publishPeers(next)
+}
+
+// Leaving tells that this incarnation stops and asks for the heartbeats that tell the others.
+type Leaving struct {
+	// Beats receives the heartbeats; it must have room for them.
+	Beats chan<- []spread.Beat
+}
+
+func (e Leaving) apply(c *Control, _ *Snapshot) {
+	if c.peers == nil {
+		e.Beats <- nil
+		return
+	}
+	e.Beats <- c.peers.Leave()
+}
+
+// publishPeers copies the view of the fleet into the snapshot if it has changed.
+func (c *Control) publishPeers(next *Snapshot) {
+	if next.Superseded = c.peers.Superseded(); c.peers.Revision() == c.published {
+		return
+	}
+	c.published = c.peers.Revision()
+	next.Fleet = c.peers.All()
+}
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -10,7 +10,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 )
 
@@ -25,6 +27,10 @@
 	Control *control.Control
 	// Sync reads the tables.
 	Sync *configsync.Sync
+	// Membership keeps the view of the fleet.
+	Membership *membership.Membership
+	// Peers carries calls between instances.
+	Peers *peer.Transport
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
 	// Entry serves callers.
@@ -42,11 +48,13 @@
 	state := suture.New("control", spec)
 	state.Add(branches.Control)
 	state.Add(branches.Sync)
+	state.Add(branches.Membership)
 	state.Add(branches.Prober)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
 	root.Add(state)
 	root.Add(traffic)
+	root.Add(branches.Peers)
 	root.Add(branches.Admin)
 	return &Process{root: root}
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"crypto/rand"
 	"net/http"
 	"os"
 	"time"
@@ -11,13 +12,16 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/member"
 )
 
 // maxIdlePerServer is the number of idle connections kept to each backend server.
@@ -60,6 +64,26 @@
 	return configsync.New(configsync.Config{Store: store, Control: state, Log: log})
 }
 
+func provideIdentity(loaded settings.Settings) (peer.Identity, error) {
+	return peer.NewIdentity(loaded.Name)
+}
+
+func provideMembership(loaded settings.Settings, identity peer.Identity, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
+	self := member.Member{
+		Name: loaded.Name, Zone: loaded.Zone, Incarnation: rand.Text(),
+		Address: loaded.Peer.Listen, Fingerprint: identity.Fingerprint,
+	}
+	return membership.New(membership.Config{Self: self, Store: store, Control: state, Log: log})
+}
+
+func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
+	transport := peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+	transport.Handle(membership.KindHeartbeat, members.ServeHeartbeat)
+	transport.Handle(membership.KindStatus, members.ServeStatus)
+	members.Call = transport.Call
+	return transport
+}
+
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -23,6 +23,12 @@
 	control := provideControl(entry, checker)
 	client := provideStore(loaded)
 	sync := provideSync(client, control, entry)
+	identity, err := provideIdentity(loaded)
+	if err != nil {
+		return nil, err
+	}
+	membership := provideMembership(loaded, identity, client, control, entry)
+	transport := providePeers(loaded, identity, membership, entry)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	runner := provideRunner(loaded, control, httpClient, entry)
@@ -30,11 +36,13 @@
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, registry)
 	branches := Branches{
-		Control: control,
-		Sync:    sync,
-		Prober:  prober,
-		Entry:   entryEntry,
-		Admin:   admin,
+		Control:    control,
+		Sync:       sync,
+		Membership: membership,
+		Peers:      transport,
+		Prober:     prober,
+		Entry:      entryEntry,
+		Admin:      admin,
 	}
 	process := New(branches, entry)
 	return process, nil
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Caller Caller `toml:"caller"`
 	// Admin configures the listener for operators.
 	Admin Admin `toml:"admin"`
+	// Peer configures the listener for other instances.
+	Peer Peer `toml:"peer"`
 	// Platform configures the calls to the platform's service.
 	Platform Platform `toml:"platform"`
 	// Log configures the log.
@@ -45,6 +47,12 @@
 	Listen string `toml:"listen"`
 }
 
+// Peer configures the listener for other instances.
+type Peer struct {
+	// Listen is the UDP host and port to listen on, at which the other instances reach this one.
+	Listen string `toml:"listen"`
+}
+
 // Platform configures the calls to the platform's service.
 type Platform struct {
 	// Address is the host and port of the service.
@@ -122,6 +130,7 @@
 	addresses := []struct{ field, value string }{
 		{"caller.listen", s.Caller.Listen},
 		{"admin.listen", s.Admin.Listen},
+		{"peer.listen", s.Peer.Listen},
 		{"platform.address", s.Platform.Address},
 	}
 	for _, address := range addresses {
--- a/rail/spread/node.go
+++ b/rail/spread/node.go
@@ -52,9 +52,12 @@
 	views    map[string]*view
 	partners []string
 	stale    bool
+	revision uint64
 	ticks    uint64
 	tried    string
 	lastTick time.Time
+
+	superseded bool
 }
 
 // view is what the node knows about one other member.
@@ -77,7 +80,7 @@
 	if config.Checker == nil {
 		config.Checker = new(invariant.Checker)
 	}
-	return &Node{config: config, self: Update{Member: config.Self}, views: make(map[string]*view)}
+	return &Node{config: config, self: Update{Member: config.Self}, views: make(map[string]*view), revision: 1}
 }
 
 // SetHead sets the generation of the tables that is in force here.
@@ -86,6 +89,7 @@
 // SetSelf replaces the own record after a new registration.
 func (n *Node) SetSelf(self member.Member) {
 	n.self.Member = self
+	n.changed()
 }
 
 // Self returns the own record.
@@ -110,6 +114,23 @@
 	return members
 }
 
+// All returns everything that is known about the members, by name.
+func (n *Node) All() []Update {
+	updates := make([]Update, 0, len(n.views)+1)
+	updates = append(updates, n.self)
+	for _, known := range n.views {
+		updates = append(updates, known.update)
+	}
+	slices.SortFunc(updates, func(a, b Update) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
+	return updates
+}
+
+// Revision grows with every change of what is known about the members.
+func (n *Node) Revision() uint64 { return n.revision }
+
+// Superseded reports whether a later incarnation of the own instance is known.
+func (n *Node) Superseded() bool { return n.superseded }
+
 // Find returns the record of a member that is not forgotten, and what is believed about it.
 func (n *Node) Find(name string) (found Update, ok bool) {
 	if name == n.self.Member.Name {
@@ -194,6 +215,7 @@
 			n.apply(now, update)
 		case known.update.State >= Dead && age >= n.config.Forget:
 			delete(n.views, name)
+			n.changed()
 		}
 	}
 }
@@ -284,24 +306,13 @@
 	n.take(now, message)
 	reply := n.message()
 	if message.Full {
-		reply.Updates = n.all()
+		reply.Updates = n.All()
 	} else if known := n.views[message.From]; known != nil {
 		reply.Updates = append(reply.Updates, about(known)...)
 	}
 	return reply
 }
 
-// all returns everything that is known about the members.
-func (n *Node) all() []Update {
-	updates := make([]Update, 0, len(n.views)+1)
-	updates = append(updates, n.self)
-	for _, known := range n.views {
-		updates = append(updates, known.update)
-	}
-	slices.SortFunc(updates, func(a, b Update) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
-	return updates
-}
-
 // Answered takes the reply of a member to a heartbeat.
 func (n *Node) Answered(now time.Time, name string, reply Message) {
 	if known := n.views[name]; known != nil {
@@ -349,6 +360,9 @@
 	n.apply(now, update)
 }
 
+// Announce returns heartbeats to all partners at once, for news that must not wait.
+func (n *Node) Announce() []Beat { return n.beats(n.Partners()) }
+
 // Leave returns heartbeats that tell the partners that this incarnation stops.
 func (n *Node) Leave() []Beat {
 	n.self.State = Left
@@ -370,7 +384,7 @@
 	if known == nil {
 		known = &view{update: update, since: now}
 		n.views[update.Member.Name] = known
-		n.stale = true
+		n.changed()
 		return
 	}
 	if !update.newer(known.update) {
@@ -392,11 +406,18 @@
 		known.since = now
 	}
 	known.update, known.sent = update, 0
+	n.changed()
+}
+
+// changed marks what is derived from the views as out of date.
+func (n *Node) changed() {
 	n.stale = true
+	n.revision++
 }
 
 // refute answers a false belief about the own incarnation with a greater beat.
 func (n *Node) refute(update Update) {
+	n.superseded = n.superseded || update.Member.Epoch > n.self.Member.Epoch
 	if update.Member.Epoch != n.self.Member.Epoch || update.State == Alive || n.self.State == Left {
 		return
 	}
