Give rows versions and edits operations, stored as chunks under one head

Cause: an edit replaced both tables, so the later of two racing operators erased the other's rows, and every edit rewrote one record that grows with the number of workspaces. Ruled out: one record for each row (no atomic references between tables); cutting chunks by size alone (an inserted row moves every later boundary); the record of the newest 1,000 edits within the head (25 to 30 KB rewritten with each edit, against at most 32 entries and 32 names of sealed chunks). Change: rows carry the generation at which they last changed, backend servers within a pool too, so that draining one and adding another do not clash. table.Apply is pure and answers with a Conflict naming the rows or a Refusal. Tables are cut into chunks at names whose hash is a multiple of 32. Validate further refuses two places of one backend server, names that are not UTF-8, repeated workspaces, and rows beyond the size of a record.

--- /dev/null
+++ b/rail/table/codec.go
@@ -0,0 +1,200 @@
+package table
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+)
+
+// Limits of the encoded form; a chunk stays below the greatest value of the platform's service.
+const (
+	// rowsPerChunk is the mean number of rows between two boundaries of chunks.
+	rowsPerChunk = 32
+	// maxChunkBytes is the size above which a chunk of several rows is cut.
+	maxChunkBytes = 64 << 10
+	// MaxRowBytes is the greatest size of an encoded row.
+	MaxRowBytes = 512 << 10
+	// MaxContentBytes is the greatest size of an encoded head or chunk.
+	MaxContentBytes = 1 << 20
+	// MaxRows is the greatest number of rows of a table.
+	MaxRows = 1 << 16
+	// maxNesting is the greatest depth of encoded content.
+	maxNesting = 8
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  MaxRows,
+		MaxMapPairs:       64,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encode returns the deterministic encoding.
+func encode(value any) ([]byte, error) { return encoder.Marshal(value) }
+
+// decode reads content that must be within the limits.
+func decode(content []byte, value any) error {
+	if len(content) > MaxContentBytes {
+		return fmt.Errorf("content of %d bytes exceeds %d", len(content), MaxContentBytes)
+	}
+	return decoder.Unmarshal(content, value)
+}
+
+// EncodeHead returns the encoded head.
+func EncodeHead(head *Head) (content []byte, err error) {
+	defer errors.DeferredAnnotatef(&err, "encode head of generation %d", head.Generation)
+	content, err = encode(head)
+	if err == nil && len(content) > MaxContentBytes {
+		err = fmt.Errorf("%d bytes exceed %d", len(content), MaxContentBytes)
+	}
+	return content, err
+}
+
+// DecodeHead reads an encoded head.
+func DecodeHead(content []byte) (head *Head, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode head")
+	head = new(Head)
+	if err = decode(content, head); err != nil {
+		return nil, err
+	}
+	if len(head.Recent) > entriesPerChunk || len(head.Sealed) > maxSealed {
+		return nil, fmt.Errorf("%d recent entries and %d sealed chunks exceed the limits", len(head.Recent), len(head.Sealed))
+	}
+	return head, nil
+}
+
+// DecodeEntries reads a sealed chunk of the record of edits.
+func DecodeEntries(content []byte) (entries []Entry, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode entries")
+	if err = decode(content, &entries); err != nil {
+		return nil, err
+	}
+	if len(entries) > entriesPerChunk {
+		return nil, fmt.Errorf("%d entries exceed %d", len(entries), entriesPerChunk)
+	}
+	return entries, nil
+}
+
+// encodedRows is a chunk before its rows are joined.
+type encodedRows struct {
+	Routes []cbor.RawMessage `cbor:"1,keyasint,omitempty"`
+	Pools  []cbor.RawMessage `cbor:"2,keyasint,omitempty"`
+}
+
+// decodedRows is the content of a chunk.
+type decodedRows struct {
+	Routes []Route `cbor:"1,keyasint,omitempty"`
+	Pools  []Pool  `cbor:"2,keyasint,omitempty"`
+}
+
+// encodeRows cuts sorted tables into chunks whose boundaries depend on the names of rows, so that an edit changes few.
+func encodeRows(tables *Tables) (chunks []Chunk, err error) {
+	defer errors.DeferredAnnotatef(&err, "encode generation %d", tables.Generation)
+	routes, err := cut(tables.Routes, func(r Route) string { return r.Name })
+	if err != nil {
+		return nil, err
+	}
+	pools, err := cut(tables.Pools, func(p Pool) string { return p.Name })
+	if err != nil {
+		return nil, err
+	}
+	groups := make([]encodedRows, 0, len(routes)+len(pools))
+	for _, rows := range routes {
+		groups = append(groups, encodedRows{Routes: rows})
+	}
+	for _, rows := range pools {
+		groups = append(groups, encodedRows{Pools: rows})
+	}
+	for _, group := range groups {
+		content, failure := encode(group)
+		if failure != nil {
+			return nil, failure
+		}
+		chunks = append(chunks, newChunk(content))
+	}
+	return chunks, nil
+}
+
+// cut encodes the rows and groups them into chunks.
+func cut[T any](rows []T, name func(T) string) (groups [][]cbor.RawMessage, err error) {
+	var group []cbor.RawMessage
+	size := 0
+	finish := func() {
+		if len(group) > 0 {
+			groups, group, size = append(groups, group), nil, 0
+		}
+	}
+	for _, row := range rows {
+		content, failure := encode(row)
+		if failure != nil {
+			return nil, failure
+		}
+		if size+len(content) > maxChunkBytes {
+			finish()
+		}
+		group, size = append(group, content), size+len(content)
+		if xxhash.Sum64String(name(row))%rowsPerChunk == 0 {
+			finish()
+		}
+	}
+	finish()
+	return groups, nil
+}
+
+// DecodeTables reads the tables of a head; find returns the content of a chunk.
+func DecodeTables(head *Head, find func(Hash) ([]byte, bool)) (tables *Tables, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode generation %d", head.Generation)
+	tables = &Tables{Generation: head.Generation}
+	for _, hash := range head.Chunks {
+		content, ok := find(hash)
+		if !ok || HashOf(content) != hash {
+			return nil, fmt.Errorf("chunk %s is absent or differs from its hash", hash)
+		}
+		var rows decodedRows
+		if err = decode(content, &rows); err != nil {
+			return nil, errors.Annotatef(err, "chunk %s", hash)
+		}
+		tables.Routes = append(tables.Routes, rows.Routes...)
+		tables.Pools = append(tables.Pools, rows.Pools...)
+	}
+	return tables, tables.checkOrder()
+}
+
+// checkOrder returns an error unless the rows are in the order in which they are stored and found.
+func (t *Tables) checkOrder() error {
+	for i := 1; i < len(t.Routes); i++ {
+		if t.Routes[i-1].Name >= t.Routes[i].Name {
+			return fmt.Errorf("route %q does not follow %q", t.Routes[i].Name, t.Routes[i-1].Name)
+		}
+	}
+	for i := 1; i < len(t.Pools); i++ {
+		if t.Pools[i-1].Name >= t.Pools[i].Name {
+			return fmt.Errorf("pool %q does not follow %q", t.Pools[i].Name, t.Pools[i-1].Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/rail/table/diff.go
@@ -0,0 +1,73 @@
+package table
+
+import "slices"
+
+// Diff returns the operations that turn one generation into another, puts before deletions within each table.
+//
+// A pool whose servers alone differ gives an operation for each of these, so that edits to different servers do not clash.
+func Diff(from, to *Tables) []Operation {
+	before, after := from.clone(), to.clone()
+	var operations []Operation
+	for _, pool := range after.Pools {
+		old := before.Find(Row{Sort: SortPool, Name: pool.Name}).Pool
+		switch {
+		case old == nil:
+			operations = append(operations, PutPool(pool, 0))
+		case old.Kind != pool.Kind || old.Layers != pool.Layers:
+			operations = append(operations, PutPool(pool, old.Version))
+		default:
+			operations = append(operations, diffServers(*old, pool)...)
+		}
+	}
+	for _, pool := range before.Pools {
+		if _, ok := after.findPool(pool.Name); !ok {
+			operations = append(operations, Operation{Action: Delete, Row: Row{Sort: SortPool, Name: pool.Name}, Version: pool.Version})
+		}
+	}
+	for _, route := range after.Routes {
+		old := before.Find(Row{Sort: SortRoute, Name: route.Name}).Route
+		if old == nil {
+			operations = append(operations, PutRoute(route, 0))
+		} else if !sameRoute(*old, route) {
+			operations = append(operations, PutRoute(route, old.Version))
+		}
+	}
+	for _, route := range before.Routes {
+		if _, ok := after.findRoute(route.Name); !ok {
+			operations = append(operations, Operation{Action: Delete, Row: Row{Sort: SortRoute, Name: route.Name}, Version: route.Version})
+		}
+	}
+	return operations
+}
+
+// diffServers returns the operations on the backend servers of one pool.
+func diffServers(before, after Pool) []Operation {
+	var operations []Operation
+	versions := make(map[string]Server, len(before.Servers))
+	for _, server := range before.Servers {
+		versions[server.Name] = server
+	}
+	kept := make(map[string]bool, len(after.Servers))
+	for _, server := range after.Servers {
+		kept[server.Name] = true
+		old := versions[server.Name]
+		version := old.Version
+		old.Version, server.Version = 0, 0
+		if old != server {
+			operations = append(operations, PutServer(before.Name, server, version))
+		}
+	}
+	for _, server := range before.Servers {
+		if !kept[server.Name] {
+			row := Row{Sort: SortServer, Pool: before.Name, Name: server.Name}
+			operations = append(operations, Operation{Action: Delete, Row: row, Version: server.Version})
+		}
+	}
+	return operations
+}
+
+// sameRoute reports whether the routes differ at most in their versions.
+func sameRoute(a, b Route) bool {
+	return a.Model == b.Model && a.Prefix == b.Prefix && slices.Equal(a.Workspaces, b.Workspaces) &&
+		a.Pool == b.Pool && a.Priority == b.Priority && a.Idempotent == b.Idempotent && a.DeadlineMS == b.DeadlineMS
+}
--- /dev/null
+++ b/rail/table/edit_test.go
@@ -0,0 +1,134 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// sample returns valid tables with a plain pool of two backend servers and the number of routes.
+func sample(routes int) *Tables {
+	tables := &Tables{Generation: 7, Pools: []Pool{{Name: "mill", Kind: Plain, Version: 3, Servers: []Server{
+		{Name: "m1", Address: "127.0.0.1:1", Zone: "a", Version: 2},
+		{Name: "m2", Address: "127.0.0.1:2", Zone: "b", Version: 3},
+	}}}}
+	for i := range routes {
+		name := fmt.Sprintf("r%05d", i)
+		tables.Routes = append(tables.Routes, Route{Name: name, Prefix: "/" + name, Pool: "mill", Version: 1})
+	}
+	return tables
+}
+
+func TestApply(t *testing.T) {
+	server := Row{Sort: SortServer, Pool: "mill", Name: "m1"}
+	tests := []struct {
+		name       string
+		operations []Operation
+		want       string
+	}{
+		{"put a new route", []Operation{PutRoute(Route{Name: "new", Prefix: "/new", Pool: "mill"}, 0)}, "accepted"},
+		{"put over an unread route", []Operation{PutRoute(Route{Name: "r00000", Prefix: "/x", Pool: "mill"}, 0)}, "conflict"},
+		{"put over an older version", []Operation{PutPool(Pool{Name: "mill", Kind: Plain}, 2)}, "conflict"},
+		{"delete a pool in use", []Operation{{Action: Delete, Row: Row{Sort: SortPool, Name: "mill"}, Version: 3}}, "refused"},
+		{"route to no pool", []Operation{PutRoute(Route{Name: "new", Prefix: "/new", Pool: "none"}, 0)}, "refused"},
+		{"overlap", []Operation{PutRoute(Route{Name: "new", Prefix: "/r00000", Pool: "mill"}, 0)}, "refused"},
+		{"same row twice", []Operation{PutRoute(Route{Name: "n", Prefix: "/n", Pool: "mill"}, 0), PutRoute(Route{Name: "n", Prefix: "/m", Pool: "mill"}, 0)}, "refused"},
+		{"leave", []Operation{{Action: Leave, Row: server, Version: 2}}, "accepted"},
+		{"leave without its version", []Operation{{Action: Leave, Row: server}}, "refused"},
+		{"server and its pool", []Operation{{Action: Leave, Row: server, Version: 2}, PutPool(Pool{Name: "mill", Kind: Plain}, 3)}, "refused"},
+		{"server of no pool", []Operation{PutServer("none", Server{Name: "m9", Address: "127.0.0.1:9"}, 0)}, "refused"},
+		{"remove the last route and pool", []Operation{
+			{Action: Delete, Row: Row{Sort: SortRoute, Name: "r00000"}, Version: 1},
+			{Action: Delete, Row: Row{Sort: SortPool, Name: "mill"}, Version: 3},
+		}, "accepted"},
+		{"unknown action", []Operation{{Action: "rename", Row: server, Version: 2}}, "refused"},
+		{"no operation", nil, "refused"},
+		{"not UTF-8", []Operation{PutRoute(Route{Name: "\xff", Prefix: "/n", Pool: "mill"}, 0)}, "refused"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tables := sample(1)
+			next, err := Apply(tables, Edit{ID: "e", Operations: test.operations})
+			if got := verdict(err); got != test.want {
+				t.Fatalf("Apply = %q (%v), want %q", got, err, test.want)
+			}
+			if want := sample(1); !reflect.DeepEqual(tables, want) {
+				t.Errorf("tables changed in place: got %+v, want %+v", tables, want)
+			}
+			if err == nil && next.Generation != 8 {
+				t.Errorf("generation: got %d, want 8", next.Generation)
+			}
+		})
+	}
+}
+
+func verdict(err error) string {
+	var conflict *Conflict
+	var refusal *Refusal
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &refusal):
+		return "refused"
+	}
+	return "error"
+}
+
+func TestApplyChangesVersions(t *testing.T) {
+	edit := Edit{ID: "e", Operations: []Operation{{Action: Leave, Row: Row{Sort: SortServer, Pool: "mill", Name: "m2"}, Version: 3}}}
+	next, err := Apply(sample(0), edit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := next.Pools[0]
+	got := []uint64{pool.Version, pool.Servers[0].Version, pool.Servers[1].Version}
+	if want := []uint64{8, 2, 8}; !reflect.DeepEqual(got, want) {
+		t.Errorf("versions of pool, m1, m2: got %v, want %v", got, want)
+	}
+	if !pool.Servers[1].Leaving {
+		t.Error("leaving: got false, want true")
+	}
+}
+
+func TestDiff(t *testing.T) {
+	other := sample(3)
+	other.Routes = append(other.Routes[1:], Route{Name: "a", Prefix: "/a", Pool: "new"})
+	other.Routes[0].Priority = 4
+	other.Pools = append(other.Pools, Pool{Name: "new", Kind: Plain})
+	other.Pools[0].Servers = []Server{{Name: "m1", Address: "127.0.0.1:1", Zone: "a", Leaving: true}, {Name: "m3", Address: "127.0.0.1:3"}}
+	tests := []struct {
+		name     string
+		from, to *Tables
+		want     []string
+	}{
+		{"nothing", sample(2), sample(2), nil},
+		{"from nothing", &Tables{}, sample(1), []string{"put pool mill", "put route r00000"}},
+		{"to nothing", sample(1), &Tables{}, []string{"delete pool mill", "delete route r00000"}},
+		{"some rows", sample(3), other, []string{"put server mill/m1", "put server mill/m3", "delete server mill/m2", "put pool new", "put route a", "put route r00001", "delete route r00000"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			operations := Diff(test.from, test.to)
+			var got []string
+			for _, operation := range operations {
+				got = append(got, operation.String())
+			}
+			if !reflect.DeepEqual(got, test.want) {
+				t.Fatalf("Diff: got %v, want %v", got, test.want)
+			}
+			if len(operations) == 0 {
+				return
+			}
+			next, err := Apply(test.from, Edit{ID: "e", Operations: operations})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if left := Diff(next, test.to); len(left) != 0 {
+				t.Errorf("Diff after Apply: got %v, want none", left)
+			}
+		})
+	}
+}
--- a/rail/table/table.go
+++ b/rail/table/table.go
@@ -18,21 +18,23 @@
 // Route says which requests go to which pool, and how.
 type Route struct {
 	// Name identifies the route.
-	Name string `toml:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" json:"name"`
 	// Model matches the model field of completion requests; empty for plain routes.
-	Model string `toml:"model,omitempty" json:"model,omitempty"`
+	Model string `cbor:"2,keyasint,omitempty" toml:"model,omitempty" json:"model,omitempty"`
 	// Prefix matches the path of plain requests; empty for model routes.
-	Prefix string `toml:"prefix,omitempty" json:"prefix,omitempty"`
+	Prefix string `cbor:"3,keyasint,omitempty" toml:"prefix,omitempty" json:"prefix,omitempty"`
 	// Workspaces limits the route to these workspaces; empty matches all.
-	Workspaces []string `toml:"workspaces,omitempty" json:"workspaces,omitempty"`
+	Workspaces []string `cbor:"4,keyasint,omitempty" toml:"workspaces,omitempty" json:"workspaces,omitempty"`
 	// Pool names the pool that serves the route.
-	Pool string `toml:"pool" json:"pool"`
+	Pool string `cbor:"5,keyasint,omitempty" toml:"pool" json:"pool"`
 	// Priority orders requests under load, 0 the lowest and MaxPriority the highest.
-	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+	Priority int `cbor:"6,keyasint,omitempty" toml:"priority,omitempty" json:"priority,omitempty"`
 	// Idempotent says that repeating a request has no further effect.
-	Idempotent bool `toml:"idempotent,omitempty" json:"idempotent,omitempty"`
+	Idempotent bool `cbor:"7,keyasint,omitempty" toml:"idempotent,omitempty" json:"idempotent,omitempty"`
 	// DeadlineMS is the longest time a request may take, in milliseconds; zero means DefaultDeadline.
-	DeadlineMS int `toml:"deadline_ms,omitempty" json:"deadline_ms,omitempty"`
+	DeadlineMS int `cbor:"8,keyasint,omitempty" toml:"deadline_ms,omitempty" json:"deadline_ms,omitempty"`
+	// Version is the generation at which the row last changed.
+	Version uint64 `cbor:"9,keyasint,omitempty" toml:"-" json:"version,omitempty"`
 }
 
 // MaxPriority is the highest priority of a route.
@@ -52,25 +54,29 @@
 // Server is a backend server as a pool lists it.
 type Server struct {
 	// Name identifies the backend server in all pools.
-	Name string `toml:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" json:"name"`
 	// Address is the host and port of the backend server.
-	Address string `toml:"address" json:"address"`
+	Address string `cbor:"2,keyasint,omitempty" toml:"address" json:"address"`
 	// Zone is the availability zone of the backend server.
-	Zone string `toml:"zone" json:"zone"`
+	Zone string `cbor:"3,keyasint,omitempty" toml:"zone" json:"zone"`
 	// Leaving keeps new work away from the backend server.
-	Leaving bool `toml:"leaving,omitempty" json:"leaving,omitempty"`
+	Leaving bool `cbor:"4,keyasint,omitempty" toml:"leaving,omitempty" json:"leaving,omitempty"`
+	// Version is the generation at which the entry last changed.
+	Version uint64 `cbor:"5,keyasint,omitempty" toml:"-" json:"version,omitempty"`
 }
 
 // Pool names a group of backend servers.
 type Pool struct {
 	// Name identifies the pool.
-	Name string `toml:"name" json:"name"`
+	Name string `cbor:"1,keyasint,omitempty" toml:"name" json:"name"`
 	// Kind is Model or Plain.
-	Kind Kind `toml:"kind" json:"kind"`
+	Kind Kind `cbor:"2,keyasint,omitempty" toml:"kind" json:"kind"`
 	// Layers is the number of layers of the model; zero for plain pools.
-	Layers int `toml:"layers,omitempty" json:"layers,omitempty"`
+	Layers int `cbor:"3,keyasint,omitempty" toml:"layers,omitempty" json:"layers,omitempty"`
 	// Servers lists the backend servers.
-	Servers []Server `toml:"servers" json:"servers"`
+	Servers []Server `cbor:"4,keyasint,omitempty" toml:"servers" json:"servers"`
+	// Version is the generation at which the row or one of its backend servers last changed.
+	Version uint64 `cbor:"5,keyasint,omitempty" toml:"-" json:"version,omitempty"`
 }
 
 // Tables is one generation of both tables.
--- a/rail/table/validate.go
+++ b/rail/table/validate.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Problem is one fault found in the tables.
@@ -23,7 +25,8 @@
 
 // Validate returns every problem found in the tables, none if they may be accepted.
 func (t *Tables) Validate() []Problem {
-	var problems []Problem
+	problems := t.sizeProblems()
+	servers := make(map[string]Server)
 	pools := make(map[string]Pool, len(t.Pools))
 	for _, pool := range t.Pools {
 		if _, ok := pools[pool.Name]; ok {
@@ -31,6 +34,7 @@
 		}
 		pools[pool.Name] = pool
 		problems = append(problems, pool.problems()...)
+		problems = append(problems, pool.differing(servers)...)
 	}
 	names := make(map[string]bool, len(t.Routes))
 	matches := make(map[string]string, len(t.Routes))
@@ -42,7 +46,7 @@
 		names[route.Name] = true
 		problems = append(problems, route.problems(pools)...)
 		for _, key := range route.matchKeys() {
-			if other, ok := matches[key]; ok {
+			if other, ok := matches[key]; ok && other != route.Name {
 				problems = append(problems, Problem{row, "match", fmt.Sprintf("overlaps with route %q; narrow one of them", other)})
 			}
 			matches[key] = route.Name
@@ -51,6 +55,65 @@
 	return problems
 }
 
+// sizeProblems returns a problem for each limit that the tables exceed.
+func (t *Tables) sizeProblems() []Problem {
+	var problems []Problem
+	if len(t.Routes) > MaxRows || len(t.Pools) > MaxRows {
+		problems = append(problems, Problem{"tables", "rows", fmt.Sprintf("%d routes and %d pools exceed %d each; remove some", len(t.Routes), len(t.Pools), MaxRows)})
+	}
+	report := func(row string, size int) {
+		if !utf8.ValidString(row) {
+			problems = append(problems, Problem{strconv.Quote(row), "name", "is not UTF-8; write it as UTF-8"})
+		}
+		if size > MaxRowBytes {
+			problems = append(problems, Problem{row, "size", fmt.Sprintf("%d bytes exceed %d; split the row", size, MaxRowBytes)})
+		}
+	}
+	for _, route := range t.Routes {
+		report("route "+route.Name, route.size())
+	}
+	for _, pool := range t.Pools {
+		report("pool "+pool.Name, pool.size())
+	}
+	return problems
+}
+
+// numberBytes exceeds the size of the numbers and field keys of an encoded row or list entry.
+const numberBytes = 64
+
+// size returns an upper bound of the encoded size in bytes.
+func (r Route) size() int {
+	size := numberBytes + len(r.Name) + len(r.Model) + len(r.Prefix) + len(r.Pool)
+	for _, workspace := range r.Workspaces {
+		size += numberBytes + len(workspace)
+	}
+	return size
+}
+
+// size returns an upper bound of the encoded size in bytes.
+func (p Pool) size() int {
+	size := numberBytes + len(p.Name) + len(p.Kind)
+	for _, server := range p.Servers {
+		size += numberBytes + len(server.Name) + len(server.Address) + len(server.Zone)
+	}
+	return size
+}
+
+// differing returns a problem for each backend server that an earlier pool lists otherwise, and adds the others to known.
+func (p Pool) differing(known map[string]Server) []Problem {
+	var problems []Problem
+	for _, server := range p.Servers {
+		other, ok := known[server.Name]
+		if ok && (other.Address != server.Address || other.Zone != server.Zone) {
+			message := fmt.Sprintf("%q is at %s in zone %q here and at %s in zone %q in another pool; give it one place or two names",
+				server.Name, server.Address, server.Zone, other.Address, other.Zone)
+			problems = append(problems, Problem{"pool " + p.Name, "servers", message})
+		}
+		known[server.Name] = server
+	}
+	return problems
+}
+
 // matchKeys returns one key for each workspace that the route matches.
 func (r Route) matchKeys() []string {
 	base := r.Model + "\x00" + r.Prefix + "\x00"
@@ -76,6 +139,13 @@
 	if (r.Model == "") == (r.Prefix == "") {
 		report("match", "set exactly one of model and prefix")
 	}
+	seen := make(map[string]bool, len(r.Workspaces))
+	for _, workspace := range r.Workspaces {
+		if workspace == "" || seen[workspace] {
+			report("workspaces", "name %q is empty or used twice; remove it", workspace)
+		}
+		seen[workspace] = true
+	}
 	if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
 		report("prefix", "%q does not begin with a slash; write %q", r.Prefix, "/"+r.Prefix)
 	}
