--- a/rail/table/codec.go
+++ b/rail/table/codec.go
@@ -87,6 +87,23 @@
 	return head, nil
 }
 
+// EncodeManifest returns the manifest as a chunk, whose hash identifies the content of the generation.
+func EncodeManifest(manifest *Manifest) (chunk Chunk, err error) {
+	defer errors.DeferredAnnotatef(&err, "encode manifest of generation %d", manifest.Generation)
+	content, err := encode(manifest)
+	if err != nil {
+		return Chunk{}, err
+	}
+	return newChunk(content), nil
+}
+
+// DecodeManifest reads an encoded manifest.
+func DecodeManifest(content []byte) (manifest *Manifest, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode manifest")
+	manifest = new(Manifest)
+	return manifest, decode(content, manifest)
+}
+
 // DecodeEntries reads a sealed chunk of the record of edits.
 func DecodeEntries(content []byte) (entries []Entry, err error) {
 	defer errors.DeferredAnnotatef(&err, "decode entries")
@@ -165,11 +182,11 @@
 	return groups, nil
 }
 
-// DecodeTables reads the tables of a head; find returns the content of a chunk.
-func DecodeTables(head *Head, find func(Hash) ([]byte, bool)) (tables *Tables, err error) {
-	defer errors.DeferredAnnotatef(&err, "decode generation %d", head.Generation)
-	tables = &Tables{Generation: head.Generation}
-	for _, hash := range head.Chunks {
+// DecodeTables reads the tables of a manifest; find returns the content of a chunk.
+func DecodeTables(manifest *Manifest, find func(Hash) ([]byte, bool)) (tables *Tables, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode generation %d", manifest.Generation)
+	tables = &Tables{Generation: manifest.Generation}
+	for _, hash := range manifest.Chunks {
 		content, ok := find(hash)
 		if !ok || HashOf(content) != hash {
 			return nil, fmt.Errorf("chunk %s is absent or differs from its hash", hash)
--- a/rail/table/codec_test.go
+++ b/rail/table/codec_test.go
@@ -51,7 +51,7 @@
 			if got := len(next.Chunks); got > test.chunks {
 				t.Errorf("new chunks: got %d of %d, want at most %d", got, len(next.Head.Chunks), test.chunks)
 			}
-			got, err := DecodeTables(&next.Head, finder(keep(known, next.Chunks)))
+			got, err := DecodeTables(&next.Head.Manifest, finder(keep(known, next.Chunks)))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -125,12 +125,31 @@
 	})
 }
 
+func FuzzDecodeManifest(f *testing.F) {
+	for _, seed := range seeds(f) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		manifest, err := DecodeManifest(content)
+		if err != nil {
+			return
+		}
+		again, err := EncodeManifest(manifest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := DecodeManifest(again.Content); err != nil || got.Generation != manifest.Generation {
+			t.Errorf("decoded again: got %+v, %v, want %+v", got, err, manifest)
+		}
+	})
+}
+
 func FuzzDecodeTables(f *testing.F) {
 	for _, seed := range seeds(f) {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, content []byte) {
-		head := &Head{Generation: 1, Chunks: []Hash{HashOf(content)}}
+		head := &Manifest{Generation: 1, Chunks: []Hash{HashOf(content)}}
 		tables, err := DecodeTables(head, func(Hash) ([]byte, bool) { return content, true })
 		if err != nil {
 			return
--- a/rail/table/head.go
+++ b/rail/table/head.go
@@ -76,12 +76,17 @@
 	maxWhatBytes = 160
 )
 
-// Head is the one record that changes: it names the content of a generation.
-type Head struct {
+// Manifest names the content of one generation of the tables.
+type Manifest struct {
 	// Generation counts accepted edits.
 	Generation uint64 `cbor:"1,keyasint"`
 	// Chunks lists the chunks of the tables in order.
 	Chunks []Hash `cbor:"2,keyasint"`
+}
+
+// Head is the one record that changes: the newest manifest and the record of edits.
+type Head struct {
+	Manifest
 	// Recent lists the newest entries of the record of edits, oldest first.
 	Recent []Entry `cbor:"3,keyasint"`
 	// Sealed lists the chunks that hold the entries before Recent, oldest first.
@@ -118,7 +123,7 @@
 		return Next{}, err
 	}
 	next.Head.Generation = tables.Generation
-	known := previous.names()
+	known := previous.Names()
 	for _, chunk := range chunks {
 		next.Head.Chunks = append(next.Head.Chunks, chunk.Hash)
 		if !known[chunk.Hash] {
@@ -155,8 +160,8 @@
 	return nil
 }
 
-// names returns every chunk that the head names.
-func (h *Head) names() map[Hash]bool {
+// Names returns every chunk that the head names.
+func (h *Head) Names() map[Hash]bool {
 	names := make(map[Hash]bool, len(h.Chunks)+len(h.Sealed))
 	for _, hash := range h.Chunks {
 		names[hash] = true
@@ -167,9 +172,6 @@
 	return names
 }
 
-// Names reports whether the head names the chunk.
-func (h *Head) Names(hash Hash) bool { return h.names()[hash] }
-
 // NewEntry returns the entry of an edit that is accepted at the generation.
 func NewEntry(edit Edit, generation uint64, at time.Time) Entry {
 	return Entry{ID: edit.ID, Generation: generation, Author: edit.Author, At: at.UnixMilli(), What: summary(edit.Operations)}
