Install and edit the tables by the decisions, and let operators drive them

Cause: configsync installed what it read and replaced both tables at once; comfreyctl knew one command and one error. Ruled out: answering an accepted edit before it is in force here (an operator's next read would miss his own edit); reading 150 chunks one by one at a start (one listing is one call). PUT /tables is gone: whole tables are never overwritten. comfreyctl tells eleven exit codes apart; each failure names the next step. Status asks the fleet by the membership's call (one line in providers.go). Shown: go test ./comfreyrail/internal/control/configsync (three instances and the HTTP stand-in: race, lost answers, outage, withdrawal), ./internal/admin and ./comfreyctl pass, the first two also under -race.

--- /dev/null
+++ b/comfreyctl/internal/command/command_test.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// instance answers each path with a status and a body; a status of zero breaks the connection.
+type instance map[string]struct {
+	status int
+	body   string
+}
+
+func (i instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer := i[r.Method+" "+r.URL.Path]
+	if answer.status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(answer.status)
+	_, _ = fmt.Fprint(w, answer.body)
+}
+
+func TestExecute(t *testing.T) {
+	const tables = `{"generation":4,"routes":[{"name":"r","prefix":"/r","pool":"p","version":3}],"pools":[{"name":"p","kind":"plain","servers":[],"version":2}]}`
+	const file = "[[routes]]\nname = \"r\"\nprefix = \"/r\"\npool = \"p\"\n[[pools]]\nname = \"p\"\nkind = \"plain\"\nservers = []\n"
+	directory := t.TempDir()
+	write := func(name, content string) string {
+		path := filepath.Join(directory, name)
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	valid, broken := write("valid.toml", file), write("broken.toml", "[[routes]]\nnme = \"r\"\n")
+	invalid := write("invalid.toml", "[[routes]]\nname = \"r\"\nprefix = \"/r\"\npool = \"none\"\n")
+	tests := []struct {
+		name   string
+		args   []string
+		status int
+		body   string
+		code   int
+		want   string
+	}{
+		{"accepted", []string{"route", "set", "r", "--priority", "2"}, 200, `{"state":"accepted","generation":5}`, ExitOK, "generation 5"},
+		{"accepted as JSON", []string{"route", "set", "r", "-o", "json"}, 200, `{"state":"accepted","generation":5}`, ExitOK, `"state": "accepted"`},
+		{"conflict", []string{"route", "set", "r"}, 409, `{"state":"conflict","rows":[{"row":{"sort":"route","name":"r"},"expected":3,"found":4,"theirs":{"route":{"name":"r","pool":"q"}}}]}`, ExitConflict, "theirs: {\"name\":\"r\",\"pool\":\"q\""},
+		{"refused", []string{"route", "set", "r"}, 422, `{"state":"refused","problems":[{"row":"route r","field":"pool","message":"does not exist"}]}`, ExitRefused, "route r: pool: does not exist"},
+		{"not accepted", []string{"route", "delete", "r"}, 503, `{"state":"notaccepted"}`, ExitNotAccepted, "never will be"},
+		{"unknown", []string{"pool", "set", "p"}, 504, `{"state":"unknown","id":"e1"}`, ExitUnknown, "next: comfreyctl edit e1"},
+		{"answer lost", []string{"pool", "set", "p"}, 0, "", ExitUnknown, "ask with comfreyctl edit"},
+		{"lagging", []string{"route", "set", "r", "--wait", "--timeout", "1ms"}, 200, `{"state":"accepted","generation":9}`, ExitLagging, "kl-2 (generation 8), kl-3 (no answer)"},
+		{"nothing differs", []string{"apply", valid}, 0, "", ExitOK, "nothing differs"},
+		{"row absent", []string{"route", "delete", "none"}, 0, "", ExitAbsent, "does not exist"},
+		{"bad file", []string{"apply", broken}, 0, "", ExitUsage, "nme"},
+		{"invalid file", []string{"apply", invalid}, 0, "", ExitRefused, "pool \"none\" does not exist"},
+		{"bad flag", []string{"apply", "--nothing"}, 0, "", ExitUsage, "unknown flag"},
+		{"bad output", []string{"status", "-o", "xml"}, 0, "", ExitUsage, "use text or json"},
+		{"bad server", []string{"pool", "set", "p", "--server", "m1"}, 0, "", ExitUsage, "NAME=HOST:PORT@ZONE"},
+		{"state of an edit", []string{"edit", "e1"}, 0, "", ExitAbsent, "--withdraw"},
+		{"denied", []string{"dump"}, 0, "", ExitDenied, "--token-file"},
+		{"unreachable", []string{"status", "--address", "127.0.0.1:1"}, 0, "", ExitUnreachable, "nothing was sent"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(instance{
+				"GET /tables":   {200, tables},
+				"POST /edits":   {test.status, test.body},
+				"POST /diff":    {200, `{"operations":[]}`},
+				"GET /edits/e1": {404, `{"id":"e1","state":"absent"}`},
+				"GET /dump":     {401, `{"error":"send a token"}`},
+				"GET /status":   {200, `{"generation":9,"members":[{"name":"kl-1","generation":9},{"name":"kl-2","generation":8},{"name":"kl-3"}]}`},
+			})
+			defer server.Close()
+			var output bytes.Buffer
+			args := append([]string{"--address", strings.TrimPrefix(server.URL, "http://")}, test.args...)
+			if got := Execute(args, &output, &output); got != test.code {
+				t.Errorf("exit code: got %d, want %d; output %s", got, test.code, &output)
+			}
+			if got := output.String(); !strings.Contains(got, test.want) {
+				t.Errorf("output: got %s, want it to contain %s", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/comfreyctl/internal/command/show.go
@@ -0,0 +1,124 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// show writes a value as JSON, or as text by the function.
+func (s *session) show(value any, text func()) error {
+	if s.output == string(formatText) {
+		text()
+		return nil
+	}
+	encoder := json.NewEncoder(s.stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func (s *session) printf(format string, args ...any) { _, _ = fmt.Fprintf(s.stdout, format, args...) }
+
+// columnWidth is the width of a column of text.
+const columnWidth = 14
+
+// row writes one row of a table of text.
+func (s *session) row(cells ...string) {
+	for i, cell := range cells {
+		cells[i] = fmt.Sprintf("%-*s", columnWidth, cell)
+	}
+	s.printf("%s\n", strings.TrimRight(strings.Join(cells, " "), " "))
+}
+
+// printOperations writes one line for each operation, and the content that it puts.
+func (s *session) printOperations(operations []table.Operation) {
+	for _, operation := range operations {
+		at := "new"
+		if operation.Version > 0 {
+			at = fmt.Sprintf("version %d", operation.Version)
+		}
+		s.printf("%s (%s)", operation, at)
+		if operation.Action == table.Put {
+			s.printf(" %s", contentText(operation.Content))
+		}
+		s.printf("\n")
+	}
+}
+
+func (s *session) historyCommand() *cobra.Command {
+	var limit int
+	command := &cobra.Command{
+		Use: "history", Short: "Show the newest edits: generation, time, operator, rows", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var entries []table.Entry
+			if err := s.client.get("/history", url.Values{"limit": {strconv.Itoa(limit)}}, &entries); err != nil {
+				return err
+			}
+			return s.show(entries, func() {
+				for _, entry := range entries {
+					s.printEntry(entry)
+				}
+			})
+		},
+	}
+	command.Flags().IntVar(&limit, "limit", 20, "number of edits")
+	return command
+}
+
+func (s *session) printEntry(entry table.Entry) {
+	generation := strconv.FormatUint(entry.Generation, 10)
+	if entry.Generation == 0 {
+		generation = "withdrawn"
+	}
+	at := time.UnixMilli(entry.At).UTC().Format(time.RFC3339)
+	s.printf("%-9s  %s  %-12s  %s  %s\n", generation, at, entry.Author, entry.ID, entry.What)
+}
+
+func (s *session) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "status", Short: "Show which generation is in force at each instance", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var fleet status
+			if err := s.client.get("/status", nil, &fleet); err != nil {
+				return err
+			}
+			return s.show(fleet, func() {
+				s.printf("generation %d is in force at the instance asked\n", fleet.Generation)
+				if fleet.Obstacle != "" {
+					s.printf("it takes no requests: %s\n", fleet.Obstacle)
+				}
+				s.row("INSTANCE", "ZONE", "GENERATION", "STATE")
+				for _, instance := range fleet.Members {
+					state := "in force"
+					if instance.Generation == 0 {
+						state = "no answer"
+					} else if instance.Generation < fleet.Generation {
+						state = "lagging"
+					}
+					s.row(instance.Name, instance.Zone, strconv.FormatUint(instance.Generation, 10), state)
+				}
+			})
+		},
+	}
+}
+
+func (s *session) dumpCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "dump", Short: "Show the whole state of the instance, without secrets", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var state json.RawMessage
+			if err := s.client.get("/dump", nil, &state); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(s.stdout, "%s\n", state)
+			return err
+		},
+	}
+}
--- a/comfreyrail/internal/admin/admin.go
+++ b/comfreyrail/internal/admin/admin.go
@@ -13,11 +13,20 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
-	"github.com/comfreyrail/comfreyrail/rail/table"
+	"github.com/comfreyrail/comfreyrail/rail/member"
 )
 
-// readTimeout is the longest time that a request may take to arrive.
-const readTimeout = 10 * time.Second
+// Limits of a request.
+const (
+	// readTimeout is the longest time that a request may take to arrive.
+	readTimeout = 10 * time.Second
+	// maxBodyBytes is the greatest size of a body.
+	maxBodyBytes = 16 << 20
+	// maxHeaderBytes is the greatest size of the headers.
+	maxHeaderBytes = 64 << 10
+	// maxConcurrent is the greatest number of requests in progress.
+	maxConcurrent = 64
+)
 
 // Config configures an Admin.
 type Config struct {
@@ -29,34 +38,50 @@
 	Sync *configsync.Sync
 	// Metrics holds the metrics of the process.
 	Metrics metrics.Registry
+	// Fleet returns the instances with the generation in force at each, zero for one that does not answer; nil lists none.
+	Fleet func(ctx context.Context) []member.Member
 }
 
 // Admin serves operators.
 type Admin struct {
 	config    Config
 	container *restful.Container
-}
-
-// Accepted is the answer to an accepted edit.
-type Accepted struct {
-	// Generation is the generation of the tables that holds the edit.
-	Generation uint64 `json:"generation"`
+	slots     chan struct{}
 }
 
 // New returns an Admin.
 func New(config Config) *Admin {
-	a := &Admin{config: config, container: restful.NewContainer()}
+	a := &Admin{config: config, container: restful.NewContainer(), slots: make(chan struct{}, maxConcurrent)}
 	service := new(restful.WebService)
 	service.Consumes(restful.MIME_JSON).Produces(restful.MIME_JSON)
 	service.Route(service.GET("/ready").To(a.ready))
 	service.Route(service.GET("/dump").To(a.dump))
 	service.Route(service.GET("/metrics").To(a.metrics))
+	service.Route(service.GET("/status").To(a.status))
 	service.Route(service.GET("/tables").To(a.tables))
-	service.Route(service.PUT("/tables").To(a.replace))
+	service.Route(service.GET("/routes").To(a.routes))
+	service.Route(service.GET("/routes/{name}").To(a.route))
+	service.Route(service.PUT("/routes/{name}").To(a.putRoute))
+	service.Route(service.DELETE("/routes/{name}").To(a.deleteRoute))
+	service.Route(service.GET("/pools").To(a.pools))
+	service.Route(service.GET("/pools/{name}").To(a.pool))
+	service.Route(service.PUT("/pools/{name}").To(a.putPool))
+	service.Route(service.DELETE("/pools/{name}").To(a.deletePool))
+	service.Route(service.POST("/pools/{name}/servers/{server}/drain").To(a.drain))
+	service.Route(service.POST("/diff").To(a.diff))
+	service.Route(service.POST("/edits").To(a.edit))
+	service.Route(service.GET("/edits/{id}").To(a.lookup))
+	service.Route(service.POST("/edits/{id}/withdraw").To(a.withdraw))
+	service.Route(service.GET("/history").To(a.history))
+	a.container.Filter(a.limit)
+	a.container.Filter(a.authorize)
 	a.container.Add(service)
 	return a
 }
 
+// ServeHTTP answers one request.
+func (a *Admin) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.container.ServeHTTP(w, r) }
+
 // Serve listens for operators until the context ends.
 func (a *Admin) Serve(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "serve operators")
@@ -64,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: a.container, ReadTimeout: readTimeout}
+	server := &http.Server{Handler: a, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
@@ -75,40 +100,26 @@
 	return err
 }
 
-func (a *Admin) ready(_ *restful.Request, w *restful.Response) {
-	if a.config.Control.Snapshot().Tables.Generation == 0 {
-		_ = w.WriteErrorString(http.StatusServiceUnavailable, "no tables are in force")
+// limit bounds the body and the number of requests in progress.
+func (a *Admin) limit(r *restful.Request, w *restful.Response, chain *restful.FilterChain) {
+	select {
+	case a.slots <- struct{}{}:
+		defer func() { <-a.slots }()
+	default:
+		fail(w, http.StatusTooManyRequests, "too many requests are in progress; try again later")
 		return
 	}
-	_, _ = w.Write([]byte("ready\n"))
-}
-
-func (a *Admin) dump(_ *restful.Request, w *restful.Response) {
-	_ = w.WriteAsJson(a.config.Control.Snapshot())
-}
-
-func (a *Admin) metrics(_ *restful.Request, w *restful.Response) {
-	metrics.WriteJSONOnce(a.config.Metrics, w)
+	r.Request.Body = http.MaxBytesReader(w, r.Request.Body, maxBodyBytes)
+	chain.ProcessFilter(r, w)
 }
 
-func (a *Admin) tables(_ *restful.Request, w *restful.Response) {
-	_ = w.WriteAsJson(a.config.Control.Snapshot().Tables)
+// Failure is the body of an answer to a request that was not carried out.
+type Failure struct {
+	// Error says what is wrong and what to do next.
+	Error string `json:"error"`
 }
 
-func (a *Admin) replace(r *restful.Request, w *restful.Response) {
-	var tables table.Tables
-	if err := r.ReadEntity(&tables); err != nil {
-		_ = w.WriteErrorString(http.StatusBadRequest, err.Error())
-		return
-	}
-	if problems := tables.Validate(); len(problems) > 0 {
-		_ = w.WriteHeaderAndJson(http.StatusUnprocessableEntity, problems, restful.MIME_JSON)
-		return
-	}
-	generation, err := a.config.Sync.Replace(r.Request.Context(), tables)
-	if err != nil {
-		_ = w.WriteErrorString(http.StatusServiceUnavailable, err.Error())
-		return
-	}
-	_ = w.WriteAsJson(Accepted{Generation: generation})
+// fail answers that a request was not carried out.
+func fail(w *restful.Response, status int, message string) {
+	_ = w.WriteHeaderAndJson(status, Failure{Error: message}, restful.MIME_JSON)
 }
--- a/comfreyrail/internal/control/configsync/configsync.go
+++ b/comfreyrail/internal/control/configsync/configsync.go
@@ -2,24 +2,40 @@
 
 import (
 	"context"
-	"encoding/json"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/rail/edit"
+	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
-// headKey is the key of the record that holds the tables.
-const headKey = "config-head"
+// Keys of the records in the platform's service.
+const (
+	headKey     = "config-head"
+	chunkPrefix = "config-chunk-"
+)
 
-// Times of the reads of the service.
+// Times of the calls to the platform's service.
 const (
-	watchWait  = 10 * time.Second
-	retryPause = time.Second
+	watchWait       = 10 * time.Second
+	storeTimeout    = 3 * time.Second
+	retryPause      = time.Second
+	minReadInterval = 5 * time.Second
+	tickInterval    = time.Second
+)
+
+// Rates of the whole fleet at the platform's service, in calls per second.
+const (
+	readsPerSecond  = 10
+	sweepsPerSecond = 1.0 / 60
 )
 
 // Config configures a Sync.
@@ -32,65 +48,196 @@
 	Log *logrus.Entry
 }
 
-// Sync reads the tables and writes edits.
+// Head names the generation in force at a peer.
+type Head struct {
+	spread.Head
+	// Peer names the peer.
+	Peer string
+}
+
+// Sync reads the tables and writes edits; its function fields are set before Serve.
 type Sync struct {
+	// Duty reports whether this instance holds a waiting watch and sweeps; nil means that it does.
+	Duty func() bool
+	// Members returns the number of instances, by which the rates are shared; nil means one.
+	Members func() int
+	// Announce tells peers that a generation is in force here; nil tells nobody.
+	Announce func(ctx context.Context, head spread.Head)
+	// FetchPeer returns content under its hash from a peer; nil fails.
+	FetchPeer func(ctx context.Context, peer, hash string) ([]byte, error)
+	// PeerHeads asks several peers for the generation that they have in force; nil means that there are none.
+	PeerHeads func(ctx context.Context) ([]Head, error)
+
 	store   *kv.Client
 	control *control.Control
 	log     *logrus.Entry
+	again   chan struct{}
+	sweeper *edit.Sweeper
+
+	mu   sync.Mutex
+	kept map[table.Hash][]byte
 }
 
 // New returns a Sync.
 func New(config Config) *Sync {
-	return &Sync{store: config.Store, control: config.Control, log: config.Log}
+	return &Sync{
+		store: config.Store, control: config.Control, log: config.Log,
+		again: make(chan struct{}, 1), sweeper: edit.NewSweeper(),
+	}
 }
 
-// Serve watches the tables until the context ends.
+// Serve reads the tables until the context ends.
 func (s *Sync) Serve(ctx context.Context) error {
-	var after uint64
-	for {
-		record, err := s.store.Watch(ctx, headKey, after, watchWait)
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case err == nil:
-			after = record.Version
-			s.accept(ctx, record)
-		case !errors.Is(err, kv.ErrNotFound):
-			s.log.WithError(err).Warn("cannot read the tables")
-			pause(ctx, retryPause)
-		}
+	var running sync.WaitGroup
+	for _, loop := range []func(context.Context){s.watch, s.read, s.tick, s.sweep, s.askPeers} {
+		running.Go(func() { loop(ctx) })
 	}
+	running.Wait()
+	return ctx.Err()
 }
 
-func (s *Sync) accept(ctx context.Context, record kv.Record) {
-	tables := new(table.Tables)
-	if err := json.Unmarshal(record.Value, tables); err != nil {
-		s.log.WithError(err).Error("tables in the service are malformed")
+// Offer takes the generation that a peer has in force, and its manifest's hash.
+func (s *Sync) Offer(ctx context.Context, peer string, generation uint64, hash string) {
+	parsed, err := table.ParseHash(hash)
+	if err != nil {
+		s.log.WithError(err).WithField("peer", peer).Warn("peer offers a malformed head")
 		return
 	}
-	s.control.Send(ctx, control.TablesRead{Tables: tables})
+	s.hear(ctx, install.HeadOffered{Peer: peer, Generation: generation, Hash: parsed})
+}
+
+// Chunk returns content of the generation in force, or the one before it, under its hash.
+func (s *Sync) Chunk(hash string) (content []byte, ok bool) {
+	parsed, err := table.ParseHash(hash)
+	if err != nil {
+		return nil, false
+	}
+	content, ok = s.control.Snapshot().Config.Contents[parsed]
+	return content, ok
+}
+
+// Head returns the generation in force here.
+func (s *Sync) Head() spread.Head {
+	inForce := s.control.Snapshot().Config
+	return spread.Head{Generation: inForce.Manifest.Generation, Hash: inForce.Hash.String()}
+}
+
+// hear hands news to the control goroutine and does what it answers.
+func (s *Sync) hear(ctx context.Context, event install.Event) {
+	answers := make(chan []install.Action, 1)
+	s.control.Send(ctx, control.ConfigHeard{At: time.Now(), Event: event, Actions: answers})
+	select {
+	case actions := <-answers:
+		for _, action := range actions {
+			s.perform(ctx, action)
+		}
+	case <-ctx.Done():
+	}
+}
+
+// perform does what is left to do about news.
+func (s *Sync) perform(ctx context.Context, action install.Action) {
+	switch action := action.(type) {
+	case install.Fetch:
+		go s.fetch(context.WithoutCancel(ctx), action)
+	case install.ReadHead:
+		select {
+		case s.again <- struct{}{}:
+		default:
+		}
+	case install.Install:
+		if s.Announce != nil {
+			go s.Announce(context.WithoutCancel(ctx), s.Head())
+		}
+	}
 }
 
-// Replace writes both tables and returns the generation at which they were accepted.
-func (s *Sync) Replace(ctx context.Context, tables table.Tables) (generation uint64, err error) {
-	defer errors.DeferredAnnotatef(&err, "replace tables")
-	record, err := s.store.Get(ctx, headKey)
-	if err != nil && !errors.Is(err, kv.ErrNotFound) {
-		return 0, err
+// watch waits for changes of the head while it is this instance's duty.
+func (s *Sync) watch(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		if s.Duty != nil && !s.Duty() {
+			pause(ctx, jitter(retryPause))
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+		record, err := s.store.Watch(call, headKey, after, watchWait)
+		cancel()
+		if errors.Is(err, kv.ErrNotFound) && after > 0 {
+			s.hear(ctx, install.HeadUnchanged{})
+			continue
+		}
+		after = max(after, record.Version)
+		s.heard(ctx, record, err)
 	}
-	var current table.Tables
-	if record.Version != 0 {
-		if err = json.Unmarshal(record.Value, &current); err != nil {
-			return 0, err
+}
+
+// read reads the head at intervals that grow with the fleet, and when a fetch found that the head moved on.
+func (s *Sync) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.readNow(ctx)
+		interval := minReadInterval
+		if s.Members != nil {
+			interval = max(interval, time.Duration(s.Members())*time.Second/readsPerSecond)
 		}
+		select {
+		case <-time.After(jitter(interval)):
+		case <-s.again:
+			pause(ctx, jitter(retryPause))
+		case <-ctx.Done():
+		}
+	}
+}
+
+// readNow reads the head once.
+func (s *Sync) readNow(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	record, err := s.store.Get(call, headKey)
+	s.heard(ctx, record, err)
+}
+
+// heard takes the answer to a read of the head.
+func (s *Sync) heard(ctx context.Context, record kv.Record, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, kv.ErrNotFound) {
+		s.hear(ctx, install.HeadAbsent{})
+		return
+	}
+	var head *table.Head
+	if err == nil {
+		head, err = table.DecodeHead(record.Value)
 	}
-	tables.Generation = current.Generation + 1
-	value, err := json.Marshal(tables)
 	if err != nil {
-		return 0, err
+		s.log.WithError(err).Warn("cannot read the head of the tables")
+		pause(ctx, jitter(retryPause))
+		return
+	}
+	s.hear(ctx, install.HeadRead{Manifest: head.Manifest})
+}
+
+// tick lets the control goroutine notice that time passed.
+func (s *Sync) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.hear(ctx, install.Tick{})
+		pause(ctx, tickInterval)
 	}
-	_, err = s.store.Put(ctx, headKey, kv.Put{Value: value, Expect: record.Version})
-	return tables.Generation, err
+}
+
+// askPeers asks peers once, at the start, for what they have in force.
+func (s *Sync) askPeers(ctx context.Context) {
+	if s.PeerHeads != nil {
+		heads, err := s.PeerHeads(ctx)
+		if err != nil {
+			s.log.WithError(err).Warn("cannot ask peers for their tables")
+		}
+		for _, head := range heads {
+			s.Offer(ctx, head.Peer, head.Generation, head.Hash)
+		}
+	}
+	s.hear(ctx, install.PeersAsked{})
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -99,3 +246,8 @@
 	case <-ctx.Done():
 	}
 }
+
+// jitter returns a time between three quarters and five quarters of d.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
+}
--- a/comfreyrail/internal/control/configsync/doc.go
+++ b/comfreyrail/internal/control/configsync/doc.go
@@ -1,3 +1,3 @@
 // Package configsync brings accepted configuration from the platform's service
-// to the control goroutine, and operators' edits to the service.
+// and from peers to the control goroutine, and operators' edits to the service.
 package configsync
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/spread"
@@ -20,6 +21,10 @@
 type Snapshot struct {
 	// Tables is the generation of the configuration that is in force.
 	Tables *table.Tables
+	// Config holds the encoded content of Tables.
+	Config *install.InForce
+	// Obstacle says why the configuration keeps the instance from taking requests, empty if it does not.
+	Obstacle string
 	// Servers holds what is known about each backend server, by name.
 	Servers map[string]chain.Server
 	// Self is the record of this incarnation; its epoch is zero before it is registered.
@@ -62,7 +67,9 @@
 	log     *logrus.Entry
 	checker *invariant.Checker
 	events  chan Event
-	peers   *spread.Node
+	// installer decides which generation of the tables is in force.
+	installer *install.Installer
+	peers     *spread.Node
 	// published is the revision of peers that the snapshot holds.
 	published uint64
 	snapshot  atomic.Pointer[Snapshot]
@@ -81,8 +88,13 @@
 
 // New returns a Control with empty tables.
 func New(config Config) *Control {
-	c := &Control{log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer)}
-	c.snapshot.Store(&Snapshot{Tables: &table.Tables{}, Servers: map[string]chain.Server{}})
+	c := &Control{
+		log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer),
+		installer: install.New(install.Config{Checker: config.Checker}),
+	}
+	c.snapshot.Store(&Snapshot{
+		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]chain.Server{},
+	})
 	return c
 }
 
@@ -119,9 +131,7 @@
 		c.log.WithField("generation", e.Tables.Generation).Errorf("tables are invalid: %v", problems[0])
 		return
 	}
-	next.Tables = e.Tables
-	next.Servers = listed(e.Tables, next.Servers)
-	c.log.WithField("generation", e.Tables.Generation).Info("tables are in force")
+	c.putInForce(next, e.Tables)
 }
 
 // listed returns the backend servers that the tables list, with what was known about them.
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -102,6 +102,6 @@
 	})
 }
 
-func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, registry metrics.Registry) *admin.Admin {
-	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry})
+func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, registry metrics.Registry) *admin.Admin {
+	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry, Fleet: members.Fleet})
 }
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -34,7 +34,7 @@
 	runner := provideRunner(loaded, control, httpClient, entry)
 	relay := provideRelay(control, httpClient)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
-	admin := provideAdmin(loaded, control, sync, registry)
+	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
 		Sync:       sync,
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	stderrors "errors"
 	"fmt"
 	"net"
@@ -45,6 +47,10 @@
 type Admin struct {
 	// Listen is the host and port to listen on.
 	Listen string `toml:"listen"`
+	// TokenSHA256 is the SHA-256 of the operators' bearer token in hexadecimal digits; empty admits everyone on a loopback listener.
+	TokenSHA256 string `toml:"token_sha256"`
+	// ReadTokenSHA256 is the SHA-256 of a token that admits to reading alone; empty means that there is none.
+	ReadTokenSHA256 string `toml:"read_token_sha256"`
 }
 
 // Peer configures the listener for other instances.
@@ -138,6 +144,7 @@
 			report(address.field, address.value, "write it as host:port")
 		}
 	}
+	s.Admin.check(report)
 	if s.Caller.MaxBodyBytes <= 0 {
 		report("caller.max_body_bytes", s.Caller.MaxBodyBytes, "use a positive number of bytes")
 	}
@@ -149,3 +156,26 @@
 	}
 	return problems
 }
+
+// check reports the invalid fields.
+func (a Admin) check(report func(field string, value any, fix string)) {
+	tokens := []struct{ field, value string }{
+		{"admin.token_sha256", a.TokenSHA256},
+		{"admin.read_token_sha256", a.ReadTokenSHA256},
+	}
+	for _, token := range tokens {
+		if digits, err := hex.DecodeString(token.value); err != nil || len(digits) != 0 && len(digits) != sha256.Size {
+			report(token.field, token.value, "give the 64 hexadecimal digits that sha256sum prints for the token")
+		}
+	}
+	if a.TokenSHA256 == "" && a.ReadTokenSHA256 != "" {
+		report("admin.token_sha256", a.TokenSHA256, "set it too, or remove admin.read_token_sha256")
+	}
+	host, _, err := net.SplitHostPort(a.Listen)
+	if err != nil || a.TokenSHA256 != "" {
+		return
+	}
+	if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		report("admin.listen", a.Listen, "set admin.token_sha256, or listen on 127.0.0.1")
+	}
+}
--- a/rail/edit/attempt.go
+++ b/rail/edit/attempt.go
@@ -293,6 +293,20 @@
 	return a.retry(now, answer.Err)
 }
 
+// Kept returns the chunks at hand that the last head read names, for the next attempt.
+func (a *Attempt) Kept() map[table.Hash][]byte {
+	kept := make(map[table.Hash][]byte)
+	if a.head == nil {
+		return kept
+	}
+	for hash := range a.head.Names() {
+		if content, ok := a.find(hash); ok {
+			kept[hash] = content
+		}
+	}
+	return kept
+}
+
 // find returns a chunk that is at hand.
 func (a *Attempt) find(hash table.Hash) ([]byte, bool) {
 	if content, ok := a.chunks[hash]; ok {
--- a/rail/edit/prove_test.go
+++ b/rail/edit/prove_test.go
@@ -169,7 +169,7 @@
 	pool := fmt.Sprint("pool", rapid.IntRange(0, 2).Draw(rt, "pool"))
 	server := table.Server{Name: "s" + pool, Address: "127.0.0.1:1", Leaving: rapid.Bool().Draw(rt, "leaving")}
 	versions := func(sort table.Sort, within, name string) uint64 {
-		return versionOf(tables.Find(table.Row{Sort: sort, Pool: within, Name: name}))
+		return tables.Find(table.Row{Sort: sort, Pool: within, Name: name}).Version()
 	}
 	routeVersion, poolVersion := versions(table.SortRoute, "", name), versions(table.SortPool, "", pool)
 	switch kind := rapid.IntRange(0, 9).Draw(rt, "kind"); {
--- a/rail/edit/step.go
+++ b/rail/edit/step.go
@@ -100,6 +100,8 @@
 	NotAccepted State = "notaccepted"
 	// Absent means that the edit is not among the newest ones, though a write of it may still be under way.
 	Absent State = "absent"
+	// Valid means that the edit would have been accepted, but was only to be checked.
+	Valid State = "valid"
 	// Unknown means that the service did not tell whether the edit was accepted.
 	Unknown State = "unknown"
 )
--- a/rail/edit/world_test.go
+++ b/rail/edit/world_test.go
@@ -284,8 +284,8 @@
 	named := make(map[table.Row]bool)
 	for _, operation := range w.edits[entry.ID].Operations {
 		named[operation.Row] = true
-		if old := before.Find(operation.Row); versionOf(old) != operation.Version {
-			w.fail("edit %s overwrote %s at version %d, made for %d", entry.ID, operation.Row, versionOf(old), operation.Version)
+		if old := before.Find(operation.Row); old.Version() != operation.Version {
+			w.fail("edit %s overwrote %s at version %d, made for %d", entry.ID, operation.Row, old.Version(), operation.Version)
 		}
 	}
 	for _, operation := range table.Diff(before, tables) {
@@ -299,18 +299,6 @@
 	w.deadline(tables.Generation)
 }
 
-func versionOf(content table.Content) uint64 {
-	switch {
-	case content.Route != nil:
-		return content.Route.Version
-	case content.Pool != nil:
-		return content.Pool.Version
-	case content.Server != nil:
-		return content.Server.Version
-	}
-	return 0
-}
-
 // watch answers the waiting watches of some instances; a reconnecting watch repeats an older head.
 func (w *world) watch() {
 	content := w.head.content
--- a/rail/install/candidate.go
+++ b/rail/install/candidate.go
@@ -87,14 +87,17 @@
 	return hashes, true
 }
 
-// keep takes the content that a fetch brought and goes on.
+// keep takes the content that a fetch brought and goes on; content that comes late is kept too.
 func (i *Installer) keep(event Fetched, now time.Time) []Action {
 	for _, c := range i.candidates {
-		if c.generation != event.Generation || !c.fetching || c.sources[0] != event.From {
+		if c.generation != event.Generation {
 			continue
 		}
-		i.store(c, event.Contents)
-		if event.Failed || len(event.Contents) == 0 {
+		stored := i.store(c, event.Contents)
+		if !c.fetching || c.sources[0] != event.From {
+			return nil
+		}
+		if event.Failed || !stored {
 			return i.retreat(c, now)
 		}
 		c.fetching = false
@@ -103,14 +106,16 @@
 	return nil
 }
 
-// store keeps the contents that the candidate lacks.
-func (i *Installer) store(c *candidate, contents [][]byte) {
+// store keeps the contents that the candidate lacks, and reports whether there were any.
+func (i *Installer) store(c *candidate, contents [][]byte) (stored bool) {
 	missing, _ := i.missing(c)
 	for _, content := range contents {
 		if hash := table.HashOf(content); slices.Contains(missing, hash) {
 			i.fetched[hash] = content
+			stored = true
 		}
 	}
+	return stored
 }
 
 // retreat gives up the source of a failed fetch and goes on with the next one; the service is the last for chunks.
--- a/rail/install/event.go
+++ b/rail/install/event.go
@@ -20,6 +20,9 @@
 // HeadAbsent tells that the platform's service answered that nothing was accepted yet.
 type HeadAbsent struct{}
 
+// HeadUnchanged tells that the platform's service answered that the head is the one read last.
+type HeadUnchanged struct{}
+
 // HeadOffered tells that a peer named the generation that it has in force, zero for none.
 type HeadOffered struct {
 	// Peer names the peer.
@@ -48,12 +51,13 @@
 // Tick tells that time passed.
 type Tick struct{}
 
-func (HeadRead) event()    {}
-func (HeadAbsent) event()  {}
-func (HeadOffered) event() {}
-func (PeersAsked) event()  {}
-func (Fetched) event()     {}
-func (Tick) event()        {}
+func (HeadRead) event()      {}
+func (HeadAbsent) event()    {}
+func (HeadOffered) event()   {}
+func (HeadUnchanged) event() {}
+func (PeersAsked) event()    {}
+func (Fetched) event()       {}
+func (Tick) event()          {}
 
 // Action is something that the instance shall do.
 type Action interface{ action() }
--- a/rail/install/install.go
+++ b/rail/install/install.go
@@ -91,7 +91,7 @@
 	case HeadRead:
 		i.service, i.contact = true, now
 		actions = i.headRead(event.Manifest, now)
-	case HeadAbsent:
+	case HeadAbsent, HeadUnchanged:
 		i.service, i.contact = true, now
 	case HeadOffered:
 		i.peers, i.contact = true, now
--- a/rail/table/edit.go
+++ b/rail/table/edit.go
@@ -47,8 +47,8 @@
 	Server *Server `json:"server,omitempty"`
 }
 
-// version returns the version of the content, zero if there is none.
-func (c Content) version() uint64 {
+// Version returns the version of the content, zero if there is none.
+func (c Content) Version() uint64 {
 	switch {
 	case c.Route != nil:
 		return c.Route.Version
@@ -190,9 +190,9 @@
 	var clashes []Clash
 	for _, operation := range edit.Operations {
 		theirs := t.Find(operation.Row)
-		if theirs.version() != operation.Version {
+		if theirs.Version() != operation.Version {
 			clashes = append(clashes, Clash{
-				Row: operation.Row, Expected: operation.Version, Found: theirs.version(),
+				Row: operation.Row, Expected: operation.Version, Found: theirs.Version(),
 				Yours: operation.Content, Theirs: theirs,
 			})
 		}
