Refuse a file made from an older generation over rows changed since

Cause: tried by hand, an operator who exports, edits and applies a file reverted the rows that another changed meanwhile: apply compares with what is in force, so the versions match. Ruled out: keeping versions of rows in the file (noise that operators edit). Change: comfreyctl export writes the generation; apply refuses rows changed since then. A file without a generation is applied as it is. Not covered: a row deleted since the export is put again as a new one.

--- a/comfreyctl/internal/command/apply.go
+++ b/comfreyctl/internal/command/apply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -19,13 +20,17 @@
 		Use:   "apply FILE",
 		Short: "Change the rows that differ from those in a TOML file, all at once",
 		Long: "Change the rows that differ from those in a TOML file, all at once.\n\n" +
-			"Rows that the file lacks are deleted. A row that another operator changes meanwhile is a conflict, not overwritten.",
+			"Rows that the file lacks are deleted. A file written by comfreyctl export tells the generation that it was\n" +
+			"made from; a row that others changed since then is a conflict, not overwritten.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
-			operations, err := s.difference(files[0])
+			operations, base, err := s.difference(files[0])
 			if err != nil {
 				return err
 			}
+			if err = changedSince(operations, base); err != nil {
+				return err
+			}
 			if len(operations) == 0 {
 				return s.show(operations, func() { s.printf("nothing differs; nothing was changed\n") })
 			}
@@ -45,7 +50,7 @@
 		Short: "Show how the tables in force differ from those in a TOML file",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
-			operations, err := s.difference(files[0])
+			operations, _, err := s.difference(files[0])
 			if err != nil {
 				return err
 			}
@@ -59,23 +64,52 @@
 	}
 }
 
-// difference returns the operations that turn the tables in force into those of the file.
-func (s *session) difference(path string) ([]table.Operation, error) {
+// difference returns the operations that turn the tables in force into those of the file, and the file's generation.
+func (s *session) difference(path string) (operations []table.Operation, base uint64, err error) {
 	wanted, err := readTables(path)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	received, err := s.client.call(http.MethodPost, "/diff", nil, wanted)
 	if err != nil {
-		return nil, unsent(err)
+		return nil, 0, unsent(err)
 	}
 	if received.status != http.StatusOK {
-		return nil, s.client.refused(received)
+		return nil, 0, s.client.refused(received)
 	}
 	var difference struct {
 		Operations []table.Operation `json:"operations"`
 	}
-	return difference.Operations, received.decode(&difference)
+	return difference.Operations, wanted.Generation, received.decode(&difference)
+}
+
+// changedSince returns a conflict if others changed rows of the edit after the generation; zero stands for no generation.
+func changedSince(operations []table.Operation, base uint64) error {
+	lines := ""
+	for _, operation := range operations {
+		if base > 0 && operation.Version > base {
+			lines += fmt.Sprintf("  %s: changed at generation %d, and your file wants to %s it\n", operation.Row, operation.Version, operation.Action)
+		}
+	}
+	if lines == "" {
+		return nil
+	}
+	return failf(ExitConflict, "conflict, nothing was changed: your file was made from generation %d\n%snext: export the tables again and repeat your edit", base, lines)
+}
+
+func (s *session) exportCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "export",
+		Short: "Write both tables in force as TOML, to be edited and applied",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			tables, err := s.tables()
+			if err != nil {
+				return err
+			}
+			return toml.NewEncoder(s.stdout).Encode(tables)
+		},
+	}
 }
 
 // unsent returns the error of a lost answer to a call that changes nothing.
--- a/comfreyctl/internal/command/command_test.go
+++ b/comfreyctl/internal/command/command_test.go
@@ -38,6 +38,7 @@
 		return path
 	}
 	valid, broken := write("valid.toml", file), write("broken.toml", "[[routes]]\nnme = \"r\"\n")
+	older := write("older.toml", "generation = 2\n"+strings.Replace(file, "/r", "/other", 1))
 	invalid := write("invalid.toml", "[[routes]]\nname = \"r\"\nprefix = \"/r\"\npool = \"none\"\n")
 	tests := []struct {
 		name   string
@@ -57,6 +58,8 @@
 		{"lagging", []string{"route", "set", "r", "--wait", "--timeout", "1ms"}, 200, `{"state":"accepted","generation":9}`, ExitLagging, "kl-2 (generation 8), kl-3 (no answer)"},
 		{"nothing differs", []string{"apply", valid}, 0, "", ExitOK, "nothing differs"},
 		{"row absent", []string{"route", "delete", "none"}, 0, "", ExitAbsent, "does not exist"},
+		{"older file", []string{"apply", older}, 0, "", ExitConflict, "route r: changed at generation 3"},
+		{"export", []string{"export"}, 0, "", ExitOK, "generation = 4"},
 		{"bad file", []string{"apply", broken}, 0, "", ExitUsage, "nme"},
 		{"invalid file", []string{"apply", invalid}, 0, "", ExitRefused, "pool \"none\" does not exist"},
 		{"bad flag", []string{"apply", "--nothing"}, 0, "", ExitUsage, "unknown flag"},
@@ -68,10 +71,14 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			operations := "[]"
+			if test.args[len(test.args)-1] == older {
+				operations = `[{"action":"put","row":{"sort":"route","name":"r"},"version":3,"route":{"name":"r"}}]`
+			}
 			server := httptest.NewServer(instance{
 				"GET /tables":   {200, tables},
 				"POST /edits":   {test.status, test.body},
-				"POST /diff":    {200, `{"operations":[]}`},
+				"POST /diff":    {200, `{"operations":` + operations + `}`},
 				"GET /edits/e1": {404, `{"id":"e1","state":"absent"}`},
 				"GET /dump":     {401, `{"error":"send a token"}`},
 				"GET /status":   {200, `{"generation":9,"members":[{"name":"kl-1","generation":9},{"name":"kl-2","generation":8},{"name":"kl-3"}]}`},
--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -27,8 +27,10 @@
 
 // Dump is the state of the process; it holds no secrets.
 type Dump struct {
-	// Head names the generation in force and its content.
-	Head spread.Head `json:"head"`
+	// Generation is the generation in force.
+	Generation uint64 `json:"generation"`
+	// Hash is the hash of the manifest of the generation in force.
+	Hash string `json:"hash"`
 	// Obstacle says why the configuration keeps the instance from taking requests, empty if it does not.
 	Obstacle string `json:"obstacle,omitempty"`
 	// Tables is the generation in force.
@@ -67,11 +69,11 @@
 }
 
 func (a *Admin) dump(_ *restful.Request, w *restful.Response) {
-	snapshot := a.config.Control.Snapshot()
+	snapshot, head := a.config.Control.Snapshot(), a.config.Sync.Head()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	_ = w.WriteAsJson(Dump{
-		Head: a.config.Sync.Head(), Obstacle: snapshot.Obstacle, Tables: snapshot.Tables, Servers: snapshot.Servers,
+		Generation: head.Generation, Hash: head.Hash, Obstacle: snapshot.Obstacle, Tables: snapshot.Tables, Servers: snapshot.Servers,
 		Self: snapshot.Self, Superseded: snapshot.Superseded, Fleet: snapshot.Fleet, Metrics: a.config.Metrics,
 		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	})
--- a/rail/table/edit.go
+++ b/rail/table/edit.go
@@ -89,16 +89,19 @@
 
 // PutRoute returns the operation that writes a route over the version of its row.
 func PutRoute(route Route, version uint64) Operation {
+	route.Version = 0
 	return Operation{Action: Put, Row: Row{Sort: SortRoute, Name: route.Name}, Version: version, Content: Content{Route: &route}}
 }
 
 // PutPool returns the operation that writes a pool over the version of its row.
 func PutPool(pool Pool, version uint64) Operation {
+	pool.Version = 0
 	return Operation{Action: Put, Row: Row{Sort: SortPool, Name: pool.Name}, Version: version, Content: Content{Pool: &pool}}
 }
 
 // PutServer returns the operation that writes a backend server of a pool over the version of its entry.
 func PutServer(pool string, server Server, version uint64) Operation {
+	server.Version = 0
 	return Operation{Action: Put, Row: Row{Sort: SortServer, Pool: pool, Name: server.Name}, Version: version, Content: Content{Server: &server}}
 }
 
--- a/rail/table/table.go
+++ b/rail/table/table.go
@@ -81,8 +81,8 @@
 
 // Tables is one generation of both tables.
 type Tables struct {
-	// Generation counts accepted edits; a greater one is newer.
-	Generation uint64 `toml:"-" json:"generation"`
+	// Generation counts accepted edits; a greater one is newer. In a file it is the generation that the file was made from.
+	Generation uint64 `toml:"generation,omitempty" json:"generation"`
 	// Routes is the table of routes.
 	Routes []Route `toml:"routes" json:"routes"`
 	// Pools is the table of pools.
