Pass configuration from peer to peer

Cause: instances read the tables from the platform's service only; with the service down an accepted generation stopped where it was. Change: link joins configsync, membership and the transport: heartbeats carry the head, content is fetched from the peer that names it, a new instance asks up to five peers, and two instances in each availability zone hold the waiting watches.

--- /dev/null
+++ b/comfreyrail/internal/control/link/config.go
@@ -0,0 +1,148 @@
+package link
+
+import (
+	"context"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+)
+
+const (
+	// KindContent asks for content of the tables by a ContentRequest and is answered by a Content.
+	KindContent peer.Kind = "content"
+	// KindHead asks for the generation in force and is answered by a spread.Head.
+	KindHead peer.Kind = "head"
+)
+
+const (
+	// watchersPerZone is the number of instances that hold a waiting watch in each availability zone.
+	watchersPerZone = 2
+	// askedPeers is the number of peers that a new instance asks for the generation in force.
+	askedPeers = 5
+)
+
+// ContentRequest asks for content of the tables.
+type ContentRequest struct {
+	// Hash is the hash of the content.
+	Hash string `cbor:"1,keyasint"`
+}
+
+// Content is content of the tables.
+type Content struct {
+	// Bytes is the content.
+	Bytes []byte `cbor:"1,keyasint"`
+}
+
+// Config configures the calls about configuration.
+type Config struct {
+	// Control publishes the state.
+	Control *control.Control
+	// Sync reads and installs the tables.
+	Sync *configsync.Sync
+	// Membership keeps the view of the fleet.
+	Membership *membership.Membership
+	// Transport carries the calls.
+	Transport *peer.Transport
+}
+
+// Linked shows that the calls between instances are joined.
+type Linked struct{}
+
+// New joins the configuration, the membership and the transport; it must be called before they serve.
+func New(config Config) Linked {
+	c := &calls{config}
+	config.Sync.Duty = c.watches
+	config.Sync.Members = func() int { return len(config.Control.Snapshot().Members()) }
+	config.Sync.Announce = config.Membership.Announce
+	config.Sync.FetchPeer = c.fetch
+	config.Sync.PeerHeads = c.heads
+	config.Membership.Call = config.Transport.Call
+	config.Membership.OnHead = func(ctx context.Context, from member.Member, head spread.Head) {
+		config.Sync.Offer(ctx, from.Name, head.Generation, head.Hash)
+	}
+	config.Transport.Handle(membership.KindHeartbeat, config.Membership.ServeHeartbeat)
+	config.Transport.Handle(membership.KindStatus, config.Membership.ServeStatus)
+	config.Transport.Handle(KindContent, c.serveContent)
+	config.Transport.Handle(KindHead, c.serveHead)
+	return Linked{}
+}
+
+// calls makes and serves the calls.
+type calls struct{ Config }
+
+// watches reports whether this instance holds a waiting watch on the tables.
+//
+// An instance that sees no others watches by itself.
+func (c *calls) watches() bool {
+	snapshot := c.Control.Snapshot()
+	members := snapshot.Members()
+	return len(members) <= 1 || member.Holds(snapshot.Self.Name, member.DutyWatch, watchersPerZone, members)
+}
+
+// fetch returns content from a peer.
+func (c *calls) fetch(ctx context.Context, name, hash string) (content []byte, err error) {
+	defer errors.DeferredAnnotatef(&err, "fetch from %q", name)
+	for _, known := range c.Control.Snapshot().Fleet {
+		if known.Member.Name != name {
+			continue
+		}
+		var answer Content
+		err = c.Transport.Call(ctx, known.Member, KindContent, ContentRequest{Hash: hash}, &answer)
+		return answer.Bytes, err
+	}
+	return nil, errors.New("the instance is not known")
+}
+
+// heads asks a few peers for the generation that they have in force.
+func (c *calls) heads(ctx context.Context) (heads []configsync.Head, err error) {
+	var (
+		mu     sync.Mutex
+		asking sync.WaitGroup
+	)
+	snapshot := c.Control.Snapshot()
+	asked := 0
+	for _, other := range snapshot.Members() {
+		if other.Name == snapshot.Self.Name || asked == askedPeers {
+			continue
+		}
+		asked++
+		asking.Go(func() {
+			var head spread.Head
+			if c.Transport.Call(ctx, other, KindHead, struct{}{}, &head) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			heads = append(heads, configsync.Head{Head: head, Peer: other.Name})
+		})
+	}
+	asking.Wait()
+	if asked > 0 && len(heads) == 0 {
+		return nil, errors.Errorf("none of %d peers answered", asked)
+	}
+	return heads, nil
+}
+
+func (c *calls) serveContent(_ context.Context, from member.Member, body []byte) (answer any, err error) {
+	defer errors.DeferredAnnotatef(&err, "content for %q", from.Name)
+	var request ContentRequest
+	if err = peer.Decode(body, &request); err != nil {
+		return nil, err
+	}
+	content, ok := c.Sync.Chunk(request.Hash)
+	if !ok {
+		return nil, errors.NotFoundf("content %q", request.Hash)
+	}
+	return Content{Bytes: content}, nil
+}
+
+func (c *calls) serveHead(context.Context, member.Member, []byte) (answer any, err error) {
+	return c.Sync.Head(), nil
+}
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -10,6 +10,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
@@ -31,6 +32,8 @@
 	Membership *membership.Membership
 	// Peers carries calls between instances.
 	Peers *peer.Transport
+	// Linked shows that the calls between instances are joined.
+	Linked link.Linked
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
 	// Entry serves callers.
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
@@ -77,11 +78,11 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	transport := peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
-	transport.Handle(membership.KindHeartbeat, members.ServeHeartbeat)
-	transport.Handle(membership.KindStatus, members.ServeStatus)
-	members.Call = transport.Call
-	return transport
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+}
+
+func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -29,6 +29,7 @@
 	}
 	membership := provideMembership(loaded, identity, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
+	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	runner := provideRunner(loaded, control, httpClient, entry)
@@ -40,6 +41,7 @@
 		Sync:       sync,
 		Membership: membership,
 		Peers:      transport,
+		Linked:     linked,
 		Prober:     prober,
 		Entry:      entryEntry,
 		Admin:      admin,
