Send load at a stated rate and check every answer

Cause: nothing showed what callers see, so no claim about cut requests, recovery time or latency could be measured.

Change: railload load sends open-loop Poisson arrivals from a seed to several instances, as the platform's balancer would (in turn over those whose /ready answers, seen with a lag, keep-alive connections). It checks every token against the model, every plain answer against the call, and at the end the services' count of runs against what each caller was told. Latency counts from the intended arrival. done, not run, unknown, cut and refused are told apart; exit code 1 on a wrong answer. Bodies cannot be sent again by net/http, so that a cut shows as a cut.

--- /dev/null
+++ b/railload/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is the command line of railload.
+package command
--- /dev/null
+++ b/railload/internal/command/load.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/comfreyrail/comfreyrail/railload/internal/load"
+)
+
+// Formats of the report.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// loadCommand returns the command that sends requests at a stated rate.
+func loadCommand() *cobra.Command {
+	config := load.Defaults()
+	var instances []string
+	output := outputTable
+	strict := false
+	command := &cobra.Command{
+		Use:   "load",
+		Short: "Send requests at a stated rate for a stated time",
+		Long: "Send requests at a stated rate for a stated time. Arrivals do not wait for answers, and latency\n" +
+			"counts from the intended arrival. The exit code is 1 if an answer was wrong, with --strict also if\n" +
+			"a request was cut, refused a connection or left unknown.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) (err error) {
+			if config.Instances, err = load.ParseInstances(instances); err != nil {
+				return err
+			}
+			if output != outputTable && output != outputJSON {
+				return fmt.Errorf("--output = %q: use %s or %s", output, outputTable, outputJSON)
+			}
+			report, err := load.Run(command.Context(), config)
+			if err != nil {
+				return err
+			}
+			write := report.WriteTable
+			if output == outputJSON {
+				write = report.WriteJSON
+			}
+			if err = write(command.OutOrStdout()); err != nil {
+				return err
+			}
+			if report.Wrong() > 0 || strict && report.Lost() > 0 {
+				return errWrong
+			}
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringArrayVar(&instances, "instance", nil, "addresses of one instance for callers and for its readiness, as HOST:PORT/HOST:PORT; repeat for each")
+	flags.StringVar(&output, "output", output, "format of the report, table or json")
+	flags.BoolVar(&strict, "strict", strict, "fail also if a request was cut, refused a connection or left unknown")
+	flags.Float64Var(&config.Rate, "rate", config.Rate, "arrivals per second")
+	flags.DurationVar(&config.Time, "time", config.Time, "time during which requests arrive")
+	flags.Uint64Var(&config.Seed, "seed", config.Seed, "seed of the arrivals")
+	flags.IntVar(&config.Workspaces, "workspaces", config.Workspaces, "number of workspaces")
+	flags.Float64Var(&config.Skew, "skew", config.Skew, "inequality of the workspaces: the share of the n-th is 1/n^skew of the first's")
+	flags.Float64Var(&config.PlainShare, "plain", config.PlainShare, "share of plain calls, from 0 to 1")
+	flags.Float64Var(&config.KeyedShare, "keyed", config.KeyedShare, "share of plain calls that carry an idempotency key, from 0 to 1")
+	flags.StringVar(&config.Model, "model", config.Model, "model of the completions")
+	flags.IntVar(&config.Layers, "layers", config.Layers, "number of layers of the model")
+	flags.IntVar(&config.Tokens, "tokens", config.Tokens, "mean number of tokens of an answer")
+	flags.IntVar(&config.Prefixes, "prefixes", config.Prefixes, "number of prompt prefixes that a workspace shares among its prompts")
+	flags.StringVar(&config.Path, "path", config.Path, "path of the plain calls")
+	flags.StringArrayVar(&config.Services, "service", nil, "HOST:PORT of a stand-in plain service whose count of runs is checked at the end; repeat for each")
+	flags.DurationVar(&config.Lag, "lag", config.Lag, "time until the balancer acts on a change of readiness")
+	flags.DurationVar(&config.Timeout, "timeout", config.Timeout, "time after which a caller gives up")
+	return command
+}
--- /dev/null
+++ b/railload/internal/load/load_test.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakemodel"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+const testLayers = 6
+
+// stream answers a completion with the tokens and the ending.
+func stream(w http.ResponseWriter, tokens []string, trailer outcome.Outcome) {
+	w.Header().Set("Trailer", outcome.Header)
+	for _, token := range tokens {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"text\":%q}]}\n\n", token)
+	}
+	if trailer == outcome.Done {
+		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+	w.Header().Set(outcome.Header, string(trailer))
+}
+
+func TestVerdicts(t *testing.T) {
+	right := func(r *http.Request) []string {
+		var body completionBody
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		return fakemodel.Answer(body.Prompt, testLayers, body.MaxTokens)
+	}
+	tests := []struct {
+		name   string
+		answer http.HandlerFunc
+		want   Verdict
+		wrong  bool
+	}{
+		{"whole answer", func(w http.ResponseWriter, r *http.Request) { stream(w, right(r), outcome.Done) }, Done, false},
+		{"first token missing", func(w http.ResponseWriter, r *http.Request) { stream(w, right(r)[1:], outcome.Done) }, Done, true},
+		{"last token missing", func(w http.ResponseWriter, r *http.Request) {
+			tokens := right(r)
+			stream(w, tokens[:len(tokens)-1], outcome.Done)
+		}, Done, true},
+		{"someone else's answer", func(w http.ResponseWriter, r *http.Request) {
+			stream(w, fakemodel.Answer("other", testLayers, len(right(r))), outcome.Done)
+		}, Done, true},
+		{"unknown after some tokens", func(w http.ResponseWriter, r *http.Request) { stream(w, right(r)[:1], outcome.Unknown) }, Unknown, false},
+		{"no outcome", func(w http.ResponseWriter, r *http.Request) { stream(w, right(r)[:1], "") }, Cut, false},
+		{"broken connection", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Cut, false},
+		{"not run", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(outcome.Header, string(outcome.NotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = fmt.Fprint(w, `{"error":{"outcome":"notrun","code":"stopping"}}`)
+		}, NotRun, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(test.answer)
+			defer server.Close()
+			config := Defaults()
+			config.Layers, config.Tokens, config.PlainShare = testLayers, 8, 0
+			config.Rate, config.Time = 200, 100*time.Millisecond
+			address := strings.TrimPrefix(server.URL, "http://")
+			config.Instances = []Instance{{Caller: address, Ready: address}}
+			report, err := Run(context.Background(), config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			group := report.Kinds[0]
+			if got := group.Verdicts[test.want]; got != group.Sent || got == 0 {
+				t.Errorf("%d of %d requests are %q: %v", got, group.Sent, test.want, group.Verdicts)
+			}
+			if got := report.Wrong() > 0; got != test.wrong {
+				t.Errorf("wrong = %t, want %t: %v", got, test.wrong, report.Problems)
+			}
+		})
+	}
+}
+
+func TestMisrun(t *testing.T) {
+	tests := []struct {
+		verdict Verdict
+		runs    int
+		want    bool
+	}{
+		{Done, 1, false}, {Done, 0, true}, {Done, 2, true}, {NotRun, 0, false}, {NotRun, 1, true},
+		{Unknown, 0, false}, {Unknown, 1, false}, {Unknown, 2, true}, {Cut, 1, false}, {Cut, 2, true},
+	}
+	for _, test := range tests {
+		if got := misrun(test.verdict, test.runs) != ""; got != test.want {
+			t.Errorf("misrun(%q, %d) = %t, want %t", test.verdict, test.runs, got, test.want)
+		}
+	}
+}
+
+func TestScheduleRepeats(t *testing.T) {
+	config := Defaults()
+	first, second := newSchedule(config, "run"), newSchedule(config, "run")
+	sizes := make(map[string]int)
+	count := 0
+	for {
+		got, more := first.next()
+		want, _ := second.next()
+		if got != want {
+			t.Fatalf("arrival %d: got %+v, want %+v", count, got, want)
+		}
+		if !more {
+			break
+		}
+		count++
+		sizes[got.Workspace]++
+	}
+	if expected := config.Rate * config.Time.Seconds(); float64(count) < 0.8*expected || float64(count) > 1.2*expected {
+		t.Errorf("got %d arrivals, want about %.0f", count, expected)
+	}
+	if sizes["workspace1"] <= sizes["workspace10"] {
+		t.Errorf("workspace1 sent %d requests and workspace10 %d, want unequal sizes", sizes["workspace1"], sizes["workspace10"])
+	}
+}
--- a/railload/main.go
+++ b/railload/main.go
@@ -2,4 +2,12 @@
 // callers saw.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/comfreyrail/comfreyrail/railload/internal/command"
+)
+
+func main() {
+	os.Exit(command.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
