Show the whole product with one command

make demo builds, starts stand-ins and three instances in three zones on loopback, sends load for about 20 seconds, edits a route, kills an engine and prints what callers saw.

--- a/Makefile
+++ b/Makefile
@@ -8,12 +8,15 @@
 LINT_DIR := $(shell go env GOPATH)/bin/comfreyrail-tools/$(LINT_VERSION)
 LINT := $(LINT_DIR)/golangci-lint
 
-.PHONY: build test race lint format format-check generate generate-check tidy-check clean
+.PHONY: build demo test race lint format format-check generate generate-check tidy-check clean
 
 build:
 	@mkdir -p build
 	@go build -o build/ $(addprefix ./,$(PROGRAMS))
 
+demo: build
+	@demo/demo.sh
+
 test:
 	go test -count=1 $(PACKAGES)
 
