Decide which backend servers are leaving, from four kinds of signs

Cause: only the tables and the last status call kept new work away; a refusal, the platform's list and peers did not count, and one status answer revived.

Ways weighed: last writer wins on a counter per server (a late revival brings a leaving server back); marks that lapse after a time (an instance without contact revives a leaving server); marks as an add and remove set whose entries are ended by identity on evidence that is provably later. Taken: the last. The rule of return: a greater generation, an answer asked for after the sign arrived, a reading of the list asked for one lag after the sign arrived.

Not proved: a leave that only the platform's list knows, at an instance cut off from the service and all peers; a list whose lag exceeds the setting.

--- /dev/null
+++ b/rail/drain/drain_test.go
@@ -0,0 +1,80 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/kv"
+)
+
+func TestLeaving(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	leaving := []kv.Instance{{Name: "a", Leaving: true}}
+	live := []kv.Instance{{Name: "a"}}
+	foreign := Mark{Server: "a", Source: List, Observer: "peer", Sequence: 7}
+	over := foreign
+	over.Ended = true
+	tests := []struct {
+		name  string
+		apply func(s *State)
+		want  bool
+	}{
+		{"no sign", func(*State) {}, false},
+		{"answer asked before the refusal arrived", func(s *State) {
+			s.Answered("a", true, at(1), at(2))
+			s.Answered("a", false, at(1), at(3))
+		}, true},
+		{"older answer after a peer ended the mark", func(s *State) {
+			s.Answered("a", true, at(1), at(2))
+			s.Merge([]Mark{{Server: "a", Source: Answer, Observer: "self", Sequence: 1, Ended: true}}, at(3))
+			s.Answered("a", false, at(1), at(4))
+		}, true},
+		{"answer asked after the refusal arrived", func(s *State) {
+			s.Answered("a", true, at(1), at(2))
+			s.Answered("a", false, at(3), at(4))
+		}, false},
+		{"reading within the lag", func(s *State) {
+			s.Listed(leaving, at(1), at(1))
+			s.Listed(live, at(6), at(6))
+		}, true},
+		{"reading after the lag", func(s *State) {
+			s.Listed(leaving, at(1), at(1))
+			s.Listed(live, at(12), at(12))
+		}, false},
+		{"missing from the list", func(s *State) {
+			s.Listed(leaving, at(1), at(1))
+			s.Listed(nil, at(30), at(30))
+		}, true},
+		{"live by its answer, leaving by the list", func(s *State) {
+			s.Listed(leaving, at(1), at(1))
+			s.Answered("a", false, at(5), at(6))
+		}, true},
+		{"peer ends the mark while the own sign is fresh", func(s *State) {
+			s.Merge([]Mark{foreign}, at(1))
+			s.Listed(leaving, at(2), at(2))
+			s.Merge([]Mark{over}, at(3))
+		}, true},
+		{"peer ends the mark long after the own sign", func(s *State) {
+			s.Merge([]Mark{foreign}, at(1))
+			s.Listed(leaving, at(2), at(2))
+			s.Merge([]Mark{over}, at(20))
+		}, false},
+		{"ended mark arrives again", func(s *State) {
+			s.Merge([]Mark{foreign, over}, at(1))
+			s.Merge([]Mark{foreign}, at(20))
+		}, false},
+		{"removed from the tables", func(s *State) {
+			s.Tabled(map[string]bool{"a": true}, at(1))
+			s.Tabled(map[string]bool{"a": false}, at(2))
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(Config{Observer: "self", Lag: 10 * time.Second})
+			test.apply(s)
+			if _, got := s.Leaving("a"); got != test.want {
+				t.Errorf("leaving = %t, want %t; marks %+v", got, test.want, s.Marks(at(30)))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rail/drain/mark.go
@@ -0,0 +1,35 @@
+package drain
+
+// Source tells the sources of signs apart.
+type Source string
+
+const (
+	// Table is the operators' tables; their generations order them, so they need no marks.
+	Table Source = "table"
+	// List is the platform's lagging list of instances.
+	List Source = "list"
+	// Answer is the server's own status or refusal.
+	Answer Source = "answer"
+)
+
+// Mark is a sign, seen by one instance, that a backend server is leaving.
+type Mark struct {
+	// Server is the name of the backend server.
+	Server string `cbor:"1,keyasint" json:"server"`
+	// Source is List or Answer.
+	Source Source `cbor:"2,keyasint" json:"source"`
+	// Observer is the incarnation of the instance that saw the sign.
+	Observer string `cbor:"3,keyasint" json:"observer"`
+	// Sequence counts the marks of the observer; together they identify the mark.
+	Sequence uint64 `cbor:"4,keyasint" json:"sequence"`
+	// Ended tells that later evidence has ended the mark.
+	Ended bool `cbor:"5,keyasint,omitempty" json:"ended,omitempty"`
+}
+
+// identity identifies a mark in the whole fleet.
+type identity struct {
+	observer string
+	sequence uint64
+}
+
+func (m Mark) identity() identity { return identity{m.Observer, m.Sequence} }
