Keep new work from servers that are leaving or don't answer

Cause: one failed status call made a server unusable, one answer usable; the refusal of a leaving server, the platform's list and peers' marks did not count; each 500 ms a call went to every server, also while earlier calls hung.

Change: control holds the drain state and a health state for each server. Three failures in a row make a server unhealthy unless traffic succeeded within 2 s; a server that keeps falling needs more answers each time. Status calls: jittered, one outstanding for each server, 50/s for each instance whatever the number of servers, failures confirmed after 100 ms, then backed off to 5 s. The platform's list is read at 10/s at most by the whole fleet. Seams: Control.Served and Control.Refused for traffic, MarksWanted and MarksReceived for heartbeats, Prober.Select for a subset.

--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/chain"
-	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/spread"
@@ -41,22 +39,6 @@
 	Tables *table.Tables
 }
 
-// ServerReported tells that a backend server answered a status call.
-type ServerReported struct {
-	// Name is the name of the backend server.
-	Name string
-	// Status is the answer.
-	Status engine.Status
-	// At is the time of the answer.
-	At time.Time
-}
-
-// ServerFailed tells that a backend server did not answer a status call.
-type ServerFailed struct {
-	// Name is the name of the backend server.
-	Name string
-}
-
 // Control owns the state; Serve must run for events to take effect.
 type Control struct {
 	log     *logrus.Entry
@@ -65,6 +47,7 @@
 	peers   *spread.Node
 	// published is the revision of peers that the snapshot holds.
 	published uint64
+	servers   *servers
 	snapshot  atomic.Pointer[Snapshot]
 }
 
@@ -74,6 +57,10 @@
 	Log *logrus.Entry
 	// Checker counts violated invariants.
 	Checker *invariant.Checker
+	// Observer identifies this incarnation in the marks that it gives to peers.
+	Observer string
+	// ListLag is the greatest lag of the platform's list of instances.
+	ListLag time.Duration
 }
 
 // eventBuffer is the number of events that wait for the control goroutine.
@@ -81,7 +68,10 @@
 
 // New returns a Control with empty tables.
 func New(config Config) *Control {
-	c := &Control{log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer)}
+	c := &Control{
+		log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer),
+		servers: newServers(config),
+	}
 	c.snapshot.Store(&Snapshot{Tables: &table.Tables{}, Servers: map[string]chain.Server{}})
 	return c
 }
@@ -120,53 +110,6 @@
 		return
 	}
 	next.Tables = e.Tables
-	next.Servers = listed(e.Tables, next.Servers)
+	c.list(next)
 	c.log.WithField("generation", e.Tables.Generation).Info("tables are in force")
 }
-
-// listed returns the backend servers that the tables list, with what was known about them.
-func listed(tables *table.Tables, known map[string]chain.Server) map[string]chain.Server {
-	servers := make(map[string]chain.Server)
-	for _, pool := range tables.Pools {
-		for _, row := range pool.Servers {
-			server := known[row.Name]
-			server.Name, server.Address, server.Zone = row.Name, row.Address, row.Zone
-			server.Usable = server.Usable && !row.Leaving
-			servers[row.Name] = server
-		}
-	}
-	return servers
-}
-
-func (e ServerReported) apply(_ *Control, next *Snapshot) {
-	server, ok := next.Servers[e.Name]
-	if !ok {
-		return
-	}
-	server.Status, server.ReportedAt = e.Status, e.At
-	server.Usable = !e.Status.Leaving && !leaving(next.Tables, e.Name)
-	next.Servers = maps.Clone(next.Servers)
-	next.Servers[e.Name] = server
-}
-
-// leaving reports whether the tables mark the backend server as leaving.
-func leaving(tables *table.Tables, name string) bool {
-	for _, pool := range tables.Pools {
-		for _, server := range pool.Servers {
-			if server.Name == name && server.Leaving {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func (e ServerFailed) apply(_ *Control, next *Snapshot) {
-	server, ok := next.Servers[e.Name]
-	if !ok {
-		return
-	}
-	server.Usable = false
-	next.Servers = maps.Clone(next.Servers)
-	next.Servers[e.Name] = server
-}
--- a/comfreyrail/internal/control/probe/probe.go
+++ b/comfreyrail/internal/control/probe/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,12 +12,15 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/health"
 )
 
-// Times of the status calls.
+// Limits of the status calls.
 const (
-	interval = 500 * time.Millisecond
-	timeout  = time.Second
+	timeout        = 500 * time.Millisecond
+	maxStatusBytes = 64 << 10
+	// refreshInterval is the greatest time until servers that the tables added are asked.
+	refreshInterval = 100 * time.Millisecond
 )
 
 // Config configures a Prober.
@@ -25,42 +29,80 @@
 	Control *control.Control
 	// HTTP makes the calls.
 	HTTP *http.Client
+	// Select returns the names of the servers to ask; nil means all that the tables list.
+	Select func(snapshot *control.Snapshot) []string
 }
 
-// Prober asks every listed backend server for its status.
+// Prober asks the backend servers for their status, at a bounded rate and with one outstanding call to each.
 type Prober struct {
-	control *control.Control
-	http    *http.Client
+	config Config
+}
+
+// answer is the end of one status call.
+type answer struct {
+	name string
+	ok   bool
 }
 
 // New returns a Prober.
 func New(config Config) *Prober {
-	return &Prober{control: config.Control, http: config.HTTP}
+	if config.Select == nil {
+		config.Select = all
+	}
+	return &Prober{config: config}
+}
+
+// all returns the names of all backend servers of the tables.
+func all(snapshot *control.Snapshot) []string {
+	names := make([]string, 0, len(snapshot.Servers))
+	for name := range snapshot.Servers {
+		names = append(names, name)
+	}
+	return names
 }
 
 // Serve probes until the context ends.
 func (p *Prober) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	schedule := health.NewSchedule(health.DefaultSchedule(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	answers := make(chan answer)
+	var listed *control.Snapshot
 	for {
-		for name, server := range p.control.Snapshot().Servers {
-			go p.report(ctx, name, server.Address)
+		snapshot := p.config.Control.Snapshot()
+		if listed == nil || listed.Tables != snapshot.Tables {
+			schedule.Set(p.config.Select(snapshot), time.Now())
+			listed = snapshot
+		}
+		name, wait := schedule.Next(time.Now())
+		if name != "" {
+			go p.ask(ctx, name, snapshot.Servers[name].Address, answers)
+			continue
 		}
 		select {
-		case <-ticker.C:
+		case done := <-answers:
+			schedule.Answered(done.name, done.ok, time.Now())
+		case <-time.After(min(wait, refreshInterval)):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (p *Prober) report(ctx context.Context, name, address string) {
+// ask makes one status call and tells the control goroutine and the schedule how it ended.
+func (p *Prober) ask(ctx context.Context, name, address string, answers chan<- answer) {
+	asked := time.Now()
 	status, err := p.Status(ctx, address)
+	if err == nil && status.Server != name {
+		err = fmt.Errorf("backend server calls itself %q", status.Server)
+	}
 	if err != nil {
-		p.control.Send(ctx, control.ServerFailed{Name: name})
-		return
+		p.config.Control.Send(ctx, control.ServerFailed{Name: name, At: time.Now()})
+	} else {
+		p.config.Control.Send(ctx, control.ServerReported{Name: name, Status: status, Asked: asked, At: time.Now()})
+	}
+	select {
+	case answers <- answer{name: name, ok: err == nil}:
+	case <-ctx.Done():
 	}
-	p.control.Send(ctx, control.ServerReported{Name: name, Status: status, At: time.Now()})
 }
 
 // Status asks one backend server for its status.
@@ -72,7 +114,7 @@
 	if err != nil {
 		return status, err
 	}
-	response, err := p.http.Do(request)
+	response, err := p.config.HTTP.Do(request)
 	if err != nil {
 		return status, err
 	}
@@ -80,6 +122,6 @@
 	if response.StatusCode != http.StatusOK {
 		return status, fmt.Errorf("answered with status code %d", response.StatusCode)
 	}
-	err = json.NewDecoder(response.Body).Decode(&status)
+	err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxStatusBytes)).Decode(&status)
 	return status, err
 }
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -33,6 +33,8 @@
 	Peers *peer.Transport
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
+	// Lister reads the platform's list of instances.
+	Lister *probe.Lister
 	// Entry serves callers.
 	Entry *entry.Entry
 	// Admin serves operators.
@@ -50,6 +52,7 @@
 	state.Add(branches.Sync)
 	state.Add(branches.Membership)
 	state.Add(branches.Prober)
+	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
 	root.Add(state)
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -56,8 +56,10 @@
 	return &kv.Client{Address: loaded.Platform.Address}
 }
 
-func provideControl(log *logrus.Entry, checker *invariant.Checker) *control.Control {
-	return control.New(control.Config{Log: log, Checker: checker})
+func provideControl(loaded settings.Settings, log *logrus.Entry, checker *invariant.Checker) *control.Control {
+	return control.New(control.Config{
+		Log: log, Checker: checker, Observer: rand.Text(), ListLag: time.Duration(loaded.List.Lag),
+	})
 }
 
 func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry) *configsync.Sync {
@@ -88,6 +90,10 @@
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
 
+func provideLister(store *kv.Client, state *control.Control, log *logrus.Entry) *probe.Lister {
+	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
+}
+
 func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
 }
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -20,7 +20,7 @@
 	}
 	registry := provideMetrics()
 	checker := provideChecker(entry, registry)
-	control := provideControl(entry, checker)
+	control := provideControl(loaded, entry, checker)
 	client := provideStore(loaded)
 	sync := provideSync(client, control, entry)
 	identity, err := provideIdentity(loaded)
@@ -31,6 +31,7 @@
 	transport := providePeers(loaded, identity, membership, entry)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
+	lister := provideLister(client, control, entry)
 	runner := provideRunner(loaded, control, httpClient, entry)
 	relay := provideRelay(control, httpClient)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
@@ -41,6 +42,7 @@
 		Membership: membership,
 		Peers:      transport,
 		Prober:     prober,
+		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
 	}
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -27,6 +27,10 @@
 	Peer Peer `toml:"peer"`
 	// Platform configures the calls to the platform's service.
 	Platform Platform `toml:"platform"`
+	// List configures the reading of the platform's list of instances.
+	List List `toml:"list"`
+	// Stop configures the planned stop of the instance.
+	Stop Stop `toml:"stop"`
 	// Log configures the log.
 	Log Log `toml:"log"`
 }
@@ -69,6 +73,8 @@
 func Defaults() Settings {
 	return Settings{
 		Caller: Caller{MaxBodyBytes: 1 << 20, MaxConcurrent: 1024},
+		List:   defaultList(),
+		Stop:   defaultStop(),
 		Log:    Log{Level: "info"},
 	}
 }
@@ -144,6 +150,7 @@
 	if s.Caller.MaxConcurrent <= 0 {
 		report("caller.max_concurrent", s.Caller.MaxConcurrent, "use a positive number of requests")
 	}
+	s.stopProblems(report)
 	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
 		report("log.level", s.Log.Level, "use error, warn, info or debug")
 	}
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -136,6 +136,9 @@
 		[admin]
 		listen = "$host:$((port + 400 + n))"
 
+		[peer]
+		listen = "$host:$((port + 500 + n))"
+
 		[platform]
 		address = "$host:$port"
 	EOF
--- /dev/null
+++ b/rail/health/health_test.go
@@ -0,0 +1,109 @@
+package health
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestHealthy(t *testing.T) {
+	const ok, fail, traffic = 's', 'f', 't'
+	tests := []struct {
+		name, events string
+		want         bool
+	}{
+		{"never asked", "", false},
+		{"first answer", "s", true},
+		{"one failure", "sf", true},
+		{"failures with answers between", "sffsffsff", true},
+		{"three failures", "sfff", false},
+		{"three failures while traffic succeeds", "stfff", true},
+		{"recovery after the first fall", "sfffs", true},
+		{"recovery after the second fall needs two answers", "sfffsfffs", false},
+		{"two answers after the second fall", "sfffsfffss", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var s State
+			var served time.Time
+			now := time.Unix(100, 0)
+			for _, event := range test.events {
+				now = now.Add(100 * time.Millisecond)
+				switch event {
+				case ok:
+					s.Succeed(Defaults(), now)
+				case fail:
+					s.Fail(Defaults(), served, now)
+				case traffic:
+					served = now
+				}
+			}
+			if got := s.Healthy(); got != test.want {
+				t.Errorf("healthy = %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+func TestScheduleRate(t *testing.T) {
+	tests := []struct {
+		servers  int
+		failing  bool
+		min, max int
+	}{
+		{servers: 3, min: 45, max: 90},
+		{servers: 3, failing: true, min: 9, max: 60},
+		{servers: 30, min: 450, max: 501},
+		{servers: 1900, min: 499, max: 501},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%d servers, failing %t", test.servers, test.failing), func(t *testing.T) {
+			s := NewSchedule(DefaultSchedule(rand.New(rand.NewPCG(1, 1))))
+			now := time.Unix(0, 0)
+			names := make([]string, test.servers)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			s.Set(names, now)
+			calls := make(map[string]int)
+			total := 0
+			for end := now.Add(10 * time.Second); now.Before(end); {
+				name, wait := s.Next(now)
+				if name == "" {
+					now = now.Add(wait)
+					continue
+				}
+				total++
+				calls[name]++
+				s.Answered(name, !test.failing, now)
+			}
+			if total < test.min || total > test.max {
+				t.Errorf("got %d calls in 10 s, want %d to %d", total, test.min, test.max)
+			}
+			for name, count := range calls {
+				if fair := total/test.servers + 2; test.servers > 100 && count > fair {
+					t.Errorf("server %s was asked %d times, want at most %d", name, count, fair)
+				}
+			}
+		})
+	}
+}
+
+func TestScheduleOutstanding(t *testing.T) {
+	s := NewSchedule(DefaultSchedule(rand.New(rand.NewPCG(1, 1))))
+	now := time.Unix(0, 0)
+	s.Set([]string{"a"}, now)
+	now = now.Add(time.Second)
+	if got, _ := s.Next(now); got != "a" {
+		t.Fatalf("got %q, want a", got)
+	}
+	if got, _ := s.Next(now.Add(time.Minute)); got != "" {
+		t.Errorf("got %q while a call is outstanding, want none", got)
+	}
+	s.Set(nil, now)
+	s.Answered("a", true, now)
+	if got, _ := s.Next(now.Add(time.Minute)); got != "" {
+		t.Errorf("got %q after the server was removed, want none", got)
+	}
+}
