--- a/comfreyrail/internal/control/config.go
+++ b/comfreyrail/internal/control/config.go
@@ -41,6 +41,6 @@
 		return
 	}
 	next.Tables = tables
-	next.Servers = listed(tables, next.Servers)
+	c.list(next)
 	c.log.WithField("generation", tables.Generation).Info("tables are in force")
 }
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -36,6 +36,8 @@
 	Linked link.Linked
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
+	// Lister reads the platform's list of instances.
+	Lister *probe.Lister
 	// Entry serves callers.
 	Entry *entry.Entry
 	// Admin serves operators.
@@ -53,6 +55,7 @@
 	state.Add(branches.Sync)
 	state.Add(branches.Membership)
 	state.Add(branches.Prober)
+	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
 	root.Add(state)
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -20,7 +20,7 @@
 	}
 	registry := provideMetrics()
 	checker := provideChecker(entry, registry)
-	control := provideControl(entry, checker)
+	control := provideControl(loaded, entry, checker)
 	client := provideStore(loaded)
 	sync := provideSync(client, control, entry)
 	identity, err := provideIdentity(loaded)
@@ -32,6 +32,7 @@
 	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
+	lister := provideLister(client, control, entry)
 	runner := provideRunner(loaded, control, httpClient, entry)
 	relay := provideRelay(control, httpClient)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
@@ -43,6 +44,7 @@
 		Peers:      transport,
 		Linked:     linked,
 		Prober:     prober,
+		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
 	}
