Extend the engine protocol for recovery in the middle of an answer

Cause: the router could not tell whether an answer that ends early is whole, which stage had failed, or how much of a stream a stage still holds.

Change: token frames carry a running sum of the answer up to them and the end a finish reason, the sum and the receipt of the last stage. PathProbe answers how far a stage has come, PathExport its KV cache, which Open may import. A prompt with [stop N] ends after N tokens.

--- /dev/null
+++ b/rail/engine/digest.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest is a running hash of the tokens of one stream's answer.
+type Digest uint64
+
+// NewDigest returns the digest of no tokens; it differs between streams.
+func NewDigest(stream string) Digest { return Digest(xxhash.Sum64String(stream)) }
+
+// Add returns the digest with one more token.
+func (d Digest) Add(token string) Digest {
+	var block [16]byte
+	binary.LittleEndian.PutUint64(block[:8], uint64(d))
+	binary.LittleEndian.PutUint64(block[8:], xxhash.Sum64String(token))
+	return Digest(xxhash.Sum64(block[:]))
+}
+
+// AddAll returns the digest with all the tokens.
+func (d Digest) AddAll(tokens []string) Digest {
+	for _, token := range tokens {
+		d = d.Add(token)
+	}
+	return d
+}
+
+// Sizes for the cache of prompt prefixes.
+const (
+	// TokenBytes is the number of bytes of prompt that count as one token.
+	TokenBytes = 4
+	// PrefixTokens is the number of tokens in a cached prompt prefix.
+	PrefixTokens = 64
+)
+
+// PromptTokens returns the number of tokens of the prompt.
+func PromptTokens(prompt string) int { return (len(prompt) + TokenBytes - 1) / TokenBytes }
+
+// Prefix returns the hash of the first PrefixTokens tokens of the prompt, or zero if it has fewer.
+func Prefix(prompt string) uint64 {
+	if len(prompt) < PrefixTokens*TokenBytes {
+		return 0
+	}
+	return xxhash.Sum64String(prompt[:PrefixTokens*TokenBytes])
+}
--- a/rail/engine/engine.go
+++ b/rail/engine/engine.go
@@ -10,6 +10,10 @@
 	PathOpen = "/v1/open"
 	// PathRun takes POST of a Run at the last stage and streams Frames.
 	PathRun = "/v1/run"
+	// PathProbe takes POST of a Probe and answers with a Progress.
+	PathProbe = "/v1/probe"
+	// PathExport takes POST of a Probe and answers with the KV cache of the stream at the stage.
+	PathExport = "/v1/export"
 	// PathCancel takes POST of a Cancel.
 	PathCancel = "/v1/cancel"
 	// PathActivation takes POST of an Activation from the previous stage.
@@ -44,6 +48,8 @@
 	Version string `json:"version"`
 	// Priority orders streams in the engine, 0 the lowest.
 	Priority int `json:"priority"`
+	// Import is the host and port of a backend server that can export the KV cache of the stage, or empty.
+	Import string `json:"import,omitempty"`
 }
 
 // Run starts a stream whose stages have been opened; it goes to the last stage.
@@ -60,7 +66,7 @@
 	MaxTokens int `json:"max_tokens"`
 }
 
-// Cancel ends a stream at one stage; attempts up to and including Attempt are dropped.
+// Cancel ends a stream at one stage and frees its KV cache; attempts up to and including Attempt are dropped.
 type Cancel struct {
 	// Stream identifies the request over all its attempts.
 	Stream string `json:"stream"`
@@ -68,6 +74,24 @@
 	Attempt int `json:"attempt"`
 }
 
+// Probe asks a stage about a stream.
+type Probe struct {
+	// Stream identifies the request over all its attempts.
+	Stream string `json:"stream"`
+}
+
+// Progress says how far a stage has come with a stream.
+type Progress struct {
+	// Attempt is the attempt that is open, zero if the stage knows none.
+	Attempt int `json:"attempt"`
+	// Received is the number of positions of the attempt's answer whose activations have arrived.
+	Received int `json:"received"`
+	// Passed is the number of positions of the attempt's answer that have been run and passed on.
+	Passed int `json:"passed"`
+	// Held is the number of tokens, prompt included, in the stage's KV cache.
+	Held int `json:"held"`
+}
+
 // Receipt says which layers a backend server ran for one token.
 type Receipt struct {
 	// Server is the name of the backend server.
@@ -94,8 +118,30 @@
 	Position int `json:"position"`
 	// Context is the hash of the prompt and all earlier tokens.
 	Context uint64 `json:"context"`
+	// Previous is the Context of the position before, zero at the first position.
+	Previous uint64 `json:"previous,omitempty"`
+	// Length is the number of tokens, prompt included, before this one.
+	Length int `json:"length"`
+	// Prefix is the hash of the beginning of the prompt, zero if the prompt is too short to be cached.
+	Prefix uint64 `json:"prefix,omitempty"`
 	// Receipts lists the stages that the token has passed.
 	Receipts []Receipt `json:"receipts"`
+	// Error tells the last stage, instead of a state, why another stage cannot pass the token on.
+	Error string `json:"error,omitempty"`
+}
+
+// KV is the export of the KV cache of one stream at one stage.
+type KV struct {
+	// Version is the version of the model that filled the cache.
+	Version string `json:"version"`
+	// First is the first layer of the cache.
+	First int `json:"first"`
+	// Last is the layer after the last one of the cache.
+	Last int `json:"last"`
+	// Held is the number of tokens in the cache, prompt included.
+	Held int `json:"held"`
+	// Contexts holds for each position of the answer that was run the hash of all tokens before.
+	Contexts []uint64 `json:"contexts"`
 }
 
 // Frame is one token of a streamed answer, or its end.
@@ -110,8 +156,12 @@
 	Token string `json:"token,omitempty"`
 	// Receipts lists the stages that the token passed, in order.
 	Receipts []Receipt `json:"receipts,omitempty"`
-	// End marks the frame after the last token of a complete answer.
+	// End marks the frame after the last token of a complete answer; its one receipt is that of the last stage.
 	End bool `json:"end,omitempty"`
+	// Finish says in an end why the answer is complete.
+	Finish Finish `json:"finish,omitempty"`
+	// Sum is the Digest of all tokens of the answer up to and with this one, those resumed included.
+	Sum uint64 `json:"sum,omitempty"`
 	// Alive marks a frame without a token that only shows that the stream is alive.
 	Alive bool `json:"alive,omitempty"`
 	// Error is the reason why the engine gives up the stream.
--- /dev/null
+++ b/rail/engine/frame.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Finish says why an answer is complete.
+type Finish string
+
+const (
+	// FinishLength means that the answer has as many tokens as the caller allowed.
+	FinishLength Finish = "length"
+	// FinishStop means that the model ended the answer.
+	FinishStop Finish = "stop"
+)
+
+// AliveInterval is the longest time between two frames of a stream whose last stage is alive.
+const AliveInterval = 100 * time.Millisecond
+
+// MaxFrameBytes is the greatest size of an encoded frame.
+const MaxFrameBytes = 64 << 10
+
+// DecodeFrame decodes one frame and refuses anything that is not exactly one well-formed frame.
+func DecodeFrame(line []byte) (frame Frame, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode frame")
+	if len(line) > MaxFrameBytes {
+		return Frame{}, fmt.Errorf("%d bytes exceed %d", len(line), MaxFrameBytes)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	if err = decoder.Decode(&frame); err != nil {
+		return Frame{}, err
+	}
+	if rest := bytes.TrimSpace(line[decoder.InputOffset():]); len(rest) > 0 {
+		return Frame{}, fmt.Errorf("%d bytes follow the frame", len(rest))
+	}
+	if frame.Attempt < 1 || frame.Position < 0 {
+		return Frame{}, fmt.Errorf("attempt %d, position %d out of range", frame.Attempt, frame.Position)
+	}
+	return frame, nil
+}
--- a/rail/fake/fakeengine/batch.go
+++ b/rail/fake/fakeengine/batch.go
@@ -22,6 +22,7 @@
 type job struct {
 	priority int
 	order    uint64
+	prefill  time.Duration
 	done     chan struct{}
 }
 
@@ -29,11 +30,11 @@
 	return &batch{slots: slots, step: step, wake: make(chan struct{}, 1)}
 }
 
-// run waits until the activation has been through one step.
-func (b *batch) run(ctx context.Context, priority int) error {
+// run waits until the activation has been through one step, which its prefill makes longer.
+func (b *batch) run(ctx context.Context, priority int, prefill time.Duration) error {
 	b.mu.Lock()
 	b.order++
-	waiting := &job{priority: priority, order: b.order, done: make(chan struct{})}
+	waiting := &job{priority: priority, order: b.order, prefill: prefill, done: make(chan struct{})}
 	heap.Push(&b.waiting, waiting)
 	b.mu.Unlock()
 	select {
@@ -60,7 +61,11 @@
 				return
 			}
 		}
-		time.Sleep(b.step)
+		step := b.step
+		for _, running := range current {
+			step += running.prefill
+		}
+		time.Sleep(step)
 		for _, finished := range current {
 			close(finished.done)
 		}
--- a/rail/fake/fakemodel/fakemodel.go
+++ b/rail/fake/fakemodel/fakemodel.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -41,10 +43,27 @@
 	return fmt.Sprintf("%08x ", uint32(state))
 }
 
-// Answer returns the whole answer to the prompt.
+// stopMark begins the part of a prompt that tells after how many tokens the model stops.
+const stopMark = "[stop "
+
+// StopAfter returns the number of tokens after which the model ends its answer to the prompt, at most limit.
+func StopAfter(prompt string, limit int) int {
+	at := strings.LastIndex(prompt, stopMark)
+	if at < 0 {
+		return limit
+	}
+	number, _, found := strings.Cut(prompt[at+len(stopMark):], "]")
+	stop, err := strconv.Atoi(number)
+	if !found || err != nil || stop < 0 {
+		return limit
+	}
+	return min(stop, limit)
+}
+
+// Answer returns the whole answer to the prompt, of at most that many tokens.
 func Answer(prompt string, layers, tokens int) []string {
 	answer := make([]string, 0, tokens)
-	for range tokens {
+	for range StopAfter(prompt, tokens) {
 		answer = append(answer, Token(Apply(Context(prompt, answer), 0, layers)))
 	}
 	return answer
