Recover in the middle of an answer, and prove it

Cause: the first version accepted only answers of full length, read frames without a deadline, probed and opened stages one after another, and avoided a server that failed once for the rest of the request.

Change: stream.Session carries a request from first attempt to whole answer. Its parts are Answer (which frames reach the caller), silence.Watch and Recovery (same chain over new connections, replace the dead stages, or a new chain of the same version; with backoff, a budget of fruitless attempts and an avoidance that ends). Completion runs its actions. A caller who leaves cancels the stages and is no failed attempt; not run is told only if no order to run was written or each was refused.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -64,8 +64,10 @@
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
-	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+	})
 }
 
 func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -25,7 +25,7 @@
 	sync := provideSync(client, control, entry)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
-	runner := provideRunner(loaded, control, httpClient, entry)
+	runner := provideRunner(loaded, control, httpClient, checker, registry, entry)
 	relay := provideRelay(control, httpClient)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, registry)
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -1,31 +1,35 @@
 package completion
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/silence"
 	"github.com/comfreyrail/comfreyrail/rail/stream"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
 // Limits of one completion.
 const (
-	maxAttempts   = 5
-	maxFrameBytes = 64 << 10
-	openTimeout   = 2 * time.Second
+	openTimeout   = 500 * time.Millisecond
+	probeTimeout  = 250 * time.Millisecond
 	cancelTimeout = time.Second
+	maxFruitless  = 10
+	minBackoff    = 20 * time.Millisecond
+	maxBackoff    = time.Second
+	avoidTime     = 5 * time.Second
+	chainPatience = 5 * time.Second
 )
 
 // Request is one completion request.
@@ -36,7 +40,7 @@
 	Route table.Route
 	// Prompt is the text to complete.
 	Prompt string
-	// MaxTokens is the number of tokens to generate.
+	// MaxTokens is the greatest number of tokens to generate.
 	MaxTokens int
 }
 
@@ -50,67 +54,78 @@
 	Log *logrus.Entry
 	// Zone is the availability zone of this instance.
 	Zone string
+	// Checker counts violated invariants.
+	Checker *invariant.Checker
+	// Metrics counts the ways of recovery.
+	Metrics metrics.Registry
+	// Choose chooses a chain; nil means chain.Choose.
+	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
+	// Silence configures the deadlines for frames; the zero value means silence.DefaultConfig.
+	Silence silence.Config
+	// ReplaceOff makes every replacement of a stage a new chain, for comparisons.
+	ReplaceOff bool
 }
 
 // Runner runs completion requests.
 type Runner struct {
-	control *control.Control
-	http    *http.Client
-	log     *logrus.Entry
-	zone    string
+	config Config
+	fresh  *http.Client
 }
 
 // New returns a Runner.
 func New(config Config) *Runner {
-	return &Runner{control: config.Control, http: config.HTTP, log: config.Log, zone: config.Zone}
+	if config.Choose == nil {
+		config.Choose = chain.Choose
+	}
+	if config.Silence == (silence.Config{}) {
+		config.Silence = silence.DefaultConfig()
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	return &Runner{config: config, fresh: &http.Client{Transport: transport}}
 }
 
-// Run runs the request and hands each token to deliver; the error holds an outcome.Failure.
-func (r *Runner) Run(ctx context.Context, request Request, deliver func(token string) error) (err error) {
-	pool, ok := r.control.Snapshot().Tables.FindPool(request.Route.Pool)
+// Run runs the request, hands each token to deliver and returns why the answer is whole; the error holds an outcome.Failure.
+func (r *Runner) Run(ctx context.Context, request Request, deliver func(token string) error) (finish engine.Finish, err error) {
+	pool, ok := r.config.Control.Snapshot().Tables.FindPool(request.Route.Pool)
 	if !ok {
-		return outcome.NotRunf(outcome.CodeNoRoute, "pool %q does not exist", request.Route.Pool)
-	}
-	answer := &stream.Answer{Stream: request.ID, Layers: pool.Layers, MaxTokens: request.MaxTokens}
-	avoid := make(map[string]bool)
-	started := false
-	for range maxAttempts {
-		plan, found := chain.Choose(r.candidates(pool), chain.Request{Layers: pool.Layers, Avoid: avoid, Zone: r.zone})
-		if !found {
-			break
-		}
-		var ran bool
-		ran, err = r.attempt(ctx, request, answer, plan, avoid, deliver)
-		started = started || ran
-		if answer.Whole() {
-			return nil
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		r.log.WithFields(logrus.Fields{"request": request.ID, "tokens": len(answer.Tokens())}).WithError(err).Warn("attempt failed")
+		return "", outcome.NotRunf(outcome.CodeNoRoute, "pool %q does not exist", request.Route.Pool)
 	}
-	return failure(ctx, err, started, pool.Name)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(request.Route.Deadline())
+	}
+	session := stream.NewSession(stream.SessionConfig{
+		Answer:       stream.AnswerConfig{Stream: request.ID, Layers: pool.Layers, MaxTokens: request.MaxTokens, Checker: r.config.Checker},
+		Recovery:     r.recovery(request, pool),
+		Silence:      r.config.Silence,
+		Servers:      func() []chain.Server { return r.candidates(pool) },
+		OpenTimeout:  openTimeout,
+		ProbeTimeout: probeTimeout,
+		Deadline:     deadline,
+	})
+	return newCarrier(r, request, session, deliver).carry(ctx)
 }
 
-// failure returns what the caller is told after the last attempt.
-func failure(ctx context.Context, err error, started bool, pool string) error {
-	code := outcome.CodeNoServer
-	if ctx.Err() != nil {
-		code = outcome.CodeDeadline
-	}
-	if err == nil {
-		err = fmt.Errorf("no chain of backend servers in pool %q covers every layer", pool)
+// recovery returns how to go on with the request after failures.
+func (r *Runner) recovery(request Request, pool table.Pool) stream.RecoveryConfig {
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(request.ID))
+	return stream.RecoveryConfig{
+		Choose:       r.config.Choose,
+		Request:      chain.Request{Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
+		Rand:         rand.New(rand.NewPCG(digest.Sum64(), 0)),
+		MaxFruitless: maxFruitless,
+		Backoff:      minBackoff,
+		MaxBackoff:   maxBackoff,
+		Avoid:        avoidTime,
+		Patience:     chainPatience,
+		ReplaceOff:   r.config.ReplaceOff,
 	}
-	if started {
-		return outcome.Unknownf(outcome.CodeBackend, "%v", err)
-	}
-	return outcome.NotRunf(code, "%v", err)
 }
 
 // candidates returns what is known about the backend servers of the pool.
 func (r *Runner) candidates(pool table.Pool) []chain.Server {
-	snapshot := r.control.Snapshot()
+	snapshot := r.config.Control.Snapshot()
 	servers := make([]chain.Server, 0, len(pool.Servers))
 	for _, row := range pool.Servers {
 		if server, ok := snapshot.Servers[row.Name]; ok {
@@ -120,132 +135,9 @@
 	return servers
 }
 
-// attempt opens the stages of one chain and reads its frames; started reports whether it may have run.
-func (r *Runner) attempt(ctx context.Context, request Request, answer *stream.Answer, plan chain.Plan, avoid map[string]bool, deliver func(string) error) (started bool, err error) {
-	attempt, err := answer.Attempt(plan)
-	if err != nil {
-		return false, err
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer r.cancel(context.WithoutCancel(ctx), request.ID, attempt, plan)
-	for i, hop := range plan.Hops {
-		open := engine.Open{
-			Stream: request.ID, Attempt: attempt, Index: i, Hops: plan.Hops,
-			Version: plan.Version, Priority: request.Route.Priority,
-		}
-		if err = r.open(ctx, hop, open); err != nil {
-			avoid[hop.Server] = true
-			return false, err
-		}
-	}
-	last := plan.Hops[len(plan.Hops)-1]
-	run := engine.Run{
-		Stream: request.ID, Attempt: attempt, Prompt: request.Prompt,
-		Resume: answer.Tokens(), MaxTokens: request.MaxTokens,
-	}
-	response, err := r.post(ctx, last.Address, engine.PathRun, run)
-	if err != nil {
-		avoid[last.Server] = true
-		return true, err
-	}
-	defer response.Body.Close()
-	if err = r.read(response, answer, deliver); err != nil {
-		r.blame(ctx, plan, avoid)
-	}
-	return true, err
-}
-
-func (r *Runner) open(ctx context.Context, hop engine.Hop, open engine.Open) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
-	defer cancel()
-	response, err := r.post(ctx, hop.Address, engine.PathOpen, open)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
-}
-
-// read hands the tokens of one attempt to deliver until the answer is whole.
-func (r *Runner) read(response *http.Response, answer *stream.Answer, deliver func(string) error) (err error) {
-	defer errors.DeferredAnnotatef(&err, "read frames")
-	scanner := bufio.NewScanner(response.Body)
-	scanner.Buffer(make([]byte, 0, 4096), maxFrameBytes)
-	for scanner.Scan() {
-		var frame engine.Frame
-		if err = json.Unmarshal(scanner.Bytes(), &frame); err != nil {
-			return err
-		}
-		decision := answer.Accept(frame)
-		switch decision.Verdict {
-		case stream.Deliver:
-			if err = deliver(frame.Token); err != nil {
-				return err
-			}
-		case stream.Finish:
-			return nil
-		case stream.Fail:
-			return errors.New(decision.Reason)
-		case stream.Drop:
-		}
-	}
-	if err = scanner.Err(); err != nil {
-		return err
-	}
-	return errors.New("stream ended before the answer was whole")
-}
-
-// blame marks the stages that do not answer a status call, so that the next attempt avoids them.
-func (r *Runner) blame(ctx context.Context, plan chain.Plan, avoid map[string]bool) {
-	for _, hop := range plan.Hops {
-		probe, cancel := context.WithTimeout(ctx, cancelTimeout)
-		request, err := http.NewRequestWithContext(probe, http.MethodGet, "http://"+hop.Address+engine.PathStatus, nil)
-		if err == nil {
-			var response *http.Response
-			if response, err = r.http.Do(request); err == nil {
-				_ = response.Body.Close()
-			}
-		}
-		if err != nil {
-			avoid[hop.Server] = true
-		}
-		cancel()
-	}
-}
-
-// cancel ends the attempt at every stage.
-func (r *Runner) cancel(ctx context.Context, id string, attempt int, plan chain.Plan) {
-	for _, hop := range plan.Hops {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
-			defer cancel()
-			response, err := r.post(ctx, hop.Address, engine.PathCancel, engine.Cancel{Stream: id, Attempt: attempt})
-			if err == nil {
-				_ = response.Body.Close()
-			}
-		}()
-	}
-}
-
-// post sends a message to an engine and returns its successful answer.
-func (r *Runner) post(ctx context.Context, address, path string, message any) (response *http.Response, err error) {
-	defer errors.DeferredAnnotatef(&err, "post %s to %s", path, address)
-	body, err := json.Marshal(message)
-	if err != nil {
-		return nil, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	if response, err = r.http.Do(request); err != nil {
-		return nil, err
-	}
-	if response.StatusCode == http.StatusOK {
-		return response, nil
+// count counts an attempt by the way that led to it.
+func (r *Runner) count(way stream.Way) {
+	if r.config.Metrics != nil {
+		metrics.GetOrRegisterCounter("attempts."+way.String(), r.config.Metrics).Inc(1)
 	}
-	var refusal engine.Refusal
-	_ = json.NewDecoder(response.Body).Decode(&refusal)
-	_ = response.Body.Close()
-	return nil, fmt.Errorf("answered with status code %d: %s", response.StatusCode, refusal.Reason)
 }
--- /dev/null
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -0,0 +1,133 @@
+package completion
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakemodel"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+func TestRunRecovers(t *testing.T) {
+	silenceAll := func(f *fleet) {
+		for _, p := range f.proxies {
+			p.silence()
+		}
+	}
+	faults := []struct {
+		name  string
+		fault func(f *fleet)
+	}{
+		{"kill first", func(f *fleet) { f.kill("0a") }},
+		{"kill middle", func(f *fleet) { f.kill("1a") }},
+		{"kill last", func(f *fleet) { f.kill("2a") }},
+		{"kill all of a chain", func(f *fleet) { f.kill("0a"); f.kill("1a"); f.kill("2a") }},
+		{"freeze first", func(f *fleet) { f.freeze("0a") }},
+		{"freeze middle", func(f *fleet) { f.freeze("1a") }},
+		{"freeze last", func(f *fleet) { f.freeze("2a") }},
+		{"silence the caller's side", func(f *fleet) { f.proxies["2a"].silence() }},
+		{"silence between stages", func(f *fleet) { f.proxies["1a"].silence() }},
+		{"silence everywhere", silenceAll},
+		{"restart middle", func(f *fleet) {
+			f.engines["1a"].SetFaults(fakeengine.Faults{Crash: true})
+			f.engines["1a"].SetFaults(fakeengine.Faults{})
+		}},
+		{"cross", func(f *fleet) { f.engines["2a"].SetFaults(fakeengine.Faults{Cross: true}) }},
+		{"repeat", func(f *fleet) { f.engines["2a"].SetFaults(fakeengine.Faults{Repeat: true}) }},
+		{"truncate", func(f *fleet) { f.engines["2a"].SetFaults(fakeengine.Faults{Truncate: 8}) }},
+	}
+	for _, test := range faults {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 200*time.Microsecond, 0)
+			for _, prompt := range []string{"one", "two, which ends early [stop 9]"} {
+				tokens, _, err := f.ask(t, prompt, prompt, 12, 6, func() { test.fault(f) })
+				if want := fakemodel.Answer(prompt, layers, 12); err != nil || !slices.Equal(tokens, want) {
+					t.Errorf("prompt %q: got %q and error %v, want %q", prompt, tokens, err, want)
+				}
+			}
+		})
+	}
+}
+
+func TestRunFails(t *testing.T) {
+	failures := []struct {
+		name    string
+		after   int
+		fault   func(f *fleet)
+		outcome outcome.Outcome
+	}{
+		{"no server answers", 0, func(f *fleet) { killAll(f) }, outcome.NotRun},
+		{"no server is left", 3, func(f *fleet) { killAll(f) }, outcome.Unknown},
+	}
+	for _, test := range failures {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 200*time.Microsecond, 0)
+			if test.after == 0 {
+				test.fault(f)
+			}
+			tokens, _, err := f.ask(t, "id", "prompt", 12, test.after, func() { test.fault(f) })
+			var failure *outcome.Failure
+			if !errors.As(err, &failure) || failure.Outcome != test.outcome {
+				t.Errorf("got %v after %d tokens, want outcome %q", err, len(tokens), test.outcome)
+			}
+		})
+	}
+}
+
+func killAll(f *fleet) {
+	for name := range f.engines {
+		f.kill(name)
+	}
+}
+
+// BenchmarkGap measures the longest time between two tokens around a fault in the middle of an answer.
+func BenchmarkGap(b *testing.B) {
+	faults := []struct {
+		name  string
+		fault func(f *fleet)
+	}{
+		{"none", func(*fleet) {}},
+		{"kill", func(f *fleet) { f.kill("1a") }},
+		{"freeze", func(f *fleet) { f.freeze("1a") }},
+		{"silence", func(f *fleet) { f.proxies["2a"].silence() }},
+	}
+	for _, length := range []int{16, 2000} {
+		for _, fault := range faults {
+			for _, rechain := range []bool{false, true} {
+				name := fmt.Sprintf("fault=%s/prompt=%d/rechain=%t", fault.name, length, rechain)
+				b.Run(name, func(b *testing.B) { measureGap(b, fault.fault, length, rechain) })
+			}
+		}
+	}
+}
+
+func measureGap(b *testing.B, fault func(f *fleet), length int, rechain bool) {
+	gaps := make([]time.Duration, 0, b.N)
+	for i := range b.N {
+		b.StopTimer()
+		f := newFleet(b, 500*time.Microsecond, 20*time.Microsecond)
+		f.runner.config.ReplaceOff = rechain
+		b.StartTimer()
+		prompt := longPrompt(i, length)
+		tokens, at, err := f.ask(b, "id", prompt, 16, 8, func() { fault(f) })
+		if want := fakemodel.Answer(prompt, layers, 16); err != nil || !slices.Equal(tokens, want) {
+			b.Fatalf("got %q and error %v, want %q", tokens, err, want)
+		}
+		longest := time.Duration(0)
+		for j := 1; j < len(at); j++ {
+			longest = max(longest, at[j].Sub(at[j-1]))
+		}
+		gaps = append(gaps, longest)
+	}
+	slices.Sort(gaps)
+	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	b.ReportMetric(milliseconds(gaps[len(gaps)/2]), "p50-ms")
+	b.ReportMetric(milliseconds(gaps[len(gaps)*95/100]), "p95-ms")
+	b.ReportMetric(milliseconds(gaps[len(gaps)-1]), "max-ms")
+}
--- a/comfreyrail/internal/traffic/entry/answer.go
+++ b/comfreyrail/internal/traffic/entry/answer.go
@@ -86,9 +86,8 @@
 	return http.NewResponseController(a.w).Flush()
 }
 
-// finish ends the answer and returns its outcome; err is nil if the answer is whole.
-func (a *answerWriter) finish(err error) outcome.Outcome {
-	reason := "length"
+// finish ends the answer and returns its outcome; err is nil if the answer is whole for the reason.
+func (a *answerWriter) finish(reason string, err error) outcome.Outcome {
 	if !a.stream {
 		a.w.Header().Set("Content-Type", "application/json")
 		a.w.Header().Set(outcome.Header, string(outcome.Done))
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -117,11 +117,12 @@
 	defer cancel()
 	request := completion.Request{ID: id, Route: route, Prompt: body.Prompt, MaxTokens: body.MaxTokens}
 	writer := newAnswerWriter(w, id, body)
-	if err = e.config.Completions.Run(ctx, request, writer.token); err != nil && !writer.started() {
+	reason, err := e.config.Completions.Run(ctx, request, writer.token)
+	if err != nil && !writer.started() {
 		e.fail(w, id, err)
 		return
 	}
-	e.count(writer.finish(err))
+	e.count(writer.finish(string(reason), err))
 	e.config.Log.WithFields(logrus.Fields{"request": id, "workspace": workspace, "route": route.Name}).WithError(err).Info("completion")
 }
 
--- a/rail/outcome/outcome.go
+++ b/rail/outcome/outcome.go
@@ -47,6 +47,8 @@
 	CodeBackend Code = "backend"
 	// CodeDeadline marks a request whose deadline passed.
 	CodeDeadline Code = "deadline"
+	// CodeCaller marks a request whose caller left.
+	CodeCaller Code = "caller"
 	// CodeInvariant marks a request that was stopped because an invariant did not hold.
 	CodeInvariant Code = "invariant"
 )
--- a/rail/stream/doc.go
+++ b/rail/stream/doc.go
@@ -1,2 +1,3 @@
-// Package stream decides which frames of a streamed answer reach the caller.
+// Package stream decides about a streamed answer: which frames reach the
+// caller, when the connection or a stage has failed, and how to go on.
 package stream
--- /dev/null
+++ b/rail/stream/recovery.go
@@ -0,0 +1,299 @@
+package stream
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/chain"
+	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// Way is a way to go on with an answer.
+type Way int
+
+const (
+	// Begin is the first attempt of an answer.
+	Begin Way = iota
+	// Same resumes on the same chain over new connections.
+	Same
+	// Replace puts other backend servers in the place of some stages.
+	Replace
+	// Rechain resumes on a new chain from the prompt and the tokens delivered.
+	Rechain
+	// Later means that no chain is available now and that it is worth asking again.
+	Later
+	// GiveUp means that the answer cannot be completed.
+	GiveUp
+)
+
+// String returns the name of the way.
+func (w Way) String() string {
+	return [...]string{"begin", "same", "replace", "rechain", "later", "giveup"}[w]
+}
+
+// Step is how to go on.
+type Step struct {
+	// Way is the way to go on.
+	Way Way
+	// Plan is the chain of the next attempt.
+	Plan chain.Plan
+	// Imports holds for each stage the address that exports its KV cache, or nothing.
+	Imports []string
+	// At is when to take the step.
+	At time.Time
+	// Code names the reason of a GiveUp.
+	Code outcome.Code
+	// Reason explains a GiveUp to people.
+	Reason string
+}
+
+// Stage is what is known about one stage of the failed attempt.
+type Stage struct {
+	// Bad tells that the stage did not answer, refused or ran what it should not.
+	Bad bool
+	// Exports tells that the stage is alive and its KV cache can be trusted.
+	Exports bool
+}
+
+// RecoveryConfig configures a Recovery.
+type RecoveryConfig struct {
+	// Choose chooses a chain.
+	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
+	// Request describes the request for Choose.
+	Request chain.Request
+	// Rand spreads the retries of many streams.
+	Rand *rand.Rand
+	// MaxFruitless is the number of attempts in a row without a new token before giving up.
+	MaxFruitless int
+	// Backoff is the wait before the second attempt in a row without a new token; it doubles with each.
+	Backoff time.Duration
+	// MaxBackoff is the longest wait.
+	MaxBackoff time.Duration
+	// Avoid is how long a backend server is avoided after its first failure; it grows with each.
+	Avoid time.Duration
+	// Patience is how long to wait for a chain to become available.
+	Patience time.Duration
+	// ReplaceOff makes every replacement a Rechain, for comparisons.
+	ReplaceOff bool
+}
+
+// Recovery decides how to go on after a failure; it is not safe for concurrent use.
+type Recovery struct {
+	config RecoveryConfig
+
+	avoid     map[string]mark
+	fruitless int
+	delivered int
+	same      int
+	noneSince time.Time
+}
+
+// NewRecovery returns a Recovery.
+func NewRecovery(config RecoveryConfig) *Recovery {
+	return &Recovery{config: config, avoid: make(map[string]mark)}
+}
+
+// Begin chooses the chain for the first attempt.
+func (r *Recovery) Begin(now time.Time, servers []chain.Server) Step {
+	plan, ok := r.choose(now, servers)
+	if !ok {
+		return Step{Way: GiveUp, Code: outcome.CodeNoServer, Reason: "no chain of backend servers covers every layer"}
+	}
+	return Step{Way: Begin, Plan: plan, At: now}
+}
+
+// Failure describes a failed attempt.
+type Failure struct {
+	// Plan is the chain of the attempt.
+	Plan chain.Plan
+	// Stages says what is known about each stage.
+	Stages []Stage
+	// Delivered is the number of tokens delivered so far.
+	Delivered int
+	// Reason says why the attempt failed.
+	Reason string
+}
+
+// maxSame is the number of attempts in a row without a new token on the same chain.
+const maxSame = 2
+
+// Decide returns the step after a failed attempt.
+func (r *Recovery) Decide(now time.Time, failure Failure, servers []chain.Server) Step {
+	r.fruitless++
+	r.same++
+	if failure.Delivered > r.delivered {
+		r.fruitless, r.same, r.delivered = 0, 0, failure.Delivered
+	}
+	if r.fruitless >= r.config.MaxFruitless {
+		return Step{Way: GiveUp, Code: outcome.CodeBackend, Reason: failure.Reason}
+	}
+	bad := 0
+	for i, stage := range failure.Stages {
+		if stage.Bad {
+			bad++
+			r.shun(now, failure.Plan.Hops[i].Server)
+		}
+	}
+	if bad == 0 && r.same < maxSame {
+		return Step{Way: Same, Plan: failure.Plan, At: now.Add(r.backoff())}
+	}
+	if bad == 0 {
+		for _, hop := range failure.Plan.Hops {
+			r.shun(now, hop.Server)
+		}
+	}
+	return r.Retry(now, failure, servers)
+}
+
+// Retry returns the step with a changed chain; it is also asked again after Later.
+func (r *Recovery) Retry(now time.Time, failure Failure, servers []chain.Server) Step {
+	if failure.Delivered > 0 {
+		servers = ofVersion(servers, failure.Plan.Version)
+	}
+	r.same = 0
+	step := Step{At: now.Add(r.backoff())}
+	var ok bool
+	if step.Plan, ok = r.replace(now, failure, servers); ok {
+		step.Way = Replace
+	} else if step.Plan, ok = r.choose(now, servers); ok {
+		step.Way = Rechain
+	}
+	if !ok {
+		return r.wait(now, failure)
+	}
+	r.noneSince = time.Time{}
+	step.Imports = imports(failure, step.Plan)
+	return step
+}
+
+// wait returns Later until no chain has been available for too long.
+func (r *Recovery) wait(now time.Time, failure Failure) Step {
+	if r.noneSince.IsZero() {
+		r.noneSince = now
+	}
+	if now.Sub(r.noneSince) >= r.config.Patience {
+		return Step{Way: GiveUp, Code: outcome.CodeNoServer, Reason: "no chain of backend servers is left: " + failure.Reason}
+	}
+	return Step{Way: Later, At: now.Add(max(r.config.Backoff, r.config.Patience/laterShare))}
+}
+
+// laterShare is the number of times that a chain is sought while there is none.
+const laterShare = 20
+
+// backoff returns the wait before the next attempt, none after an attempt that made progress.
+func (r *Recovery) backoff() time.Duration {
+	if r.fruitless == 0 {
+		return 0
+	}
+	wait := min(r.config.Backoff<<(r.fruitless-1), r.config.MaxBackoff)
+	return wait/2 + time.Duration(r.config.Rand.Int64N(int64(wait)/2+1))
+}
+
+// choose returns a chain without the servers that failed lately, or with those of them that failed least.
+func (r *Recovery) choose(now time.Time, servers []chain.Server) (plan chain.Plan, ok bool) {
+	request := r.config.Request
+	request.Avoid = make(map[string]bool, len(r.avoid))
+	var avoided []string
+	for server, mark := range r.avoid {
+		if now.Before(mark.until) {
+			request.Avoid[server] = true
+			avoided = append(avoided, server)
+		}
+	}
+	sort.Slice(avoided, func(i, j int) bool { return r.avoid[avoided[i]].before(r.avoid[avoided[j]], avoided[i] < avoided[j]) })
+	plan, ok = r.config.Choose(servers, request)
+	for i := 0; !ok && i < len(avoided); i++ {
+		delete(request.Avoid, avoided[i])
+		plan, ok = r.config.Choose(servers, request)
+	}
+	return plan, ok
+}
+
+// mark is what a Recovery remembers of a backend server that failed.
+type mark struct {
+	failures int
+	until    time.Time
+}
+
+// before reports whether a server marked m is tried before one marked other; tie decides between equals.
+func (m mark) before(other mark, tie bool) bool {
+	if m.failures != other.failures {
+		return m.failures < other.failures
+	}
+	if !m.until.Equal(other.until) {
+		return m.until.Before(other.until)
+	}
+	return tie
+}
+
+// shun avoids a backend server for a time that grows with its failures.
+func (r *Recovery) shun(now time.Time, server string) {
+	failures := r.avoid[server].failures + 1
+	r.avoid[server] = mark{failures: failures, until: now.Add(r.config.Avoid * time.Duration(failures))}
+}
+
+// replace keeps the good stages and chooses others for the bad ones.
+func (r *Recovery) replace(now time.Time, failure Failure, servers []chain.Server) (plan chain.Plan, ok bool) {
+	kept := 0
+	var candidates []chain.Server
+	for i, hop := range failure.Plan.Hops {
+		if failure.Stages[i].Bad {
+			candidates = append(candidates, r.substitutes(now, failure.Plan, hop, servers)...)
+			continue
+		}
+		kept++
+		status := engine.Status{Server: hop.Server, First: hop.First, Last: hop.Last, Version: failure.Plan.Version}
+		candidates = append(candidates, chain.Server{Name: hop.Server, Address: hop.Address, Status: status, Usable: true})
+	}
+	if kept == 0 || kept == len(failure.Plan.Hops) || r.config.ReplaceOff {
+		return chain.Plan{}, false
+	}
+	request := r.config.Request
+	request.Avoid = nil
+	return r.config.Choose(candidates, request)
+}
+
+// substitutes returns the servers that can run the layers of the hop and have not failed lately.
+func (r *Recovery) substitutes(now time.Time, plan chain.Plan, hop engine.Hop, servers []chain.Server) []chain.Server {
+	var found []chain.Server
+	for _, server := range servers {
+		status := server.Status
+		fits := status.Version == plan.Version && status.First == hop.First && status.Last == hop.Last
+		if fits && server.Usable && !plan.Uses(server.Name) && !now.Before(r.avoid[server.Name].until) {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+// ofVersion returns the servers that hold the version.
+func ofVersion(servers []chain.Server, version string) []chain.Server {
+	var found []chain.Server
+	for _, server := range servers {
+		if server.Status.Version == version {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+// imports returns where each new stage of the plan finds the KV cache of the stage it replaces.
+func imports(failure Failure, plan chain.Plan) []string {
+	sources := make([]string, len(plan.Hops))
+	if plan.Version != failure.Plan.Version {
+		return sources
+	}
+	for i, hop := range plan.Hops {
+		if failure.Plan.Uses(hop.Server) {
+			continue
+		}
+		for j, old := range failure.Plan.Hops {
+			if failure.Stages[j].Exports && old.First == hop.First && old.Last == hop.Last {
+				sources[i] = old.Address
+			}
+		}
+	}
+	return sources
+}
