Replace only the stage behind a lost link, importing its KV cache

A link that loses activations over new connections too leaves all stages alive. After one fruitless resume the stage that did not receive what was passed on is now replaced, and its replacement imports its KV cache; before, the whole chain was. The comparison that avoids the whole chain is RechainAlways. TestRunRecovers 'lose the link to the middle' passes.

--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -62,8 +62,8 @@
 	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
 	// Silence configures the deadlines for frames; the zero value means silence.DefaultConfig.
 	Silence silence.Config
-	// ReplaceOff makes every replacement of a stage a new chain, for comparisons.
-	ReplaceOff bool
+	// RechainAlways answers every failure with a whole new chain, for comparisons.
+	RechainAlways bool
 }
 
 // Runner runs completion requests.
@@ -111,15 +111,15 @@
 	digest := fnv.New64a()
 	_, _ = digest.Write([]byte(request.ID))
 	return stream.RecoveryConfig{
-		Choose:       r.config.Choose,
-		Request:      chain.Request{Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
-		Rand:         rand.New(rand.NewPCG(digest.Sum64(), 0)),
-		MaxFruitless: maxFruitless,
-		Backoff:      minBackoff,
-		MaxBackoff:   maxBackoff,
-		Avoid:        avoidTime,
-		Patience:     chainPatience,
-		ReplaceOff:   r.config.ReplaceOff,
+		Choose:        r.config.Choose,
+		Request:       chain.Request{Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
+		Rand:          rand.New(rand.NewPCG(digest.Sum64(), 0)),
+		MaxFruitless:  maxFruitless,
+		Backoff:       minBackoff,
+		MaxBackoff:    maxBackoff,
+		Avoid:         avoidTime,
+		Patience:      chainPatience,
+		RechainAlways: r.config.RechainAlways,
 	}
 }
 
--- a/comfreyrail/internal/traffic/completion/fleet_test.go
+++ b/comfreyrail/internal/traffic/completion/fleet_test.go
@@ -1,6 +1,7 @@
 package completion
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -122,16 +124,15 @@
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	conns []*conn
+	mu      sync.Mutex
+	conns   []*conn
+	blocked atomic.Bool
 }
 
 // conn is a pair of connections; once silent it drops every byte but stays open.
 type conn struct {
 	near, far net.Conn
-
-	mu     sync.Mutex
-	silent bool
+	silent    atomic.Bool
 }
 
 func newProxy(tb testing.TB, target string) *proxy {
@@ -161,20 +162,20 @@
 		p.mu.Lock()
 		p.conns = append(p.conns, c)
 		p.mu.Unlock()
-		go c.pass(near, far)
-		go c.pass(far, near)
+		go p.pass(c, near, far)
+		go p.pass(c, far, near)
 	}
 }
 
 // pass copies one direction and drops what arrives while the connection is silent.
-func (c *conn) pass(from, to net.Conn) {
+func (p *proxy) pass(c *conn, from, to net.Conn) {
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
-		c.mu.Lock()
-		silent := c.silent
-		c.mu.Unlock()
-		if silent {
+		if p.blocked.Load() && bytes.Contains(buffer[:n], []byte(engine.PathActivation)) {
+			c.silent.Store(true)
+		}
+		if c.silent.Load() {
 			if err != nil {
 				return
 			}
@@ -197,12 +198,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
-		c.mu.Lock()
-		c.silent = true
-		c.mu.Unlock()
+		c.silent.Store(true)
 	}
 }
 
+// block loses every activation from now on, over new connections too.
+func (p *proxy) block() { p.blocked.Store(true) }
+
 // kill refuses new connections and breaks the open ones.
 func (p *proxy) kill() {
 	_ = p.listener.Close()
--- a/comfreyrail/internal/traffic/completion/recovery_test.go
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -32,6 +32,7 @@
 		{"silence the caller's side", func(f *fleet) { f.proxies["2a"].silence() }},
 		{"silence between stages", func(f *fleet) { f.proxies["1a"].silence() }},
 		{"silence everywhere", silenceAll},
+		{"lose the link to the middle", func(f *fleet) { f.proxies["1a"].block() }},
 		{"restart middle", func(f *fleet) {
 			f.engines["1a"].SetFaults(fakeengine.Faults{Crash: true})
 			f.engines["1a"].SetFaults(fakeengine.Faults{})
@@ -96,6 +97,7 @@
 		{"kill", func(f *fleet) { f.kill("1a") }},
 		{"freeze", func(f *fleet) { f.freeze("1a") }},
 		{"silence", func(f *fleet) { f.proxies["2a"].silence() }},
+		{"link", func(f *fleet) { f.proxies["1a"].block() }},
 	}
 	for _, length := range []int{16, 2000} {
 		for _, fault := range faults {
@@ -112,7 +114,7 @@
 	for i := range b.N {
 		b.StopTimer()
 		f := newFleet(b, 500*time.Microsecond, 20*time.Microsecond)
-		f.runner.config.ReplaceOff = rechain
+		f.runner.config.RechainAlways = rechain
 		b.StartTimer()
 		prompt := longPrompt(i, length)
 		tokens, at, err := f.ask(b, "id", prompt, 16, 8, func() { fault(f) })
--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -53,6 +54,8 @@
 type Stage struct {
 	// Bad tells that the stage did not answer, refused or ran what it should not.
 	Bad bool
+	// Suspect tells that the stage answered but did not get what the stage before it passed on.
+	Suspect bool
 	// Exports tells that the stage is alive and its KV cache can be trusted.
 	Exports bool
 }
@@ -75,8 +78,8 @@
 	Avoid time.Duration
 	// Patience is how long to wait for a chain to become available.
 	Patience time.Duration
-	// ReplaceOff makes every replacement a Rechain, for comparisons.
-	ReplaceOff bool
+	// RechainAlways answers every failure with a Rechain that avoids the whole chain, for comparisons.
+	RechainAlways bool
 }
 
 // Recovery decides how to go on after a failure; it is not safe for concurrent use.
@@ -129,24 +132,31 @@
 	if r.fruitless >= r.config.MaxFruitless {
 		return Step{Way: GiveUp, Code: outcome.CodeBackend, Reason: failure.Reason}
 	}
-	bad := 0
+	if r.config.RechainAlways {
+		condemn(failure.Stages, func(Stage) bool { return true })
+	}
+	if !slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Bad }) {
+		if r.same < maxSame {
+			return Step{Way: Same, Plan: failure.Plan, At: now.Add(r.backoff())}
+		}
+		suspects := slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Suspect })
+		condemn(failure.Stages, func(stage Stage) bool { return stage.Suspect || !suspects })
+	}
 	for i, stage := range failure.Stages {
 		if stage.Bad {
-			bad++
 			r.shun(now, failure.Plan.Hops[i].Server)
 		}
 	}
-	if bad == 0 && r.same < maxSame {
-		return Step{Way: Same, Plan: failure.Plan, At: now.Add(r.backoff())}
-	}
-	if bad == 0 {
-		for _, hop := range failure.Plan.Hops {
-			r.shun(now, hop.Server)
-		}
-	}
 	return r.Retry(now, failure, servers)
 }
 
+// condemn marks the stages that match as bad.
+func condemn(stages []Stage, match func(Stage) bool) {
+	for i := range stages {
+		stages[i].Bad = stages[i].Bad || match(stages[i])
+	}
+}
+
 // Retry returns the step with a changed chain; it is also asked again after Later.
 func (r *Recovery) Retry(now time.Time, failure Failure, servers []chain.Server) Step {
 	if failure.Delivered > 0 {
@@ -247,7 +257,7 @@
 		status := engine.Status{Server: hop.Server, First: hop.First, Last: hop.Last, Version: failure.Plan.Version}
 		candidates = append(candidates, chain.Server{Name: hop.Server, Address: hop.Address, Status: status, Usable: true})
 	}
-	if kept == 0 || kept == len(failure.Plan.Hops) || r.config.ReplaceOff {
+	if kept == 0 || kept == len(failure.Plan.Hops) {
 		return chain.Plan{}, false
 	}
 	request := r.config.Request
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -309,11 +309,12 @@
 	finding := s.probe.finding
 	worked := attempt
 	for i, reply := range s.probe.replies {
-		stages[i] = Stage{Bad: !reply.Answered, Exports: reply.Answered}
+		gap := i > 0 && s.probe.replies[i-1].Progress.Passed > reply.Progress.Received
+		stages[i] = Stage{Bad: !reply.Answered, Suspect: gap, Exports: reply.Answered}
 		worked += reply.Progress.Received + reply.Progress.Passed + reply.Progress.Held
 		finding.Silent = finding.Silent || !reply.Answered
 		finding.Lost = finding.Lost || reply.Progress.Attempt != attempt
-		finding.Gap = finding.Gap || (i > 0 && s.probe.replies[i-1].Progress.Passed > reply.Progress.Received)
+		finding.Gap = finding.Gap || gap
 	}
 	finding.Moved, s.probe.worked = worked != s.probe.worked, worked
 	if !s.broken && s.watch.Probed(now, finding) == silence.Wait {
