--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -95,8 +95,10 @@
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
-	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+	})
 }
 
 func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -33,7 +33,7 @@
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	lister := provideLister(client, control, entry)
-	runner := provideRunner(loaded, control, httpClient, entry)
+	runner := provideRunner(loaded, control, httpClient, checker, registry, entry)
 	relay := provideRelay(control, httpClient)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
