Dispatch each plain request at most once

Cause: the transport of net/http repeats requests by itself. On a raw listener that reads a request and closes a reused connection it ran twice: POST with Idempotency-Key or X-Idempotency-Key, with and without a body, DELETE with a key, and GET, HEAD, OPTIONS and TRACE without one. Over HTTP/2 a refused stream was sent again, and http.Client followed 302, 307 and 308 with a second run. Ruled out: only hiding GetBody. It covers requests with a body; those without are replayed all the same. A fresh connection for each request costs a dial. Another backend server is tried while not-run is provable. Conclusion: told not run means no byte of it was written or will be, or the backend server refused it.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -68,8 +69,12 @@
 	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
 }
 
-func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
-	return relay.New(relay.Config{Control: state, HTTP: client})
+func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker})
+}
+
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -26,7 +26,8 @@
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	runner := provideRunner(loaded, control, httpClient, entry)
-	relay := provideRelay(control, httpClient)
+	dispatcher := provideDispatcher(checker)
+	relay := provideRelay(control, dispatcher)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, registry)
 	branches := Branches{
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -142,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
 	defer cancel()
 	answer, err := e.config.Relay.Run(ctx, relay.Request{
-		ID: id, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
+		ID: id, Workspace: workspace, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
 		Header: r.Request.Header, Body: content,
 	})
 	if err != nil {
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
@@ -17,6 +16,8 @@
 type Request struct {
 	// ID identifies the request.
 	ID string
+	// Workspace is the workspace of the caller.
+	Workspace string
 	// Route is the route that the request matched.
 	Route table.Route
 	// Method is the HTTP method.
@@ -30,72 +31,82 @@
 }
 
 // Answer is the answer of a plain service.
-type Answer struct {
-	// Status is the HTTP status code.
-	Status int
-	// Header holds the headers of the answer.
-	Header http.Header
-	// Body is the whole body.
-	Body []byte
-}
+type Answer = dispatch.Answer
 
 // Config configures a Relay.
 type Config struct {
 	// Control publishes the state.
 	Control *control.Control
-	// HTTP makes the calls to the services.
-	HTTP *http.Client
+	// Dispatcher sends requests to the services.
+	Dispatcher *dispatch.Dispatcher
+	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
+	Retry func() bool
 }
 
 // Relay passes plain requests on.
 type Relay struct {
-	control *control.Control
-	http    *http.Client
+	control    *control.Control
+	dispatcher *dispatch.Dispatcher
+	retry      func() bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
-	return &Relay{control: config.Control, http: config.HTTP}
+	return &Relay{control: config.Control, dispatcher: config.Dispatcher, retry: config.Retry}
 }
 
-// maxAnswerBytes is the greatest size of an answer.
-const maxAnswerBytes = 8 << 20
+// maxDispatches is the greatest number of backend servers that one request is sent to.
+const maxDispatches = 3
 
-// Run passes the request to one backend server; the error holds an outcome.Failure.
+// Run passes the request on; the error holds an outcome.Failure.
+//
+// Another backend server is tried only while the request provably has not run, or if it is idempotent.
 func (r *Relay) Run(ctx context.Context, request Request) (answer Answer, err error) {
-	address, err := r.choose(request.Route.Pool)
-	if err != nil {
-		return Answer{}, err
-	}
-	out, err := http.NewRequestWithContext(ctx, request.Method, "http://"+address+request.Path, body(request.Body))
-	if err != nil {
-		return Answer{}, outcome.NotRunf(outcome.CodeInvalid, "%v", err)
-	}
-	out.Header = request.Header.Clone()
-	response, err := r.http.Do(out)
-	if err != nil {
-		return Answer{}, outcome.Unknownf(outcome.CodeBackend, "%v", err)
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(content) > maxAnswerBytes {
-		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
+	tried := make(map[string]bool)
+	ran := false
+	for {
+		address, chooseErr := r.choose(request.Route.Pool, tried)
+		if chooseErr != nil {
+			return Answer{}, firstFailure(err, chooseErr)
+		}
+		tried[address] = true
+		answer, err = r.dispatcher.Send(ctx, dispatch.Request{
+			Address: address, Method: request.Method, Path: request.Path, Header: request.Header, Body: request.Body,
+		})
+		if err == nil {
+			return answer, nil
+		}
+		failure := outcome.From(err)
+		ran = ran || failure.Outcome != outcome.NotRun
+		if ran {
+			// An idempotent request that may have run stays unknown whatever the later dispatches tell.
+			failure.Outcome = outcome.Unknown
+		}
+		if ctx.Err() != nil || !attempts.Again(failure.Outcome) {
+			return Answer{}, failure
+		}
+		err = failure
 	}
-	if err != nil {
-		return Answer{}, outcome.Unknownf(outcome.CodeBackend, "answer broke off: %v", err)
+}
+
+// firstFailure returns the failure of the last dispatch, or why none was possible.
+func firstFailure(dispatched, chosen error) error {
+	if dispatched != nil {
+		return dispatched
 	}
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: content}, nil
+	return chosen
 }
 
-// choose returns the address of the least loaded backend server of the pool.
-func (r *Relay) choose(name string) (address string, err error) {
+// choose returns the address of the least loaded backend server of the pool that has not been tried.
+func (r *Relay) choose(name string, tried map[string]bool) (address string, err error) {
 	defer errors.DeferredAnnotatef(&err, "choose in pool %q", name)
 	snapshot := r.control.Snapshot()
 	pool, _ := snapshot.Tables.FindPool(name)
 	least := -1
 	for _, row := range pool.Servers {
 		server := snapshot.Servers[row.Name]
-		if server.Usable && (least < 0 || server.Status.Queue < least) {
+		if server.Usable && !tried[server.Address] && (least < 0 || server.Status.Queue < least) {
 			address, least = server.Address, server.Status.Queue
 		}
 	}
