--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -18,6 +18,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -101,8 +102,12 @@
 	})
 }
 
-func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
-	return relay.New(relay.Config{Control: state, HTTP: client})
+func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker})
+}
+
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -34,7 +34,8 @@
 	prober := provideProber(control, httpClient)
 	lister := provideLister(client, control, entry)
 	runner := provideRunner(loaded, control, httpClient, checker, registry, entry)
-	relay := provideRelay(control, httpClient)
+	dispatcher := provideDispatcher(checker)
+	relay := provideRelay(control, dispatcher)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
