--- a/rail/chain/choose.go
+++ b/rail/chain/choose.go
@@ -15,8 +15,10 @@
 	Avoid map[string]bool
 	// Zone is the availability zone of the instance that chooses.
 	Zone string
-	// Prefix is the hash of the beginning of the prompt.
+	// Prefix is the hash of the beginning of the prompt, zero for none.
 	Prefix uint64
+	// Version is the only model version that will do, empty for any.
+	Version string
 }
 
 // Choose returns the chain of least cost, and false if no chain covers the layers.
--- a/rail/engine/engine.go
+++ b/rail/engine/engine.go
@@ -140,6 +140,8 @@
 	Last int `json:"last"`
 	// Version is the version of the model that the engine holds.
 	Version string `json:"version,omitempty"`
+	// Partial tells that the engine runs any part of its range.
+	Partial bool `json:"partial,omitempty"`
 	// LayerTime is the time that one layer takes for one token.
 	LayerTime time.Duration `json:"layer_time"`
 	// Queue is the number of streams or calls in progress, reported with a lag.
