--- /dev/null
+++ b/railload/internal/experiment/flow_test.go
@@ -0,0 +1,51 @@
+package experiment
+
+import (
+	"math/rand"
+	"testing"
+
+	"github.com/comfreyrail/comfreyrail/rail/chain"
+)
+
+func TestMaxFlow(t *testing.T) {
+	cases := []struct {
+		name  string
+		nodes int
+		pipes []pipe
+		want  float64
+	}{
+		{name: "no path", nodes: 3, pipes: []pipe{{0, 1, 5}}, want: 0},
+		{name: "least stage", nodes: 3, pipes: []pipe{{0, 1, 5}, {0, 1, 2}, {1, 2, 4}}, want: 4},
+		{name: "a range over both stages", nodes: 3, pipes: []pipe{{0, 1, 5}, {1, 2, 4}, {0, 2, 3}}, want: 7},
+		{name: "flow that must be sent back", nodes: 4, pipes: []pipe{{0, 1, 1}, {0, 2, 1}, {1, 2, 1}, {1, 3, 1}, {2, 3, 1}}, want: 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := maxFlow(c.nodes, c.pipes); got != c.want {
+				t.Errorf("flow: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestNoPolicyExceedsBound shows that the simulation never serves more than the bound allows.
+func TestNoPolicyExceedsBound(t *testing.T) {
+	timer := new(clock)
+	pool := newPool(timer, rand.New(rand.NewSource(1)), shapes[1])
+	chosen := pickerPolicy(8, all)(timer, rand.New(rand.NewSource(2)), 1)
+	chosen.update(pool.servers)
+	tokens := 0
+	for range 1000 {
+		plan, ok := chosen.choose(chain.Request{})
+		if !ok {
+			t.Fatal("no chain")
+		}
+		chosen.started(plan)
+		pool.answer(plan, meanTokens, func() { tokens++ }, func() {})
+	}
+	timer.runUntil(10e9)
+	got, bound := float64(tokens)/10, pool.bound()
+	if got > bound || got < 0.9*bound {
+		t.Errorf("tokens in a second: got %.0f, want 90%% to 100%% of the bound %.0f", got, bound)
+	}
+}
