Choose the chains of an instance with the picker

Cause: completion called chain.Choose, which knew none of the instance's own requests.

A choice among selected servers, as a recovery makes it, builds a graph of its own and shares the counts (Picker.ChooseFrom). Above 16 backend servers an instance uses at most 16 of each range of layers (chain.Subset), and all of them if these cannot carry a request.

The number of live instances is a seam (Config.Instances); it is one until the membership is wired in.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"math/rand"
 	"net/http"
 	"os"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
@@ -64,8 +66,17 @@
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
-	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+func provideChooser(loaded settings.Settings, state *control.Control, checker *invariant.Checker) *chooser.Chooser {
+	return chooser.New(chooser.Config{
+		Control: state, Name: loaded.Name, Zone: loaded.Zone,
+		Now: time.Now, Seed: rand.Int63(), Checker: checker,
+	})
+}
+
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Choose: chains.Choose, Track: chains.Track,
+	})
 }
 
 func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
--- /dev/null
+++ b/comfreyrail/internal/traffic/chooser/chooser.go
@@ -0,0 +1,144 @@
+package chooser
+
+import (
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/rail/chain"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// subsetSize is the greatest number of backend servers of each range of layers that one instance uses.
+const subsetSize = 16
+
+// Config configures a Chooser.
+type Config struct {
+	// Control publishes the state.
+	Control *control.Control
+	// Name is the name of this instance.
+	Name string
+	// Zone is the availability zone of this instance.
+	Zone string
+	// Instances returns the number of live instances, this one included; nil means one.
+	Instances func() int
+	// Now returns the time.
+	Now func() time.Time
+	// Seed is the seed of the sampled choices.
+	Seed int64
+	// Checker counts violated invariants.
+	Checker *invariant.Checker
+}
+
+// Chooser holds a chain.Picker for each pool.
+type Chooser struct {
+	config Config
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool is the picker of one pool with the state that it knows.
+type pool struct {
+	picker   *chain.Picker
+	snapshot *control.Snapshot
+	listed   []chain.Server
+	requests int
+}
+
+// New returns a Chooser.
+func New(config Config) *Chooser {
+	if config.Instances == nil {
+		config.Instances = func() int { return 1 }
+	}
+	return &Chooser{config: config, pools: make(map[string]*pool)}
+}
+
+// Choose returns a chain of the servers for the request, and false if no chain covers the layers.
+func (c *Chooser) Choose(servers []chain.Server, request chain.Request) (plan chain.Plan, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.refresh(request)
+	if sameServers(servers, held.listed) {
+		if plan, ok = held.picker.Choose(request); ok {
+			return plan, true
+		}
+	}
+	return held.picker.ChooseFrom(servers, request)
+}
+
+// Track counts a request at every stage of the plan until done is called.
+func (c *Chooser) Track(poolName string, plan chain.Plan) (done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.pool(poolName)
+	held.requests++
+	held.picker.Started(c.config.Now(), plan)
+	return sync.OnceFunc(func() { c.finish(poolName, held, plan) })
+}
+
+// finish takes back what Track counted.
+func (c *Chooser) finish(poolName string, held *pool, plan chain.Plan) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held.requests--
+	held.picker.Finished(c.config.Now(), plan)
+	if _, listed := c.config.Control.Snapshot().Tables.FindPool(poolName); !listed && held.requests == 0 {
+		delete(c.pools, poolName)
+	}
+}
+
+// pool returns the state of the pool, new if there is none.
+func (c *Chooser) pool(name string) *pool {
+	held, ok := c.pools[name]
+	if !ok {
+		held = &pool{picker: chain.New(chain.Config{
+			Zone: c.config.Zone, Random: rand.New(rand.NewSource(c.config.Seed)), Checker: c.config.Checker,
+		})}
+		c.pools[name] = held
+	}
+	return held
+}
+
+// refresh hands the newest state to the picker of the pool.
+func (c *Chooser) refresh(request chain.Request) *pool {
+	held, snapshot := c.pool(request.Pool), c.config.Control.Snapshot()
+	if held.snapshot == snapshot {
+		return held
+	}
+	row, _ := snapshot.Tables.FindPool(request.Pool)
+	held.snapshot, held.listed = snapshot, listed(held.listed[:0], snapshot, row)
+	servers := held.listed
+	if len(servers) > subsetSize {
+		servers = chain.Subset(servers, c.config.Name, subsetSize)
+	}
+	held.picker.SetInstances(c.config.Instances())
+	held.picker.Update(servers, request.Layers)
+	held.picker.Forget()
+	return held
+}
+
+// listed appends what is known about the backend servers of the pool.
+func listed(servers []chain.Server, snapshot *control.Snapshot, pool table.Pool) []chain.Server {
+	for _, row := range pool.Servers {
+		if server, ok := snapshot.Servers[row.Name]; ok {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// sameServers reports whether both lists name the same servers in the same order.
+func sameServers(a, b []chain.Server) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/comfreyrail/internal/traffic/chooser/doc.go
@@ -0,0 +1,2 @@
+// Package chooser chooses chains of backend servers for the requests of one instance.
+package chooser
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -50,6 +50,10 @@
 	Log *logrus.Entry
 	// Zone is the availability zone of this instance.
 	Zone string
+	// Choose chooses a chain of the servers.
+	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
+	// Track counts an attempt at every stage of its plan until done is called.
+	Track func(pool string, plan chain.Plan) (done func())
 }
 
 // Runner runs completion requests.
@@ -58,11 +62,16 @@
 	http    *http.Client
 	log     *logrus.Entry
 	zone    string
+	choose  func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
+	track   func(pool string, plan chain.Plan) (done func())
 }
 
 // New returns a Runner.
 func New(config Config) *Runner {
-	return &Runner{control: config.Control, http: config.HTTP, log: config.Log, zone: config.Zone}
+	return &Runner{
+		control: config.Control, http: config.HTTP, log: config.Log, zone: config.Zone,
+		choose: config.Choose, track: config.Track,
+	}
 }
 
 // Run runs the request and hands each token to deliver; the error holds an outcome.Failure.
@@ -75,7 +84,7 @@
 	avoid := make(map[string]bool)
 	started := false
 	for range maxAttempts {
-		plan, found := chain.Choose(r.candidates(pool), chain.Request{Layers: pool.Layers, Avoid: avoid, Zone: r.zone})
+		plan, found := r.choose(r.candidates(pool), chain.Request{Pool: pool.Name, Layers: pool.Layers, Avoid: avoid, Zone: r.zone})
 		if !found {
 			break
 		}
@@ -128,6 +137,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer r.track(request.Route.Pool, plan)()
 	defer r.cancel(context.WithoutCancel(ctx), request.ID, attempt, plan)
 	for i, hop := range plan.Hops {
 		open := engine.Open{
--- a/rail/chain/choose.go
+++ b/rail/chain/choose.go
@@ -9,6 +9,8 @@
 
 // Request describes the request for which a chain is chosen.
 type Request struct {
+	// Pool names the pool that serves the request.
+	Pool string
 	// Layers is the number of layers of the model.
 	Layers int
 	// Avoid lists backend servers that failed an earlier attempt.
--- a/rail/chain/picker.go
+++ b/rail/chain/picker.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// Forget drops the counts of servers that the last Update did not list and that have no request of this instance.
+func (p *Picker) Forget() {
+	for name, held := range p.loads {
+		if _, listed := p.byName[name]; !listed && held.inFlight == 0 {
+			delete(p.loads, name)
+		}
+	}
+}
+
 // take copies one report and tells whether the graphs depend on what changed.
 func (p *Picker) take(server *Server) (changed bool) {
 	held, ok := p.byName[server.Name]
@@ -177,7 +186,6 @@
 			delete(p.byName, name)
 		}
 	}
-	p.forgetIdle()
 	p.rebuildLinks()
 	versions := make(map[string]bool)
 	for _, held := range p.servers {
@@ -192,15 +200,6 @@
 	sort.Slice(p.graphs, func(i, j int) bool { return p.graphs[i].version > p.graphs[j].version })
 }
 
-// forgetIdle drops the counts of servers that are no longer listed and have no request of this instance.
-func (p *Picker) forgetIdle() {
-	for name, held := range p.loads {
-		if _, listed := p.byName[name]; !listed && held.inFlight == 0 {
-			delete(p.loads, name)
-		}
-	}
-}
-
 // rebuildLinks numbers the availability zones and computes the time between each two.
 func (p *Picker) rebuildLinks() {
 	numbers := map[string]int{p.config.Zone: 0}
@@ -249,6 +248,15 @@
 	return plan, true
 }
 
+// ChooseFrom returns a chain of the given servers instead of those of the last Update.
+//
+// It plans anew for each call, and is meant for the rare choice among servers that were selected for a purpose.
+func (p *Picker) ChooseFrom(servers []Server, request Request) (plan Plan, ok bool) {
+	view := &Picker{config: p.config, instances: p.instances, byName: map[string]*state{}, loads: p.loads}
+	view.Update(servers, request.Layers)
+	return view.Choose(request)
+}
+
 // plan writes down the chain of the last search.
 func (p *Picker) plan(g *graph) Plan {
 	plan := Plan{Version: g.version, Hops: make([]engine.Hop, 0, len(p.search.path))}
