Admit requests by priority and by the slot time of workspaces

Cause: an instance took any 1024 requests and refused the rest; a large workspace could take them all, and a request whose deadline could not be met was run to no use.

Change: admit.Gate, pure. Up to the limit requests run; the others wait in a bounded queue. The highest priority goes first, among its workspaces the one that used least slot time (bounded to 10 s above the least). One grant in sixteen goes to the priorities in turn. In a full queue the workspace with most requests of the lowest priority gives way; half of the places are divided evenly among the priorities. A request is refused as soon as its deadline cannot be met by the observed time for a unit of work.

--- /dev/null
+++ b/rail/admit/doc.go
@@ -0,0 +1,2 @@
+// Package admit decides which requests of one pool run now, which wait and which are refused.
+package admit
--- /dev/null
+++ b/rail/admit/gate_test.go
@@ -0,0 +1,277 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/proof"
+)
+
+// testSpaces is the number of workspaces in the proof of admission.
+const testSpaces = 3
+
+var epoch = time.Unix(1_000_000, 0)
+
+// model is the state that a Gate must agree with.
+type model struct {
+	gate       *Gate
+	config     Config
+	now        time.Time
+	capacity   Capacity
+	waiting    map[string]bool
+	running    []string
+	ended      map[string]bool
+	deadlines  map[string]time.Time
+	priorities map[string]int
+	lowGrants  int
+	next       int
+}
+
+func newModel(rt *rapid.T) *model {
+	m := &model{now: epoch, waiting: map[string]bool{}, ended: map[string]bool{}, deadlines: map[string]time.Time{}, priorities: map[string]int{}}
+	m.config = Config{
+		MaxQueued: rapid.IntRange(20, 45).Draw(rt, "queue"), MaxRunning: rapid.IntRange(1, 6).Draw(rt, "running"),
+		Random: rand.New(rand.NewSource(1)), Checker: new(invariant.Checker),
+	}
+	m.gate = New(m.config)
+	return m
+}
+
+// offer offers a new request, or one that is known already.
+func (m *model) offer(rt *rapid.T, tally *proof.Tally, priority int, wait time.Duration) {
+	m.next++
+	id := fmt.Sprintf("r%d", m.next)
+	m.deadlines[id], m.priorities[id] = m.now.Add(wait), priority
+	space := fmt.Sprintf("w%d", rapid.IntRange(0, testSpaces-1).Draw(rt, "workspace"))
+	m.waiting[id] = true
+	m.apply(rt, tally, m.gate.Offer(m.now, Request{
+		ID: id, Workspace: space, Priority: priority, Deadline: m.now.Add(wait), Units: float64(rapid.IntRange(0, 3).Draw(rt, "units")),
+	}))
+}
+
+// apply checks the actions against the model.
+func (m *model) apply(rt *rapid.T, tally *proof.Tally, actions []Action) {
+	for _, action := range actions {
+		_, waits := m.waiting[action.ID]
+		if !waits || m.ended[action.ID] {
+			tally.Violate(rt, "%s: got verdict %s, want none as it does not wait", action.ID, action.Verdict)
+		}
+		delete(m.waiting, action.ID)
+		if action.Verdict != Granted {
+			m.ended[action.ID] = true
+			if action.RetryAfter < leastRetryAfter || action.RetryAfter >= 2*maxRetryAfter {
+				tally.Violate(rt, "retry after %s is out of bounds", action.RetryAfter)
+			}
+			continue
+		}
+		if !m.now.Before(m.deadlines[action.ID]) {
+			tally.Violate(rt, "%s was granted after its deadline", action.ID)
+		}
+		m.running = append(m.running, action.ID)
+		if m.priorities[action.ID] == 0 {
+			m.lowGrants++
+		}
+		if limit := m.gate.Counts().Limit; len(m.running) > limit {
+			tally.Violate(rt, "in progress: got %d, want at most %d", len(m.running), limit)
+		}
+	}
+	counts := m.gate.Counts()
+	if counts.Waiting != len(m.waiting) || counts.Waiting > m.config.MaxQueued {
+		tally.Violate(rt, "waiting: got %d, want %d and at most %d", counts.Waiting, len(m.waiting), m.config.MaxQueued)
+	}
+	if counts.Running != len(m.running) || counts.Limit > m.config.MaxRunning {
+		tally.Violate(rt, "in progress: got %d, want %d with a limit of at most %d", counts.Running, len(m.running), m.config.MaxRunning)
+	}
+	if counts.Waiting > 0 && counts.Running < counts.Limit {
+		tally.Violate(rt, "%d wait although only %d of %d are in progress", counts.Waiting, counts.Running, counts.Limit)
+	}
+}
+
+// finish ends the request that runs longest.
+func (m *model) finish(rt *rapid.T, tally *proof.Tally, served bool) {
+	if len(m.running) == 0 {
+		return
+	}
+	id := m.running[0]
+	m.running = m.running[1:]
+	m.ended[id] = true
+	m.apply(rt, tally, m.gate.Finish(m.now, id, served))
+}
+
+// crowd offers requests of the highest priority as fast as they end, so that the others could starve.
+//
+// All of them take a second. A priority is passed by 16 grants for each priority that waits, and a workspace until each
+// other one has used the maximal debt and a second.
+func (m *model) crowd(rt *rapid.T, tally *proof.Tally) {
+	tally.Fault("crowd")
+	for range m.config.MaxQueued + m.config.MaxRunning {
+		m.offer(rt, tally, Priorities-1, 1000*time.Hour)
+	}
+	for range 3 {
+		m.offer(rt, tally, rapid.IntRange(0, 3).Draw(rt, "starving"), 1000*time.Hour)
+	}
+	patient := make(map[string]bool)
+	for id := range m.waiting {
+		patient[id] = true
+	}
+	bound := reservedTurn * Priorities * (m.config.MaxQueued + testSpaces*(maxDebt+1))
+	before := m.lowGrants
+	for i := 0; i < bound && (m.lowGrants == before || m.anyWaits(patient)); i++ {
+		m.offer(rt, tally, Priorities-1, 1000*time.Hour)
+		if i%Priorities == 0 {
+			m.offer(rt, tally, 0, 1000*time.Hour)
+		}
+		m.now = m.now.Add(time.Second / time.Duration(max(1, len(m.running))))
+		m.finish(rt, tally, false)
+	}
+	if m.lowGrants == before {
+		tally.Violate(rt, "the lowest priority got no grant among %d", bound)
+	}
+	if m.anyWaits(patient) {
+		tally.Violate(rt, "a request still waits after %d grants", bound)
+	}
+}
+
+// anyWaits reports whether one of the requests waits.
+func (m *model) anyWaits(ids map[string]bool) bool {
+	for id := range ids {
+		if m.waiting[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// step does one thing to the gate.
+func (m *model) step(rt *rapid.T, tally *proof.Tally) {
+	switch rapid.IntRange(0, 11).Draw(rt, "step") {
+	case 0:
+		tally.Fault("callergone")
+		for id := range m.waiting {
+			if !m.gate.Withdraw(id) {
+				tally.Violate(rt, "%s: got no withdrawal, want one", id)
+			}
+			delete(m.waiting, id)
+			m.ended[id] = true
+			break
+		}
+	case 1:
+		tally.Fault("capacity")
+		m.capacity = Capacity{
+			Slots: rapid.IntRange(0, 30).Draw(rt, "slots"), Used: rapid.IntRange(0, 40).Draw(rt, "used"), Instances: rapid.IntRange(0, 9).Draw(rt, "instances"),
+		}
+		m.apply(rt, tally, m.gate.SetCapacity(m.now, m.capacity))
+	case 2:
+		tally.Fault("clockjump")
+		m.now = m.now.Add(time.Duration(rapid.IntRange(-500, 20_000).Draw(rt, "jump")) * time.Millisecond)
+		m.apply(rt, tally, m.gate.Tick(m.now))
+	case 3, 4, 5:
+		m.finish(rt, tally, rapid.Bool().Draw(rt, "served"))
+	case 6:
+		if rapid.IntRange(0, 9).Draw(rt, "crowd") == 0 {
+			m.crowd(rt, tally)
+		}
+	default:
+		wait := time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "wait")) * time.Millisecond
+		m.offer(rt, tally, rapid.IntRange(-1, Priorities).Draw(rt, "priority"), wait)
+	}
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
+}
+
+func TestProveAdmission(t *testing.T) {
+	proof.Run(t, "admission", func(rt *rapid.T, tally *proof.Tally) {
+		m := newModel(rt)
+		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			tally.Operations++
+			m.step(rt, tally)
+		}
+		for len(m.running) > 0 {
+			m.finish(rt, tally, true)
+		}
+		if got, want := len(m.ended), m.next; got != want {
+			tally.Violate(rt, "requests that ended: got %d, want %d", got, want)
+		}
+		m.now = m.now.Add(time.Minute)
+		m.apply(rt, tally, m.gate.Tick(m.now))
+		if got := m.gate.Counts().Workspaces; got != 0 {
+			tally.Violate(rt, "workspaces kept after a minute without requests: got %d, want 0", got)
+		}
+		if got := m.config.Checker.Violations(); got != 0 {
+			tally.Violate(rt, "invariants violated in the gate: got %d, want 0", got)
+		}
+	})
+}
+
+// TestProveFairness keeps requests of several workspaces waiting and compares the slot time that each one gets.
+func TestProveFairness(t *testing.T) {
+	proof.Run(t, "fairness", func(rt *rapid.T, tally *proof.Tally) {
+		spaces := rapid.IntRange(2, 5).Draw(rt, "workspaces")
+		gate := New(Config{
+			MaxQueued: 64, MaxRunning: rapid.IntRange(1, 6).Draw(rt, "running"), Random: rand.New(rand.NewSource(1)),
+		})
+		service, used := make([]time.Duration, spaces), make([]time.Duration, spaces)
+		backlog := make([]int, spaces)
+		for i := range spaces {
+			service[i] = time.Duration(rapid.IntRange(100, 2000).Draw(rt, "service")) * time.Millisecond
+			backlog[i] = rapid.IntRange(2, 12).Draw(rt, "backlog")
+		}
+		now, next := epoch, 0
+		type execution struct {
+			id    string
+			space int
+			end   time.Time
+		}
+		var running []execution
+		owner := map[string]int{}
+		var apply func(actions []Action)
+		offer := func(space int) {
+			next++
+			id := fmt.Sprint(next)
+			owner[id] = space
+			apply(gate.Offer(now, Request{ID: id, Workspace: fmt.Sprint(space), Deadline: now.Add(time.Hour)}))
+		}
+		apply = func(actions []Action) {
+			for _, action := range actions {
+				space := owner[action.ID]
+				if action.Verdict != Granted {
+					tally.Violate(rt, "got %s, want granted", action.Verdict)
+				}
+				running = append(running, execution{id: action.ID, space: space, end: now.Add(service[space])})
+				offer(space)
+			}
+		}
+		for i := range spaces {
+			for range backlog[i] {
+				offer(i)
+			}
+		}
+		for range 400 {
+			tally.Operations++
+			first := 0
+			for i := range running {
+				if running[i].end.Before(running[first].end) {
+					first = i
+				}
+			}
+			ended := running[first]
+			running = append(running[:first], running[first+1:]...)
+			now = ended.end
+			used[ended.space] += service[ended.space]
+			apply(gate.Finish(now, ended.id, true))
+		}
+		total := time.Duration(0)
+		for _, time := range used {
+			total += time
+		}
+		for i := range used {
+			if got, want := float64(used[i])/float64(total), 0.7/float64(spaces); got < want {
+				tally.Violate(rt, "share of workspace %d of %d: got %.2f, want at least %.2f", i, spaces, got, want)
+			}
+		}
+	})
+}
