--- /dev/null
+++ b/comfreyrail/internal/process/load.go
@@ -0,0 +1,17 @@
+package process
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+)
+
+func provideChooser(loaded settings.Settings, state *control.Control, checker *invariant.Checker) *chooser.Chooser {
+	return chooser.New(chooser.Config{
+		Control: state, Name: loaded.Name, Zone: loaded.Zone, Now: time.Now, Seed: rand.Int63(), Checker: checker,
+	})
+}
--- a/comfreyrail/internal/traffic/chooser/chooser.go
+++ b/comfreyrail/internal/traffic/chooser/chooser.go
@@ -22,8 +22,6 @@
 	Name string
 	// Zone is the availability zone of this instance.
 	Zone string
-	// Instances returns the number of live instances, this one included; nil means one.
-	Instances func() int
 	// Now returns the time.
 	Now func() time.Time
 	// Seed is the seed of the sampled choices.
@@ -50,9 +48,6 @@
 
 // New returns a Chooser.
 func New(config Config) *Chooser {
-	if config.Instances == nil {
-		config.Instances = func() int { return 1 }
-	}
 	return &Chooser{config: config, pools: make(map[string]*pool)}
 }
 
@@ -114,7 +109,7 @@
 	if len(servers) > subsetSize {
 		servers = chain.Subset(servers, c.config.Name, subsetSize)
 	}
-	held.picker.SetInstances(c.config.Instances())
+	held.picker.SetInstances(len(snapshot.Members()))
 	held.picker.Update(servers, request.Layers)
 	held.picker.Forget()
 	return held
