--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
@@ -96,9 +97,10 @@
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{
 		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+		Choose: chains.Choose, Track: chains.Track,
 	})
 }
 
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -24,6 +24,7 @@
 		provideLinks,
 		provideProber,
 		provideLister,
+		provideChooser,
 		provideRunner,
 		provideDispatcher,
 		provideRelay,
--- a/comfreyrail/internal/traffic/completion/carrier.go
+++ b/comfreyrail/internal/traffic/completion/carrier.go
@@ -28,6 +28,7 @@
 
 	events  chan stream.Event
 	hangUp  context.CancelFunc
+	untrack func()
 	used    map[string]string
 	failure error
 }
@@ -35,7 +36,7 @@
 func newCarrier(runner *Runner, request Request, session *stream.Session, deliver func(string) error) *carrier {
 	return &carrier{
 		runner: runner, request: request, session: session, deliver: deliver,
-		events: make(chan stream.Event, eventBuffer), hangUp: func() {}, used: make(map[string]string),
+		events: make(chan stream.Event, eventBuffer), hangUp: func() {}, untrack: func() {}, used: make(map[string]string),
 	}
 }
 
@@ -130,6 +131,8 @@
 // open opens all stages at once.
 func (c *carrier) open(ctx context.Context, action stream.OpenStages) {
 	c.runner.count(action.Way)
+	c.untrack()
+	c.untrack = c.runner.config.Track(c.request.Route.Pool, action.Plan)
 	if action.Way != stream.Begin {
 		c.runner.config.Log.WithFields(logrus.Fields{
 			"request": c.request.ID, "attempt": action.Attempt, "way": action.Way.String(), "tokens": len(c.session.Answer().Tokens()),
@@ -215,6 +218,7 @@
 
 // release ends the stream at every backend server that was used.
 func (c *carrier) release(ctx context.Context) {
+	c.untrack()
 	attempt, _ := c.session.Answer().Current()
 	for _, address := range c.used {
 		go c.runner.cancelStream(ctx, address, engine.Cancel{Stream: c.request.ID, Attempt: attempt})
