--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/chain"
+	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/spread"
@@ -18,6 +19,10 @@
 type Snapshot struct {
 	// Tables is the generation of the configuration that is in force.
 	Tables *table.Tables
+	// Config holds the encoded content of Tables.
+	Config *install.InForce
+	// Obstacle says why the configuration keeps the instance from taking requests, empty if it does not.
+	Obstacle string
 	// Servers holds what is known about each backend server, by name.
 	Servers map[string]chain.Server
 	// Self is the record of this incarnation; its epoch is zero before it is registered.
@@ -44,7 +49,9 @@
 	log     *logrus.Entry
 	checker *invariant.Checker
 	events  chan Event
-	peers   *spread.Node
+	// installer decides which generation of the tables is in force.
+	installer *install.Installer
+	peers     *spread.Node
 	// published is the revision of peers that the snapshot holds.
 	published uint64
 	servers   *servers
@@ -70,9 +77,12 @@
 func New(config Config) *Control {
 	c := &Control{
 		log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer),
-		servers: newServers(config),
+		installer: install.New(install.Config{Checker: config.Checker}),
+		servers:   newServers(config),
 	}
-	c.snapshot.Store(&Snapshot{Tables: &table.Tables{}, Servers: map[string]chain.Server{}})
+	c.snapshot.Store(&Snapshot{
+		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]chain.Server{},
+	})
 	return c
 }
 
@@ -109,7 +119,5 @@
 		c.log.WithField("generation", e.Tables.Generation).Errorf("tables are invalid: %v", problems[0])
 		return
 	}
-	next.Tables = e.Tables
-	c.list(next)
-	c.log.WithField("generation", e.Tables.Generation).Info("tables are in force")
+	c.putInForce(next, e.Tables)
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -12,11 +12,14 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -79,11 +82,11 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	transport := peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
-	transport.Handle(membership.KindHeartbeat, members.ServeHeartbeat)
-	transport.Handle(membership.KindStatus, members.ServeStatus)
-	members.Call = transport.Call
-	return transport
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+}
+
+func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
@@ -94,12 +97,19 @@
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
-	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+		Choose: chains.Choose, Track: chains.Track,
+	})
+}
+
+func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker})
 }
 
-func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
-	return relay.New(relay.Config{Control: state, HTTP: client})
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
@@ -108,6 +118,6 @@
 	})
 }
 
-func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, registry metrics.Registry) *admin.Admin {
-	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry})
+func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, registry metrics.Registry) *admin.Admin {
+	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry, Fleet: members.Fleet})
 }
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -117,11 +117,12 @@
 	defer cancel()
 	request := completion.Request{ID: id, Route: route, Prompt: body.Prompt, MaxTokens: body.MaxTokens}
 	writer := newAnswerWriter(w, id, body)
-	if err = e.config.Completions.Run(ctx, request, writer.token); err != nil && !writer.started() {
+	reason, err := e.config.Completions.Run(ctx, request, writer.token)
+	if err != nil && !writer.started() {
 		e.fail(w, id, err)
 		return
 	}
-	e.count(writer.finish(err))
+	e.count(writer.finish(string(reason), err))
 	e.config.Log.WithFields(logrus.Fields{"request": id, "workspace": workspace, "route": route.Name}).WithError(err).Info("completion")
 }
 
@@ -142,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
 	defer cancel()
 	answer, err := e.config.Relay.Run(ctx, relay.Request{
-		ID: id, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
+		ID: id, Workspace: workspace, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
 		Header: r.Request.Header, Body: content,
 	})
 	if err != nil {
--- a/rail/chain/choose.go
+++ b/rail/chain/choose.go
@@ -9,14 +9,18 @@
 
 // Request describes the request for which a chain is chosen.
 type Request struct {
+	// Pool names the pool that serves the request.
+	Pool string
 	// Layers is the number of layers of the model.
 	Layers int
 	// Avoid lists backend servers that failed an earlier attempt.
 	Avoid map[string]bool
 	// Zone is the availability zone of the instance that chooses.
 	Zone string
-	// Prefix is the hash of the beginning of the prompt.
+	// Prefix is the hash of the beginning of the prompt, zero for none.
 	Prefix uint64
+	// Version is the only model version that will do, empty for any.
+	Version string
 }
 
 // Choose returns the chain of least cost, and false if no chain covers the layers.
--- a/railload/internal/command/command.go
+++ b/railload/internal/command/command.go
@@ -10,6 +10,8 @@
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/comfreyrail/comfreyrail/railload/internal/experiment"
 )
 
 // Exit codes of the program.
@@ -38,7 +40,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(loadCommand())
+	root.AddCommand(loadCommand(), experiment.Command())
 	err := root.ExecuteContext(ctx)
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "railload: %v\n", err)
