--- a/rail/stop/prove_test.go
+++ b/rail/stop/prove_test.go
@@ -115,6 +115,9 @@
 
 func (w *world) exit(action Action) {
 	w.exited = true
+	if took := w.now.Sub(w.asked); took >= limit {
+		w.tally.Violate(w.rt, "exits only at the limit, %s after the request to stop", took)
+	}
 	for _, c := range w.callers {
 		if c.running {
 			w.tally.Violate(w.rt, "exits %s after the request to stop while a request runs (%d cut)", w.now.Sub(w.asked), len(action.Cut))
