Stop an instance without cutting a request

Cause: on SIGTERM the whole tree ended at once: the listener closed while the balancer still sent, idle connections closed under callers, control and probes stopped while requests ran; a second signal did nothing.

Change: package graceful runs rail/stop on the listener for callers. Bytes of a request either reach net/http or are dropped for good, decided under one lock with the end of the connection, so the 408 that ends an idle connection tells the truth. Not ready, answers with Connection: close for stop.lag, then no requests on new connections, idle connections ended after stop.idle, the listener closed after its backlog was taken, every request finished, the lease given up, exit 0. SIGTERM twice or stop.limit cuts, logs each request and exits 3. SIGUSR1 writes the state. The rest of the tree runs until the callers are served.

Ruled out: http.Server.Shutdown and SetKeepAlivesEnabled(false), both of which close idle connections at once.

--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -33,6 +33,8 @@
 	Hash string `json:"hash"`
 	// Obstacle says why the configuration keeps the instance from taking requests, empty if it does not.
 	Obstacle string `json:"obstacle,omitempty"`
+	// Stopping tells that the instance stops as planned.
+	Stopping bool `json:"stopping"`
 	// Tables is the generation in force.
 	Tables *table.Tables `json:"tables"`
 	// Servers holds what is known about each backend server.
@@ -52,7 +54,12 @@
 }
 
 func (a *Admin) ready(_ *restful.Request, w *restful.Response) {
-	if obstacle := a.config.Control.Snapshot().Obstacle; obstacle != "" {
+	snapshot := a.config.Control.Snapshot()
+	if snapshot.Stopping {
+		_ = w.WriteErrorString(http.StatusServiceUnavailable, "the instance is stopping\n")
+		return
+	}
+	if obstacle := snapshot.Obstacle; obstacle != "" {
 		_ = w.WriteErrorString(http.StatusServiceUnavailable, obstacle+"\n")
 		return
 	}
@@ -68,15 +75,18 @@
 	_ = w.WriteAsJson(status)
 }
 
-func (a *Admin) dump(_ *restful.Request, w *restful.Response) {
+func (a *Admin) dump(_ *restful.Request, w *restful.Response) { _ = w.WriteAsJson(a.Dump()) }
+
+// Dump returns the state of the process.
+func (a *Admin) Dump() Dump {
 	snapshot, head := a.config.Control.Snapshot(), a.config.Sync.Head()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
-	_ = w.WriteAsJson(Dump{
+	return Dump{
 		Generation: head.Generation, Hash: head.Hash, Obstacle: snapshot.Obstacle, Tables: snapshot.Tables, Servers: snapshot.Servers,
 		Self: snapshot.Self, Superseded: snapshot.Superseded, Fleet: snapshot.Fleet, Metrics: a.config.Metrics,
-		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
-	})
+		Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc, Stopping: snapshot.Stopping,
+	}
 }
 
 func (a *Admin) metrics(_ *restful.Request, w *restful.Response) {
--- a/comfreyrail/internal/command/command.go
+++ b/comfreyrail/internal/command/command.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/process"
@@ -22,6 +23,8 @@
 	ExitFailure = 1
 	// ExitSettings means that the settings or arguments are invalid.
 	ExitSettings = 2
+	// ExitCut means that a stop cut requests.
+	ExitCut = 3
 )
 
 // Execute runs the command line and returns the exit code.
@@ -58,23 +61,50 @@
 				return err
 			}
 			code = ExitFailure
-			return run(loaded)
+			return run(loaded, stderr)
 		},
 	})
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintf(stderr, "comfreyrail: %v\n", err)
+		var cut *process.CutError
+		if errors.As(err, &cut) {
+			return ExitCut
+		}
 		return code
 	}
 	return ExitOK
 }
 
-// run serves until a signal asks the process to stop.
-func run(loaded settings.Settings) error {
+// run serves until signals have stopped the process.
+func run(loaded settings.Settings, stderr io.Writer) error {
 	running, err := process.Build(loaded)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	signals := make(chan os.Signal, signalBuffer)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go obey(ctx, running, signals, stderr)
 	return running.Serve(ctx)
 }
+
+// signalBuffer is the number of signals that wait for the process.
+const signalBuffer = 8
+
+// obey carries out signals: SIGTERM and SIGINT stop the process, a second one at once; SIGUSR1 dumps its state.
+func obey(ctx context.Context, running *process.Process, signals <-chan os.Signal, stderr io.Writer) {
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGUSR1 {
+				running.Stop()
+			} else if err := running.WriteDump(stderr); err != nil {
+				_, _ = fmt.Fprintf(stderr, "comfreyrail: %v\n", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -29,6 +29,8 @@
 	Self member.Member
 	// Fleet holds what is known about every instance, by name.
 	Fleet []spread.Update
+	// Stopping tells that the instance stops as planned and takes no new connections.
+	Stopping bool
 	// Superseded tells that a later incarnation of this instance is known.
 	Superseded bool
 }
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -15,11 +16,18 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
 )
 
 // Process is the root of the supervisor tree.
 type Process struct {
-	root *suture.Supervisor
+	root    *suture.Supervisor
+	callers *graceful.Server
+	admin   *admin.Admin
+	log     *logrus.Entry
+
+	asked  atomic.Int32
+	forced chan struct{}
 }
 
 // Branches are the services below the root.
@@ -62,14 +70,29 @@
 	root.Add(traffic)
 	root.Add(branches.Peers)
 	root.Add(branches.Admin)
-	return &Process{root: root}
+	return &Process{
+		root: root, callers: branches.Entry.Server(), admin: branches.Admin, log: log, forced: make(chan struct{}),
+	}
 }
 
-// Serve runs the tree until the context ends.
+// Serve runs the tree until a planned stop has ended, or until the context ends, which cuts every request.
 func (p *Process) Serve(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "process")
-	if err = p.root.Serve(ctx); ctx.Err() != nil {
-		return nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		select {
+		case <-p.callers.Stopped():
+		case <-p.forced:
+		case <-ctx.Done():
+		}
+	}()
+	if err = p.root.Serve(ctx); ctx.Err() == nil {
+		return err
+	}
+	if cut := p.callers.Cut(); len(cut) > 0 {
+		return &CutError{Requests: cut}
 	}
-	return err
+	return nil
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -112,9 +112,10 @@
 	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
 		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Log: log, Metrics: registry,
+		Checker: checker, Stop: loaded.Stop, Release: members.Stop,
 	})
 }
 
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -37,7 +37,7 @@
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
 	relay := provideRelay(control, dispatcher)
-	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
+	entryEntry := provideEntry(loaded, control, runner, relay, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,7 +13,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 )
 
@@ -38,6 +39,12 @@
 	Log *logrus.Entry
 	// Metrics receives the counts of outcomes.
 	Metrics metrics.Registry
+	// Checker counts violated invariants.
+	Checker *invariant.Checker
+	// Stop configures the planned stop.
+	Stop settings.Stop
+	// Release gives up the lease at the end of the stop; nil does nothing.
+	Release func(ctx context.Context) error
 }
 
 // Entry serves callers.
@@ -45,6 +52,7 @@
 	config    Config
 	container *restful.Container
 	slots     chan struct{}
+	server    *graceful.Server
 }
 
 // New returns an Entry.
@@ -60,6 +68,7 @@
 		service.Route(service.Method(method).Path("/{path:*}").To(e.pass))
 	}
 	e.container.Add(service)
+	e.server = graceful.New(e.serving())
 	return e
 }
 
@@ -69,14 +78,12 @@
 	case e.slots <- struct{}{}:
 		defer func() { <-e.slots }()
 	default:
-		e.fail(w, newID(), outcome.NotRunf(outcome.CodeOverload, "the instance has too many requests in progress"))
+		e.fail(w, graceful.RequestID(r.Context()), outcome.NotRunf(outcome.CodeOverload, "the instance has too many requests in progress"))
 		return
 	}
 	e.container.ServeHTTP(w, r)
 }
 
-func newID() string { return rand.Text() }
-
 // completionBody is the body of a completion request.
 type completionBody struct {
 	Model     string `json:"model"`
@@ -101,7 +108,7 @@
 }
 
 func (e *Entry) complete(r *restful.Request, w *restful.Response) {
-	id := newID()
+	id := graceful.RequestID(r.Request.Context())
 	body, err := e.readCompletion(r, w)
 	if err != nil {
 		e.fail(w, id, err)
@@ -128,7 +135,7 @@
 
 // pass relays a plain request.
 func (e *Entry) pass(r *restful.Request, w *restful.Response) {
-	id := newID()
+	id := graceful.RequestID(r.Request.Context())
 	workspace := r.Request.Header.Get(WorkspaceHeader)
 	route, ok := e.config.Control.Snapshot().Tables.MatchPath(r.Request.URL.Path, workspace)
 	if !ok {
--- a/comfreyrail/internal/traffic/entry/listener.go
+++ b/comfreyrail/internal/traffic/entry/listener.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
-	"net"
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/stop"
 )
 
 // Limits of the listener.
@@ -15,25 +21,65 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
+	releaseTimeout    = 5 * time.Second
 )
 
-// Serve listens for callers until the context ends.
+// Serve listens for callers until the planned stop has ended, or until the context ends, which cuts every request.
 func (e *Entry) Serve(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "serve callers")
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", e.config.Settings.Listen)
-	if err != nil {
-		return err
+	return e.server.Serve(ctx)
+}
+
+// Server returns the server for callers, which carries out the planned stop.
+func (e *Entry) Server() *graceful.Server { return e.server }
+
+// serving returns the configuration of the server for callers.
+func (e *Entry) serving() graceful.Config {
+	return graceful.Config{
+		Listen: e.config.Settings.Listen,
+		HTTP: func() *http.Server {
+			return &http.Server{
+				MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+				ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+			}
+		},
+		Handler:  e,
+		Refuse:   e.refuse,
+		Farewell: farewell(),
+		Stop: stop.Config{
+			Lag: time.Duration(e.config.Stop.Lag), Idle: time.Duration(e.config.Stop.Idle),
+			Limit: time.Duration(e.config.Stop.Limit), Checker: e.config.Checker,
+		},
+		Unready: func(ctx context.Context) { e.config.Control.Send(ctx, control.StopAsked{}) },
+		Release: e.release,
+		Log:     e.config.Log,
 	}
-	server := &http.Server{
-		Handler: e, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+}
+
+// refuse answers a request on a connection that came after the balancer's lag.
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request) {
+	e.fail(w, graceful.RequestID(r.Context()), stopping())
+}
+
+func stopping() *outcome.Failure {
+	return outcome.NotRunf(outcome.CodeStopping, "the instance is stopping; send the request again")
+}
+
+// farewell returns the answer that ends an idle connection, which a caller that is just sending reads as its own.
+func farewell() []byte {
+	body, _ := json.Marshal(failureBody{Error: stopping()})
+	const head = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
+	return fmt.Appendf(nil, head, outcome.Header, outcome.NotRun, len(body), body)
+}
+
+// release gives up the lease; the end of the process ends it too, only later.
+func (e *Entry) release(ctx context.Context) {
+	if e.config.Release == nil {
+		return
 	}
-	go func() {
-		<-ctx.Done()
-		_ = server.Shutdown(context.WithoutCancel(ctx))
-	}()
-	if err = server.Serve(listener); errors.Is(err, http.ErrServerClosed) {
-		return ctx.Err()
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if err := e.config.Release(ctx); err != nil {
+		e.config.Log.WithError(err).Warn("stopping: cannot give up the lease")
 	}
-	return err
 }
