Restart an instance in the demo, and size its load to the stand-ins

Change: prompts of 300 bytes, demo engines with 2 us for each token and layer; the demo also stops an instance as planned and starts it again.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs comfreyrail with stand-ins for about 20 seconds of load on this machine,
-# edits a route and kills a model engine meanwhile, and prints what callers saw.
+# edits a route, kills a model engine and restarts an instance meanwhile, and
+# prints what callers saw.
 # All listeners are on loopback. PORT moves them, SECONDS_OF_LOAD sets the time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -16,25 +17,21 @@
 
 say() { printf '\n== %s\n' "$*"; }
 
-# Processes that this script started, the last one first.
-pids=()
-
 start() { # LOG COMMAND...
 	local log=$dir/$1.log
 	shift
-	"$@" >"$log" 2>&1 &
+	"$@" >>"$log" 2>&1 &
 	last=$!
-	pids=("$last" "${pids[@]}")
 }
 
-# Ends every process of this script: first on request, after five seconds by force.
+# Ends every process of this script: first on request, after eight seconds by force.
 finish() {
 	local code=$? pid
 	trap - EXIT INT TERM
-	for pid in "${pids[@]}"; do
+	for pid in $(jobs -rp | tac); do
 		kill "$pid" 2>/dev/null || true
 	done
-	for _ in $(seq 50); do
+	for _ in $(seq 80); do
 		jobs -r | grep -q . || exit "$code"
 		sleep 0.1
 	done
@@ -86,7 +83,7 @@
 engines=""
 for n in 1 2 3 4 5 6; do
 	first=$(((n - 1) / 2 * 8))
-	start "engine$n" "$bin/engine" -name "engine$n" -listen "$host:$((port + 100 + n))" -first $first -last $((first + 8)) -layer-time 200us
+	start "engine$n" "$bin/engine" -name "engine$n" -listen "$host:$((port + 100 + n))" -first $first -last $((first + 8)) -layer-time 200us -prefill-time 2us
 	engines+="  { name = \"engine$n\", address = \"$host:$((port + 100 + n))\", zone = \"${zones[$(((n - 1) % 2))]}\" },"$'\n'
 	[ "$n" != 3 ] || victim=$last
 done
@@ -139,11 +136,16 @@
 		[peer]
 		listen = "$host:$((port + 500 + n))"
 
+		[stop]
+		lag = "2s"
+		idle = "1s"
+
 		[platform]
 		address = "$host:$port"
 	EOF
 	wait_for "the platform's service" taken "$port"
 	start "instance$n" "$bin/comfreyrail" run --settings "$dir/instance$n.toml"
+	[ "$n" != 3 ] || restarted=$last
 done
 for n in 1 2 3; do wait_for "instance$n" taken $((port + 400 + n)); done
 
@@ -158,17 +160,24 @@
 "$bin/railload" load --rate "$rate" --time "${duration}s" --timeout 15s --layers "$layers" \
 	--service "$host:$((port + 201))" --service "$host:$((port + 202))" "${instances[@]}" >"$dir/report" &
 load=$!
-pids=("$load" "${pids[@]}")
 
 sleep $((duration * 3 / 10))
 say "edit: route holds gets priority 7, through instance2"
 tables 7 >"$dir/tables.toml"
 "$bin/comfreyctl" --address "$host:$((port + 402))" apply "$dir/tables.toml"
 
-sleep $((duration * 3 / 10))
+sleep $((duration * 2 / 10))
 say "kill: engine3, which serves the second stage (process $victim)"
 { kill -9 "$victim" && wait "$victim"; } 2>/dev/null || true
 
+sleep $((duration * 1 / 10))
+say "restart: instance3 stops as planned and starts again"
+kill "$restarted"
+stopped=0
+wait "$restarted" || stopped=$?
+echo "instance3 stopped with exit code $stopped"
+start instance3 "$bin/comfreyrail" run --settings "$dir/instance3.toml"
+
 code=0
 wait "$load" || code=$?
 say "what callers saw"
--- a/railload/internal/load/schedule.go
+++ b/railload/internal/load/schedule.go
@@ -39,7 +39,7 @@
 }
 
 // prefixWords is the number of words of a shared prompt prefix.
-const prefixWords = 64
+const prefixWords = 16
 
 // schedule draws the arrivals of one run.
 type schedule struct {
