Admit callers' requests at the entry

Cause: entry let 1024 requests in and answered all others 429 without saying when to come back.

Change: traffic/admission holds an admit.Gate for each pool and lets a request wait for its turn; completions count their max_tokens as work. A refusal has the code overload and a Retry-After header. New setting caller.max_queued, 256 for each pool. Counts by verdict and the time waited go into the metrics.

go test ./comfreyrail/internal/traffic/admission, also with -race: passes. A first run of its test hung until its time limit because the arbiter goroutine of go-metrics timers does not run on synctest's clock; the test leaves the metrics out.

--- a/comfreyrail/internal/process/load.go
+++ b/comfreyrail/internal/process/load.go
@@ -4,8 +4,11 @@
 	"math/rand"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 )
@@ -15,3 +18,10 @@
 		Control: state, Name: loaded.Name, Zone: loaded.Zone, Now: time.Now, Seed: rand.Int63(), Checker: checker,
 	})
 }
+
+func provideAdmission(loaded settings.Settings, state *control.Control, checker *invariant.Checker, registry metrics.Registry) *admission.Admission {
+	return admission.New(admission.Config{
+		Control: state, MaxRunning: loaded.Caller.MaxConcurrent, MaxQueued: loaded.Caller.MaxQueued,
+		Seed: rand.Int63(), Checker: checker, Metrics: registry,
+	})
+}
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
@@ -99,9 +100,9 @@
 	return relay.New(relay.Config{Control: state, HTTP: client})
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
-		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Log: log, Metrics: registry,
+		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Log: log, Metrics: registry,
 	})
 }
 
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -12,7 +12,7 @@
 func Build(loaded settings.Settings) (*Process, error) {
 	wire.Build(
 		provideLog, provideMetrics, provideHTTP, provideChecker, provideStore, provideControl,
-		provideSync, provideChooser, provideIdentity, provideMembership, providePeers, provideProber, provideRunner, provideRelay, provideEntry, provideAdmin,
+		provideSync, provideChooser, provideAdmission, provideIdentity, provideMembership, providePeers, provideProber, provideRunner, provideRelay, provideEntry, provideAdmin,
 		wire.Struct(new(Branches), "*"), New,
 	)
 	return nil, nil
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -34,7 +34,8 @@
 	chooser := provideChooser(loaded, control, checker)
 	runner := provideRunner(loaded, control, httpClient, chooser, entry)
 	relay := provideRelay(control, httpClient)
-	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
+	admission := provideAdmission(loaded, control, checker, registry)
+	entryEntry := provideEntry(loaded, control, runner, relay, admission, entry, registry)
 	admin := provideAdmin(loaded, control, sync, registry)
 	branches := Branches{
 		Control:    control,
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -37,8 +37,10 @@
 	Listen string `toml:"listen"`
 	// MaxBodyBytes is the greatest size of a request body.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
-	// MaxConcurrent is the greatest number of requests in progress.
+	// MaxConcurrent is the greatest number of requests in progress for each pool.
 	MaxConcurrent int `toml:"max_concurrent"`
+	// MaxQueued is the greatest number of requests that wait for each pool.
+	MaxQueued int `toml:"max_queued"`
 }
 
 // Admin configures the listener for operators.
@@ -68,7 +70,7 @@
 // Defaults returns the settings that apply where the file sets none.
 func Defaults() Settings {
 	return Settings{
-		Caller: Caller{MaxBodyBytes: 1 << 20, MaxConcurrent: 1024},
+		Caller: Caller{MaxBodyBytes: 1 << 20, MaxConcurrent: 1024, MaxQueued: 256},
 		Log:    Log{Level: "info"},
 	}
 }
@@ -144,6 +146,9 @@
 	if s.Caller.MaxConcurrent <= 0 {
 		report("caller.max_concurrent", s.Caller.MaxConcurrent, "use a positive number of requests")
 	}
+	if s.Caller.MaxQueued <= 0 {
+		report("caller.max_queued", s.Caller.MaxQueued, "use a positive number of requests")
+	}
 	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
 		report("log.level", s.Log.Level, "use error, warn, info or debug")
 	}
--- /dev/null
+++ b/comfreyrail/internal/traffic/admission/admission_test.go
@@ -0,0 +1,104 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+func newAdmission(running int) *Admission {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	checker := new(invariant.Checker)
+	state := control.New(control.Config{Log: logrus.NewEntry(logger), Checker: checker})
+	return New(Config{
+		Control: state, MaxRunning: running, MaxQueued: 20, Seed: 1, Checker: checker,
+	})
+}
+
+func TestRequestsWaitForTheirTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admission := newAdmission(2)
+		var mu sync.Mutex
+		running, most, done := 0, 0, 0
+		var wait sync.WaitGroup
+		for i := range 10 {
+			wait.Go(func() {
+				leave, err := admission.Enter(t.Context(), Request{ID: fmt.Sprint(i), Pool: "pool"})
+				if err != nil {
+					t.Errorf("request %d: got %v, want none", i, err)
+					return
+				}
+				mu.Lock()
+				running++
+				most = max(most, running)
+				mu.Unlock()
+				time.Sleep(time.Second)
+				mu.Lock()
+				running--
+				done++
+				mu.Unlock()
+				leave(true)
+			})
+		}
+		wait.Wait()
+		if most != 2 || done != 10 {
+			t.Errorf("most in progress and done: got %d and %d, want 2 and 10", most, done)
+		}
+		if got, want := len(admission.pools), 0; got != want {
+			t.Errorf("gates of unlisted pools at the end: got %d, want %d", got, want)
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name     string
+		deadline time.Duration
+		cancel   time.Duration
+		waiting  int
+		want     outcome.Code
+		retry    bool
+	}{
+		{name: "queue is full", deadline: time.Hour, waiting: 20, want: outcome.CodeOverload, retry: true},
+		{name: "deadline passes", deadline: 3 * time.Second, want: outcome.CodeOverload, retry: true},
+		{name: "caller leaves", deadline: time.Hour, cancel: time.Second, want: outcome.CodeDeadline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				admission := newAdmission(1)
+				background, stop := context.WithCancel(t.Context())
+				defer stop()
+				for i := range 1 + c.waiting {
+					go func() { _, _ = admission.Enter(background, Request{ID: fmt.Sprint(i), Pool: "pool"}) }()
+				}
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+				defer cancel()
+				if c.cancel > 0 {
+					time.AfterFunc(c.cancel, cancel)
+				}
+				_, err := admission.Enter(ctx, Request{ID: "late", Pool: "pool"})
+				var failure *outcome.Failure
+				if !errors.As(err, &failure) {
+					t.Fatalf("error: got %v, want a failure", err)
+				}
+				if failure.Code != c.want || failure.Outcome != outcome.NotRun || (failure.RetryAfter > 0) != c.retry {
+					t.Errorf("failure: got %+v, want code %s, not run, retry after %v", failure, c.want, c.retry)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/comfreyrail/internal/traffic/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission holds the requests of one instance until they may run.
+package admission
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/rcrowley/go-metrics"
@@ -13,9 +15,11 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
 // WorkspaceHeader is the header that names the caller's workspace.
@@ -34,6 +38,8 @@
 	Completions *completion.Runner
 	// Relay passes plain requests on.
 	Relay *relay.Relay
+	// Admission holds requests until they may run.
+	Admission *admission.Admission
 	// Log receives the log.
 	Log *logrus.Entry
 	// Metrics receives the counts of outcomes.
@@ -52,7 +58,7 @@
 	e := &Entry{
 		config:    config,
 		container: restful.NewContainer(),
-		slots:     make(chan struct{}, config.Settings.MaxConcurrent),
+		slots:     make(chan struct{}, config.Settings.MaxConcurrent+config.Settings.MaxQueued),
 	}
 	service := new(restful.WebService)
 	service.Route(service.POST("/v1/completions").To(e.complete))
@@ -115,6 +121,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
 	defer cancel()
+	leave, err := e.enter(ctx, id, workspace, route, body.MaxTokens)
+	if err != nil {
+		e.fail(w, id, err)
+		return
+	}
+	defer func() { leave(err == nil) }()
 	request := completion.Request{ID: id, Route: route, Prompt: body.Prompt, MaxTokens: body.MaxTokens}
 	writer := newAnswerWriter(w, id, body)
 	if err = e.config.Completions.Run(ctx, request, writer.token); err != nil && !writer.started() {
@@ -141,6 +153,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Request.Context(), route.Deadline())
 	defer cancel()
+	leave, err := e.enter(ctx, id, workspace, route, 1)
+	if err != nil {
+		e.fail(w, id, err)
+		return
+	}
+	defer func() { leave(err == nil) }()
 	answer, err := e.config.Relay.Run(ctx, relay.Request{
 		ID: id, Route: route, Method: r.Request.Method, Path: r.Request.URL.RequestURI(),
 		Header: r.Request.Header, Body: content,
@@ -159,6 +177,13 @@
 	e.count(outcome.Done)
 }
 
+// enter waits until the request may run.
+func (e *Entry) enter(ctx context.Context, id, workspace string, route table.Route, units int) (leave func(served bool), err error) {
+	return e.config.Admission.Enter(ctx, admission.Request{
+		ID: id, Pool: route.Pool, Workspace: workspace, Priority: route.Priority, Units: units,
+	})
+}
+
 // failureBody is the body of an answer that tells a failure.
 type failureBody struct {
 	Error *outcome.Failure `json:"error"`
@@ -170,6 +195,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(outcome.Header, string(failure.Outcome))
 	w.Header().Set(outcome.RequestHeader, id)
+	if failure.RetryAfter > 0 {
+		seconds := math.Ceil(failure.RetryAfter.Seconds())
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
 	w.WriteHeader(failure.Status())
 	_ = json.NewEncoder(w).Encode(failureBody{Error: failure})
 	e.count(failure.Outcome)
