--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -25,6 +25,7 @@
 		provideProber,
 		provideLister,
 		provideChooser,
+		provideAdmission,
 		provideRunner,
 		provideDispatcher,
 		provideRelay,
