Decide claims of idempotency keys by compare-and-swap

Cause: a caller's key has to hold across instances that share nothing but the platform's service, and that service takes a few hundred writes a second. Weighed: one record for each key (a write for each call); leases (a paused holder wins twice); one sharded record for many keys, which is what this does. Change: rail/claim. A Book decides for one instance: claims that wait for a shard go into one compare-and-swap; a write whose answer is lost is sent again or resolved by the claim's own number in the record; an entry belongs to one incarnation for good. A key is remembered for a window that each instance measures alone: a record is rotated by whoever has seen its epoch for the window and the bound, and an entry goes with the second rotation. A claim is started at most once and only within the bound after it was asked for, by monotonic time. Answers and states ride along with later writes. A claim under which nothing ran is given up, so that the key may be claimed anew. Taking a lost write for refused is safe as well; it only costs the caller an unknown outcome.

--- /dev/null
+++ b/rail/claim/book.go
@@ -0,0 +1,298 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+)
+
+// Config configures a Book.
+type Config struct {
+	// Owner is the incarnation of this instance.
+	Owner string
+	// Shards is the number of records that the keys are spread over; every instance must use the same.
+	Shards int
+	// Window is the least time for which a key is remembered.
+	Window time.Duration
+	// Bound is the longest time from the call of Claim to that of Start; it must be far below Window.
+	Bound time.Duration
+	// Pause is the time between two tries of a call that failed.
+	Pause time.Duration
+	// MaxClaims is the greatest number of claims that the instance remembers.
+	MaxClaims int
+	// MaxEntries is the greatest number of claims in one record.
+	MaxEntries int
+	// MaxAnswer is the greatest size in bytes of an answer that goes into a record.
+	MaxAnswer int
+	// Checker counts violated invariants.
+	Checker *invariant.Checker
+}
+
+// Want asks for the claim of a key.
+type Want struct {
+	// Key is the key.
+	Key Key
+	// Request is the digest of the request.
+	Request Digest
+	// Deadline is the time after which the claim is of no use.
+	Deadline time.Time
+}
+
+// Decision says what the request that asked for a claim gets.
+type Decision uint8
+
+const (
+	// Won means that the request may be dispatched once Start allows it.
+	Won Decision = iota
+	// Mine means that this instance has claimed the key for an earlier request, under the verdict's Sequence.
+	Mine
+	// Held means that the verdict's Entry, of another incarnation, has claimed the key.
+	Held
+	// Mismatch means that the key was claimed for another request.
+	Mismatch
+	// Unavailable means that the claim could not be committed in time and is never used.
+	Unavailable
+	// Full means that there are too many claims.
+	Full
+)
+
+// Verdict answers one Want.
+type Verdict struct {
+	// Ticket is the number that Claim returned.
+	Ticket uint64
+	// Decision says what the request gets.
+	Decision Decision
+	// Sequence is the claim of this instance that holds the key, for Mine.
+	Sequence uint64
+	// Entry is the claim that holds the key, for Held.
+	Entry Entry
+}
+
+// Write asks for a conditional write of a record.
+type Write struct {
+	// Shard is the number of the record.
+	Shard int
+	// Record is the new value.
+	Record Record
+	// Expect is the version that the record must have.
+	Expect uint64
+	// Claims is the number of new claims in the write.
+	Claims int
+}
+
+// Actions are what the program has to do.
+type Actions struct {
+	// Reads lists the records to read.
+	Reads []int
+	// Writes lists the records to write.
+	Writes []Write
+	// Verdicts lists the answers to earlier calls of Claim.
+	Verdicts []Verdict
+}
+
+// Result is the result of a write.
+type Result uint8
+
+const (
+	// Written means that the write took effect.
+	Written Result = iota
+	// Conflict means that the record had another version.
+	Conflict
+	// Refused means that the service refused the call without effect.
+	Refused
+	// Lost means that the write may have taken effect or may yet do so.
+	Lost
+)
+
+// held is one claim of this instance.
+type held struct {
+	sequence uint64
+	want     Want
+	asked    time.Time
+	// decided tells that the verdict is out.
+	decided bool
+	// committed tells that the record holds the claim.
+	committed bool
+	// started tells that the request was or is being dispatched.
+	started bool
+	state   State
+	answer  []byte
+}
+
+// Book holds the claims of one instance; it is not safe for concurrent use.
+type Book struct {
+	config   Config
+	sequence uint64
+	shards   []*shard
+	claims   map[uint64]*held
+	latest   map[Key]*held
+	out      Actions
+}
+
+// New returns a Book without claims.
+func New(config Config) *Book {
+	b := &Book{config: config, claims: make(map[uint64]*held), latest: make(map[Key]*held)}
+	for number := range config.Shards {
+		b.shards = append(b.shards, &shard{number: number})
+	}
+	return b
+}
+
+// Claim asks for the claim of a key; a verdict with the returned ticket follows, at once or from a later call.
+func (b *Book) Claim(now time.Time, want Want) (ticket uint64, actions Actions) {
+	b.sequence++
+	claimed := &held{sequence: b.sequence, want: want, asked: now}
+	if earlier, ok := b.latest[want.Key]; ok && earlier.state != NotRun {
+		decision := Mine
+		if earlier.want.Request != want.Request {
+			decision = Mismatch
+		}
+		b.decide(claimed, Verdict{Decision: decision, Sequence: earlier.sequence})
+		return claimed.sequence, b.take()
+	}
+	if len(b.claims) >= b.config.MaxClaims {
+		b.decide(claimed, Verdict{Decision: Full})
+		return claimed.sequence, b.take()
+	}
+	b.claims[claimed.sequence] = claimed
+	b.latest[want.Key] = claimed
+	s := b.shards[want.Key.Shard(b.config.Shards)]
+	s.queue = append(s.queue, claimed)
+	b.pump(now, s)
+	return claimed.sequence, b.take()
+}
+
+// Start reports whether the request of a won claim may be dispatched now; it does so at most once for a claim.
+//
+// After a false report the request is not run.
+func (b *Book) Start(now time.Time, ticket uint64) bool {
+	claimed, ok := b.claims[ticket]
+	usable := ok && claimed.committed && claimed.decided && claimed.state == Running
+	if err := b.config.Checker.Check(usable && !claimed.started, "claim.once", "claim %d started twice or without being won", ticket); err != nil {
+		return false
+	}
+	if now.Sub(claimed.asked) >= b.config.Bound {
+		b.release(claimed)
+		return false
+	}
+	claimed.started = true
+	return true
+}
+
+// Finish tells what became of the request of a started claim.
+func (b *Book) Finish(now time.Time, ticket uint64, state State, answer []byte) Actions {
+	claimed, ok := b.claims[ticket]
+	if !ok || claimed.state != Running {
+		return Actions{}
+	}
+	if state == NotRun {
+		b.release(claimed)
+	} else {
+		claimed.state, claimed.answer = state, answer
+		b.mark(claimed)
+	}
+	b.pump(now, b.shardOf(claimed))
+	return b.take()
+}
+
+// Answer is what the owner of a claim tells about it.
+type Answer struct {
+	// State is what is known about the request.
+	State State `cbor:"1,keyasint"`
+	// Answer is the encoded answer of a Done request, empty if it was not kept.
+	Answer []byte `cbor:"2,keyasint"`
+}
+
+// Ask returns what is known about a claim of this instance.
+func (b *Book) Ask(sequence uint64) Answer {
+	claimed, ok := b.claims[sequence]
+	if !ok {
+		return Answer{State: Unknown}
+	}
+	return Answer{State: claimed.state, Answer: claimed.answer}
+}
+
+// Tick gives up claims whose deadline has passed, forgets old ones and tries failed calls again.
+func (b *Book) Tick(now time.Time) Actions {
+	for sequence, claimed := range b.claims {
+		if !claimed.decided && now.After(claimed.want.Deadline) {
+			b.release(claimed)
+			b.decide(claimed, Verdict{Decision: Unavailable})
+		}
+		finished := claimed.decided && claimed.state != Running
+		if finished && now.Sub(claimed.asked) > forgetWindows*b.config.Window {
+			b.forget(sequence, claimed)
+		}
+	}
+	for _, s := range b.shards {
+		b.pump(now, s)
+	}
+	return b.take()
+}
+
+// forgetWindows is the number of windows after which the owner forgets a claim.
+const forgetWindows = 3
+
+// Busy reports whether a claim waits for its verdict or its request for its end.
+func (b *Book) Busy() bool {
+	for _, claimed := range b.claims {
+		if !claimed.decided || (claimed.started && claimed.state == Running) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unmarked returns the number of ended claims of which the records do not tell yet.
+func (b *Book) Unmarked() (count int) {
+	for _, s := range b.shards {
+		count += len(s.marks)
+	}
+	return count
+}
+
+func (b *Book) forget(sequence uint64, claimed *held) {
+	delete(b.claims, sequence)
+	if b.latest[claimed.want.Key] == claimed {
+		delete(b.latest, claimed.want.Key)
+	}
+}
+
+// release ends a claim under which nothing has run, so that the key may be claimed anew.
+func (b *Book) release(claimed *held) {
+	claimed.state = NotRun
+	if claimed.committed {
+		b.mark(claimed)
+	}
+}
+
+// mark asks for the state of the claim to be written to its record.
+func (b *Book) mark(claimed *held) {
+	s := b.shardOf(claimed)
+	s.marks = append(s.marks, claimed)
+}
+
+func (b *Book) shardOf(claimed *held) *shard {
+	return b.shards[claimed.want.Key.Shard(b.config.Shards)]
+}
+
+func (b *Book) decide(claimed *held, verdict Verdict) {
+	if claimed.decided {
+		return
+	}
+	claimed.decided = true
+	verdict.Ticket = claimed.sequence
+	b.out.Verdicts = append(b.out.Verdicts, verdict)
+}
+
+func (b *Book) take() Actions {
+	actions := b.out
+	b.out = Actions{}
+	return actions
+}
+
+// String returns the numbers of claims and shards.
+func (b *Book) String() string {
+	return fmt.Sprintf("claims=%d shards=%d", len(b.claims), len(b.shards))
+}
--- /dev/null
+++ b/rail/claim/book_test.go
@@ -0,0 +1,172 @@
+package claim
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+)
+
+// service is one record that answers every call at once.
+type service struct {
+	version uint64
+	record  Record
+	writes  int
+}
+
+// run carries out actions until there are none, and returns the verdicts.
+func (s *service) run(now time.Time, b *Book, actions Actions) (verdicts []Verdict) {
+	for {
+		verdicts = append(verdicts, actions.Verdicts...)
+		switch {
+		case len(actions.Reads) > 0:
+			actions = b.Read(now, 0, s.version, s.record, false)
+		case len(actions.Writes) > 0 && actions.Writes[0].Expect == s.version:
+			s.version, s.record = s.version+1, actions.Writes[0].Record
+			s.writes++
+			actions = b.Written(now, 0, s.version, Written)
+		case len(actions.Writes) > 0:
+			actions = b.Written(now, 0, 0, Conflict)
+		default:
+			return verdicts
+		}
+	}
+}
+
+func newBook(owner string) *Book {
+	return New(Config{
+		Owner: owner, Shards: 1, Window: testWindow, Bound: testBound, Pause: time.Second,
+		MaxClaims: 100, MaxEntries: 100, MaxAnswer: 16, Checker: new(invariant.Checker),
+	})
+}
+
+func want(now time.Time, key, body string) Want {
+	return Want{Key: NewKey("w", "r", key), Request: NewDigest("POST", "/", []byte(body)), Deadline: now.Add(time.Hour)}
+}
+
+// TestStartAfterFreeze covers a claimant that freezes before its claim is committed, until the key is forgotten.
+func TestStartAfterFreeze(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, frozen, other := new(service), newBook("frozen"), newBook("other")
+	ticket, waiting := frozen.Claim(now, want(now, "k", ""))
+	otherTicket, actions := other.Claim(now, want(now, "k", ""))
+	s.run(now, other, actions)
+	if !other.Start(now, otherTicket) {
+		t.Fatal("got no start at the other instance, want one")
+	}
+	for _, key := range []string{"x", "y"} {
+		now = now.Add(testWindow + testBound)
+		_, actions = other.Claim(now, want(now, key, ""))
+		s.run(now, other, actions)
+	}
+	verdicts := s.run(now, frozen, waiting)
+	if len(verdicts) != 1 || verdicts[0].Decision != Won {
+		t.Fatalf("got verdicts %v, want a claim that is won too late", verdicts)
+	}
+	if frozen.Start(now, ticket) {
+		t.Error("got a start after the bound, want none")
+	}
+}
+
+// TestClaimsInOneWrite covers the group commit.
+func TestClaimsInOneWrite(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, b := new(service), newBook("a")
+	_, first := b.Claim(now, want(now, "0", ""))
+	for _, key := range []string{"1", "2", "3", "4"} {
+		if _, actions := b.Claim(now, want(now, key, "")); len(actions.Reads)+len(actions.Writes) != 0 {
+			t.Fatalf("got actions %v while a call is on its way, want none", actions)
+		}
+	}
+	verdicts := s.run(now, b, first)
+	if got, want := len(verdicts), 5; got != want {
+		t.Errorf("got %d verdicts, want %d", got, want)
+	}
+	if got, want := s.writes, 1; got != want {
+		t.Errorf("got %d writes, want %d", got, want)
+	}
+}
+
+func TestRepeat(t *testing.T) {
+	tests := []struct {
+		name  string
+		state State
+		body  string
+		// same tells that the repeat goes to the owner.
+		same bool
+		want Decision
+	}{
+		{"running at the owner", Running, "", true, Mine},
+		{"running elsewhere", Running, "", false, Held},
+		{"done at the owner", Done, "", true, Mine},
+		{"done elsewhere", Done, "", false, Held},
+		{"not run at the owner", NotRun, "", true, Won},
+		{"not run elsewhere", NotRun, "", false, Won},
+		{"unknown elsewhere", Unknown, "", false, Held},
+		{"another body at the owner", Done, "other", true, Mismatch},
+		{"another body elsewhere", Done, "other", false, Mismatch},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			s, owner, at := new(service), newBook("owner"), newBook("elsewhere")
+			ticket, actions := owner.Claim(now, want(now, "k", ""))
+			s.run(now, owner, actions)
+			if !owner.Start(now, ticket) {
+				t.Fatal("got no start, want one")
+			}
+			if owner.Start(now, ticket) {
+				t.Fatal("got a second start, want none")
+			}
+			if test.state != Running {
+				s.run(now, owner, owner.Finish(now, ticket, test.state, []byte("answer")))
+			}
+			if test.same {
+				at = owner
+			}
+			_, actions = at.Claim(now, want(now, "k", test.body))
+			verdicts := s.run(now, at, actions)
+			if len(verdicts) != 1 || verdicts[0].Decision != test.want {
+				t.Fatalf("got verdicts %v, want decision %d", verdicts, test.want)
+			}
+			if got := string(verdicts[0].Entry.Answer); test.state == Done && test.want == Held && got != "answer" {
+				t.Errorf("got answer %q in the record, want %q", got, "answer")
+			}
+		})
+	}
+}
+
+func TestEncode(t *testing.T) {
+	record := Record{
+		Epoch:    3,
+		Current:  map[Key]Entry{{1}: {Request: Digest{2}, Owner: "a", Sequence: 4, State: Done, Answer: []byte("x")}},
+		Previous: map[Key]Entry{{5}: {Request: Digest{6}, Owner: "a", Sequence: 7}},
+	}
+	encoded, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(encoded)
+	if err != nil || !reflect.DeepEqual(got, record) {
+		t.Errorf("got %v (%v), want %v", got, err, record)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	record := Record{Current: map[Key]Entry{{1}: {Owner: "a"}}}
+	encoded, err := record.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		record, err := Decode(encoded)
+		if err != nil {
+			return
+		}
+		if _, err = record.Encode(); err != nil {
+			t.Errorf("got error %v from encoding what was decoded", err)
+		}
+	})
+}
--- /dev/null
+++ b/rail/claim/shard.go
@@ -0,0 +1,236 @@
+package claim
+
+import "time"
+
+// shard is what an instance knows about one record.
+type shard struct {
+	number int
+	// known tells that record is the value at version.
+	known   bool
+	version uint64
+	record  Record
+	// since is the time at which this instance first saw the record's epoch.
+	since time.Time
+
+	queue []*held
+	marks []*held
+
+	// calling tells that a read or write is on its way.
+	calling bool
+	// pauseUntil is the time before which no call is made.
+	pauseUntil time.Time
+	// pending is the write whose effect is not known yet.
+	pending *pending
+}
+
+// pending is a write on its way, or one that may have taken effect.
+type pending struct {
+	write  Write
+	claims []*held
+	marks  []*held
+	// uncertain tells that an earlier send of the same write may have taken effect or may yet do so.
+	uncertain bool
+}
+
+// maxRecordAnswers is the greatest size in bytes of all answers in one record.
+const maxRecordAnswers = 256 << 10
+
+// pump makes the next call for the shard if there is one to make.
+func (b *Book) pump(now time.Time, s *shard) {
+	if s.calling || now.Before(s.pauseUntil) {
+		return
+	}
+	if s.pending == nil && len(s.queue) == 0 && len(s.marks) == 0 {
+		return
+	}
+	if !s.known {
+		s.calling = true
+		b.out.Reads = append(b.out.Reads, s.number)
+		return
+	}
+	if s.pending == nil {
+		s.pending = b.compose(now, s)
+	}
+	if s.pending == nil {
+		return
+	}
+	s.calling = true
+	b.out.Writes = append(b.out.Writes, s.pending.write)
+}
+
+// compose puts all waiting claims and marks into one write, or returns nil if none changes the record.
+func (b *Book) compose(now time.Time, s *shard) *pending {
+	next := s.record.Clone()
+	// A claim that is asked for within the window may be committed until Bound later.
+	changed := now.Sub(s.since) >= b.config.Window+b.config.Bound
+	if changed {
+		next.rotate()
+	}
+	p := &pending{marks: s.marks}
+	for _, claimed := range s.marks {
+		changed = b.applyMark(&next, claimed) || changed
+	}
+	for _, claimed := range s.queue {
+		if !claimed.decided && b.applyClaim(&next, claimed) {
+			p.claims = append(p.claims, claimed)
+		}
+	}
+	s.queue, s.marks = nil, nil
+	if !changed && len(p.claims) == 0 {
+		return nil
+	}
+	p.write = Write{Shard: s.number, Record: next, Expect: s.version, Claims: len(p.claims)}
+	return p
+}
+
+// applyMark writes the state of an ended claim into its entry.
+func (b *Book) applyMark(record *Record, claimed *held) (changed bool) {
+	key := claimed.want.Key
+	entry, ok := record.Find(key)
+	if !ok || entry.Owner != b.config.Owner || entry.Sequence != claimed.sequence {
+		return false
+	}
+	if claimed.state == NotRun {
+		record.remove(key)
+		return true
+	}
+	entry.State = claimed.state
+	if len(claimed.answer) <= b.config.MaxAnswer && record.answerBytes()+len(claimed.answer) <= maxRecordAnswers {
+		entry.Answer = claimed.answer
+	}
+	record.set(key, entry)
+	return true
+}
+
+// applyClaim adds the claim to the record, or gives the verdict if the key is taken.
+func (b *Book) applyClaim(record *Record, claimed *held) (added bool) {
+	key := claimed.want.Key
+	entry, ok := record.Find(key)
+	if ok && !b.reusable(entry) {
+		b.refuse(claimed, entry)
+		return false
+	}
+	if !ok && len(record.Current)+len(record.Previous) >= b.config.MaxEntries {
+		b.reject(claimed, Verdict{Decision: Full})
+		return false
+	}
+	record.set(key, Entry{Request: claimed.want.Request, Owner: b.config.Owner, Sequence: claimed.sequence})
+	return true
+}
+
+// reusable reports whether the entry is a claim of this incarnation under which nothing has run or will.
+func (b *Book) reusable(entry Entry) bool {
+	if entry.Owner != b.config.Owner {
+		return false
+	}
+	earlier, ok := b.claims[entry.Sequence]
+	return ok && earlier.state == NotRun && !earlier.started
+}
+
+// refuse gives the verdict on a claim whose key another claim holds.
+func (b *Book) refuse(claimed *held, entry Entry) {
+	if entry.Request != claimed.want.Request {
+		b.reject(claimed, Verdict{Decision: Mismatch})
+		return
+	}
+	b.reject(claimed, Verdict{Decision: Held, Entry: entry})
+}
+
+// reject gives the verdict on a claim that no write bears, and forgets the claim.
+func (b *Book) reject(claimed *held, verdict Verdict) {
+	claimed.state = NotRun
+	b.decide(claimed, verdict)
+	b.forget(claimed.sequence, claimed)
+}
+
+// Read brings the value of a record; version zero means that it does not exist, and failed that the read failed.
+func (b *Book) Read(now time.Time, number int, version uint64, record Record, failed bool) Actions {
+	s := b.shards[number]
+	s.calling = false
+	if failed {
+		s.pauseUntil = now.Add(b.config.Pause)
+		return b.take()
+	}
+	b.install(now, s, version, record)
+	b.settle(s)
+	b.pump(now, s)
+	return b.take()
+}
+
+// install takes over a value of the record unless a newer one is known.
+func (b *Book) install(now time.Time, s *shard, version uint64, record Record) {
+	if s.version > version {
+		return
+	}
+	if s.since.IsZero() || record.Epoch != s.record.Epoch {
+		s.since = now
+	}
+	s.known, s.version, s.record = true, version, record
+}
+
+// settle finds out from the record just read whether the pending write took effect.
+func (b *Book) settle(s *shard) {
+	if s.pending == nil || s.version == s.pending.write.Expect {
+		// Nothing was written since, and the pending write may still arrive; sending it again decides.
+		return
+	}
+	p := s.pending
+	s.pending = nil
+	for _, claimed := range p.claims {
+		entry, ok := s.record.Find(claimed.want.Key)
+		if ok && entry.Owner == b.config.Owner && entry.Sequence == claimed.sequence {
+			b.win(claimed)
+			continue
+		}
+		if !claimed.decided {
+			s.queue = append(s.queue, claimed)
+		}
+	}
+	// Marks may be applied twice.
+	s.marks = append(s.marks, p.marks...)
+}
+
+// win tells that the record holds the claim.
+func (b *Book) win(claimed *held) {
+	claimed.committed = true
+	if claimed.state == NotRun {
+		// Its deadline passed before the commit was known.
+		b.mark(claimed)
+		return
+	}
+	b.decide(claimed, Verdict{Decision: Won})
+}
+
+// Written brings the result of a write and, if it took effect, the new version.
+func (b *Book) Written(now time.Time, number int, version uint64, result Result) Actions {
+	s := b.shards[number]
+	s.calling = false
+	p := s.pending
+	switch {
+	case p == nil:
+	case result == Written:
+		s.pending = nil
+		b.install(now, s, version, p.write.Record)
+		for _, claimed := range p.claims {
+			b.win(claimed)
+		}
+	case result == Refused:
+		s.pauseUntil = now.Add(b.config.Pause)
+		if !p.uncertain {
+			b.requeue(s, p)
+		}
+	default:
+		// The record decides, read anew.
+		p.uncertain = p.uncertain || result == Lost
+		s.known = false
+	}
+	b.pump(now, s)
+	return b.take()
+}
+
+// requeue puts back the claims and marks of a write that certainly had no effect.
+func (b *Book) requeue(s *shard, p *pending) {
+	s.pending = nil
+	s.queue = append(s.queue, p.claims...)
+	s.marks = append(s.marks, p.marks...)
+}
