Run keyed requests under a claim that all instances see

Cause: an Idempotency-Key was passed on and otherwise ignored, so two instances, or a repeat after a lost answer, ran a request twice. Change: traffic/claims owns the claims of an instance in one goroutine with bounded queues and a rate of writes that the fleet shares; traffic/relay runs a keyed request of a route that is not idempotent under its claim; a repeat gets the answer from the record, or from the owner over the peers' transport, or "unknown". Another body with the same key gets 422 and is not run. Retry-After is written by entry.fail. The client of the platform's service has a transport of its own, without a proxy. A mistake on the way: requests that waited behind another with the same key got "unknown" when that one lost the claim; they now get its verdict. A stop did not wait for the last write of states.

--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 )
 
@@ -33,6 +34,8 @@
 	Peers *peer.Transport
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
+	// Claims commits the claims of idempotency keys.
+	Claims *claims.Claims
 	// Entry serves callers.
 	Entry *entry.Entry
 	// Admin serves operators.
@@ -51,6 +54,7 @@
 	state.Add(branches.Membership)
 	state.Add(branches.Prober)
 	traffic := suture.New("traffic", spec)
+	traffic.Add(branches.Claims)
 	traffic.Add(branches.Entry)
 	root.Add(state)
 	root.Add(traffic)
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"crypto/rand"
 	"net/http"
 	"os"
@@ -16,10 +17,12 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -69,11 +72,15 @@
 	return peer.NewIdentity(loaded.Name)
 }
 
-func provideMembership(loaded settings.Settings, identity peer.Identity, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
-	self := member.Member{
+// provideSelf returns the record of this incarnation.
+func provideSelf(loaded settings.Settings, identity peer.Identity) member.Member {
+	return member.Member{
 		Name: loaded.Name, Zone: loaded.Zone, Incarnation: rand.Text(),
 		Address: loaded.Peer.Listen, Fingerprint: identity.Fingerprint,
 	}
+}
+
+func provideMembership(self member.Member, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
 	return membership.New(membership.Config{Self: self, Store: store, Control: state, Log: log})
 }
 
@@ -97,8 +104,21 @@
 	return dispatch.New(dispatch.Config{Checker: checker})
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
-	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
+func provideClaims(self member.Member, store *kv.Client, state *control.Control, transport *peer.Transport, checker *invariant.Checker, log *logrus.Entry) *claims.Claims {
+	kept := claims.New(claims.Config{
+		Owner: self.Incarnation, Store: store, Checker: checker, Log: log,
+		Members: func() []member.Member { return state.Snapshot().Members() },
+		AskOwner: func(ctx context.Context, owner member.Member, question claims.Question) (answer claim.Answer, err error) {
+			err = transport.Call(ctx, owner, claims.KindQuestion, question, &answer)
+			return answer, err
+		},
+	})
+	transport.Handle(claims.KindQuestion, kept.ServePeer)
+	return kept
+}
+
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher, Claims: kept})
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -12,7 +12,7 @@
 func Build(loaded settings.Settings) (*Process, error) {
 	wire.Build(
 		provideLog, provideMetrics, provideHTTP, provideChecker, provideStore, provideControl,
-		provideSync, provideIdentity, provideMembership, providePeers, provideProber, provideRunner, provideDispatcher, provideRelay, provideEntry, provideAdmin,
+		provideSync, provideIdentity, provideSelf, provideMembership, providePeers, provideProber, provideRunner, provideDispatcher, provideClaims, provideRelay, provideEntry, provideAdmin,
 		wire.Struct(new(Branches), "*"), New,
 	)
 	return nil, nil
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -27,13 +27,15 @@
 	if err != nil {
 		return nil, err
 	}
-	membership := provideMembership(loaded, identity, client, control, entry)
+	member := provideSelf(loaded, identity)
+	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
+	claims := provideClaims(member, client, control, transport, checker, entry)
 	runner := provideRunner(loaded, control, httpClient, entry)
 	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher)
+	relay := provideRelay(control, dispatcher, claims)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
 	admin := provideAdmin(loaded, control, sync, registry)
 	branches := Branches{
@@ -42,6 +44,7 @@
 		Membership: membership,
 		Peers:      transport,
 		Prober:     prober,
+		Claims:     claims,
 		Entry:      entryEntry,
 		Admin:      admin,
 	}
--- /dev/null
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -0,0 +1,185 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// Request is a request that bears an idempotency key.
+type Request struct {
+	// Key is the key with its workspace and route.
+	Key claim.Key
+	// Digest is the hash of the request.
+	Digest claim.Digest
+	// Run runs the request; its error is an outcome.Failure.
+	Run func(ctx context.Context) (answer []byte, err error)
+}
+
+// Question asks the owner of a claim about it.
+type Question struct {
+	// Owner is the incarnation that owns the claim.
+	Owner string `cbor:"1,keyasint"`
+	// Sequence is the number of the claim.
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Run runs the request if this instance wins the claim of its key, and returns the answer of the run.
+//
+// The error is an outcome.Failure.
+func (c *Claims) Run(ctx context.Context, request Request) (answer []byte, err error) {
+	verdict, err := c.claim(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	switch verdict.Decision {
+	case claim.Won:
+		return c.runWon(ctx, verdict.Ticket, request)
+	case claim.Mine:
+		return told(c.await(ctx, verdict.Sequence))
+	case claim.Held:
+		return told(c.ask(ctx, verdict.Entry))
+	case claim.Mismatch:
+		return nil, outcome.NotRunf(outcome.CodeMismatch, "the idempotency key was used for another request; use a new key")
+	case claim.Full:
+		return nil, refused(outcome.CodeOverload, "too many idempotency keys are in use; this call was not run")
+	default:
+		return nil, refused(outcome.CodeStore, "the idempotency key cannot be claimed while the platform's service is out; this call was not run")
+	}
+}
+
+// retryAfter is the time after which a caller may try again.
+const retryAfter = time.Second
+
+func refused(code outcome.Code, message string) error {
+	failure := outcome.NotRunf(code, "%s", message)
+	failure.RetryAfter = retryAfter
+	return failure
+}
+
+// claim asks for the claim and waits for the verdict, which comes by the deadline.
+func (c *Claims) claim(ctx context.Context, request Request) (claim.Verdict, error) {
+	wait := claimTimeout
+	if c.outage.Load() {
+		wait = outageTimeout
+	}
+	deadline := time.Now().Add(wait)
+	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
+		deadline = end
+	}
+	reply := make(chan claim.Verdict, 1)
+	want := claim.Want{Key: request.Key, Request: request.Digest, Deadline: deadline}
+	if c.send(wanted{want: want, reply: reply}) {
+		select {
+		case verdict := <-reply:
+			return verdict, nil
+		case <-c.stopped:
+		}
+	}
+	return claim.Verdict{}, refused(outcome.CodeStopping, "the instance is stopping; this call was not run")
+}
+
+// runWon runs a request whose claim this instance has won.
+func (c *Claims) runWon(ctx context.Context, ticket uint64, request Request) (answer []byte, err error) {
+	reply := make(chan bool, 1)
+	started := false
+	if c.send(starting{ticket: ticket, reply: reply}) {
+		select {
+		case started = <-reply:
+		case <-c.stopped:
+		}
+	}
+	if !started {
+		return nil, refused(outcome.CodeDeadline, "the claim of the idempotency key came too late; this call was not run")
+	}
+	// A panic leaves the outcome unknown to everyone who asks later.
+	ended := finished{ticket: ticket, state: claim.Unknown}
+	defer func() { c.send(ended) }()
+	answer, err = request.Run(ctx)
+	switch {
+	case err == nil && len(answer) <= maxKeptAnswer:
+		ended.state, ended.answer = claim.Done, answer
+	case err == nil:
+		ended.state = claim.Done
+	case outcome.From(err).Outcome == outcome.NotRun:
+		ended.state = claim.NotRun
+	}
+	return answer, err
+}
+
+// await waits until the request of a claim of this instance has ended or the context has.
+func (c *Claims) await(ctx context.Context, sequence uint64) claim.Answer {
+	reply := make(chan claim.Answer, 1)
+	if !c.send(awaited{sequence: sequence, reply: reply}) {
+		return claim.Answer{State: claim.Unknown}
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-c.stopped:
+	case <-ctx.Done():
+	}
+	return claim.Answer{State: claim.Running}
+}
+
+// ask returns what the record, or else the owner, tells about a claim of another incarnation.
+func (c *Claims) ask(ctx context.Context, entry claim.Entry) claim.Answer {
+	recorded := claim.Answer{State: entry.State, Answer: entry.Answer}
+	if entry.State == claim.Running {
+		recorded.State = claim.Unknown
+	}
+	if len(recorded.Answer) > 0 || c.config.AskOwner == nil || c.config.Members == nil {
+		return recorded
+	}
+	for _, other := range c.config.Members() {
+		if other.Incarnation != entry.Owner {
+			continue
+		}
+		answer, err := c.config.AskOwner(ctx, other, Question{Owner: entry.Owner, Sequence: entry.Sequence})
+		if err == nil {
+			return answer
+		}
+		c.config.Log.WithError(err).Warn("cannot ask the owner of a claim")
+	}
+	return recorded
+}
+
+// KindQuestion is the kind of a Question to another instance, which is answered by a claim.Answer.
+const KindQuestion peer.Kind = "claim"
+
+// ServePeer answers a Question that came from another instance.
+func (c *Claims) ServePeer(ctx context.Context, from member.Member, body []byte) (answer any, err error) {
+	var question Question
+	if err = peer.Decode(body, &question); err != nil {
+		return nil, err
+	}
+	return c.ServeQuestion(ctx, from, question), nil
+}
+
+// ServeQuestion answers another instance about a claim of this one.
+func (c *Claims) ServeQuestion(ctx context.Context, _ member.Member, question Question) claim.Answer {
+	if question.Owner != c.config.Owner {
+		return claim.Answer{State: claim.Unknown}
+	}
+	return c.await(ctx, question.Sequence)
+}
+
+// told returns what a repeat of a request gets.
+func told(answer claim.Answer) ([]byte, error) {
+	switch {
+	case answer.State == claim.Done && len(answer.Answer) > 0:
+		return answer.Answer, nil
+	case answer.State == claim.Done:
+		return nil, outcome.Unknownf(outcome.CodeClaimed, "an earlier request with the idempotency key ran; its answer was not kept")
+	case answer.State == claim.NotRun:
+		return nil, refused(outcome.CodeClaimed, "the earlier request with the idempotency key was not run, nor was this one")
+	case answer.State == claim.Running:
+		return nil, outcome.Unknownf(outcome.CodeClaimed, "an earlier request with the idempotency key is running")
+	default:
+		return nil, outcome.Unknownf(outcome.CodeClaimed, "an earlier request with the idempotency key may have run")
+	}
+}
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
 	"github.com/rcrowley/go-metrics"
@@ -170,6 +172,9 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(outcome.Header, string(failure.Outcome))
 	w.Header().Set(outcome.RequestHeader, id)
+	if failure.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
 	w.WriteHeader(failure.Status())
 	_ = json.NewEncoder(w).Encode(failureBody{Error: failure})
 	e.count(failure.Outcome)
--- /dev/null
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeservice"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// fleet is several relays that share a platform's service and a backend server.
+type fleet struct {
+	t        *testing.T
+	platform *fakeplatform.Server
+	service  *fakeservice.Server
+	store    *kv.Client
+	tables   *table.Tables
+	route    table.Route
+	log      *logrus.Entry
+
+	mu      sync.Mutex
+	members []member.Member
+	owners  map[string]*claims.Claims
+	born    int
+}
+
+// node is one incarnation.
+type node struct {
+	*Relay
+	stop func()
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fleet{
+		t: t, platform: fakeplatform.New(fakeplatform.Config{}), service: fakeservice.New(fakeservice.Config{Name: "s"}),
+		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log), owners: make(map[string]*claims.Claims),
+	}
+	platform, service := httptest.NewServer(f.platform), httptest.NewServer(f.service)
+	t.Cleanup(platform.Close)
+	t.Cleanup(service.Close)
+	f.store = &kv.Client{Address: strings.TrimPrefix(platform.URL, "http://")}
+	f.tables = &table.Tables{Generation: 1, Routes: []table.Route{f.route}, Pools: []table.Pool{{
+		Name: "tickets", Kind: table.Plain, Servers: []table.Server{{Name: "s", Address: strings.TrimPrefix(service.URL, "http://"), Zone: "z"}},
+	}}}
+	return f
+}
+
+// start starts an instance.
+func (f *fleet) start() *node {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(f.t.Context())
+	checker := &invariant.Checker{Report: func(v *invariant.Violation) { f.t.Error(v) }}
+	state := control.New(control.Config{Log: f.log, Checker: checker})
+	f.mu.Lock()
+	f.born++
+	self := member.Member{Name: "n", Incarnation: fmt.Sprintf("n%d", f.born)}
+	kept := claims.New(claims.Config{
+		Owner: self.Incarnation, Store: f.store, Checker: checker, Log: f.log, Members: f.list, AskOwner: f.ask, Shards: 2,
+	})
+	f.members = append(f.members, self)
+	f.owners[self.Incarnation] = kept
+	f.mu.Unlock()
+	var running sync.WaitGroup
+	running.Go(func() { _ = state.Serve(ctx) })
+	running.Go(func() { _ = kept.Serve(ctx) })
+	state.Send(ctx, control.TablesRead{Tables: f.tables})
+	state.Send(ctx, control.ServerReported{Name: "s", Status: engine.Status{Server: "s"}, At: time.Now()})
+	for !state.Snapshot().Servers["s"].Usable {
+		time.Sleep(time.Millisecond)
+	}
+	stop := func() {
+		cancel()
+		running.Wait()
+		f.remove(self.Incarnation)
+	}
+	f.t.Cleanup(stop)
+	return &node{Relay: New(Config{Control: state, Dispatcher: dispatch.New(dispatch.Config{Checker: checker}), Claims: kept}), stop: stop}
+}
+
+func (f *fleet) list() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]member.Member(nil), f.members...)
+}
+
+func (f *fleet) remove(incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, one := range f.members {
+		if one.Incarnation == incarnation {
+			f.members = append(f.members[:i:i], f.members[i+1:]...)
+			return
+		}
+	}
+}
+
+// ask stands for the call to another instance.
+func (f *fleet) ask(ctx context.Context, owner member.Member, question claims.Question) (claim.Answer, error) {
+	f.mu.Lock()
+	asked := f.owners[owner.Incarnation]
+	f.mu.Unlock()
+	return asked.ServeQuestion(ctx, owner, question), nil
+}
+
+// call is one call of a caller and what it was told.
+type call struct {
+	id      string
+	key     string
+	outcome outcome.Outcome
+	code    outcome.Code
+	server  fakeservice.Result
+}
+
+// call makes a call; id tells the calls apart when the backend server counts runs.
+func (f *fleet) call(at *node, id, key, body string) call {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+	defer cancel()
+	header := http.Header{fakeservice.CallHeader: {id}}
+	if key != "" {
+		header.Set(KeyHeader, key)
+	}
+	answer, err := at.Run(ctx, Request{
+		ID: id, Workspace: "w", Route: f.route, Method: http.MethodPost, Path: "/tickets", Header: header, Body: []byte(body),
+	})
+	made := call{id: id, key: key, outcome: outcome.Done}
+	if err != nil {
+		failure := outcome.From(err)
+		made.outcome, made.code = failure.Outcome, failure.Code
+		return made
+	}
+	if err = json.Unmarshal(answer.Body, &made.server); err != nil {
+		f.t.Errorf("got answer %q of call %s, want a result", answer.Body, id)
+	}
+	return made
+}
+
+// check compares what callers were told with the runs that the backend server counted.
+func (f *fleet) check(calls []call) (runs int) {
+	f.t.Helper()
+	byKey := make(map[string]int)
+	for _, made := range calls {
+		count := f.service.Runs(made.id)
+		runs += count
+		byKey[made.key] += count
+		if made.outcome == outcome.NotRun && count != 0 {
+			f.t.Errorf("got call %s told not run, which ran %d times", made.id, count)
+		}
+		if made.outcome == outcome.Done && f.service.Runs(made.server.Call) != 1 {
+			f.t.Errorf("got call %s told done by %s, which ran %d times", made.id, made.server.Call, f.service.Runs(made.server.Call))
+		}
+	}
+	for key, count := range byKey {
+		if key != "" && count > 1 {
+			f.t.Errorf("got %d runs of key %s, want at most 1", count, key)
+		}
+	}
+	return runs
+}
--- /dev/null
+++ b/comfreyrail/internal/traffic/relay/keyed.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// KeyHeader is the header by which a caller names a request over its repeats.
+const KeyHeader = "Idempotency-Key"
+
+// maxKeyBytes is the greatest length of an idempotency key.
+const maxKeyBytes = 255
+
+// runKeyed runs the request under the claim of its key.
+func (r *Relay) runKeyed(ctx context.Context, key string, request Request) (answer Answer, err error) {
+	if len(key) > maxKeyBytes || len(request.Header.Values(KeyHeader)) != 1 {
+		return Answer{}, outcome.NotRunf(outcome.CodeInvalid, "%s must be given once with at most %d bytes", KeyHeader, maxKeyBytes)
+	}
+	encoded, err := r.claims.Run(ctx, claims.Request{
+		Key:    claim.NewKey(request.Workspace, request.Route.Name, key),
+		Digest: claim.NewDigest(request.Method, request.Path, request.Body),
+		Run: func(ctx context.Context) ([]byte, error) {
+			ran, err := r.dispatch(ctx, request)
+			if err != nil {
+				return nil, err
+			}
+			return cbor.Marshal(ran)
+		},
+	})
+	if err != nil {
+		return Answer{}, outcome.From(err)
+	}
+	if err = cbor.Unmarshal(encoded, &answer); err != nil {
+		return Answer{}, outcome.Unknownf(outcome.CodeClaimed, "the kept answer is malformed: %v", err)
+	}
+	return answer, nil
+}
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
@@ -39,6 +40,8 @@
 	Control *control.Control
 	// Dispatcher sends requests to the services.
 	Dispatcher *dispatch.Dispatcher
+	// Claims runs requests that bear an idempotency key; nil relays them like any other.
+	Claims *claims.Claims
 	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
 	Retry func() bool
 }
@@ -47,12 +50,13 @@
 type Relay struct {
 	control    *control.Control
 	dispatcher *dispatch.Dispatcher
+	claims     *claims.Claims
 	retry      func() bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
-	return &Relay{control: config.Control, dispatcher: config.Dispatcher, retry: config.Retry}
+	return &Relay{control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, retry: config.Retry}
 }
 
 // maxDispatches is the greatest number of backend servers that one request is sent to.
@@ -60,8 +64,19 @@
 
 // Run passes the request on; the error holds an outcome.Failure.
 //
-// Another backend server is tried only while the request provably has not run, or if it is idempotent.
+// A request that bears an idempotency key and may not be repeated runs under the claim of the key.
 func (r *Relay) Run(ctx context.Context, request Request) (answer Answer, err error) {
+	key := request.Header.Get(KeyHeader)
+	if key == "" || request.Route.Idempotent || r.claims == nil {
+		return r.dispatch(ctx, request)
+	}
+	return r.runKeyed(ctx, key, request)
+}
+
+// dispatch sends the request to backend servers of its pool.
+//
+// Another backend server is tried only while the request provably has not run, or if it is idempotent.
+func (r *Relay) dispatch(ctx context.Context, request Request) (answer Answer, err error) {
 	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
 	tried := make(map[string]bool)
 	ran := false
--- a/rail/claim/book.go
+++ b/rail/claim/book.go
@@ -19,6 +19,10 @@
 	Bound time.Duration
 	// Pause is the time between two tries of a call that failed.
 	Pause time.Duration
+	// Rate is the greatest rate of writes of this instance, in calls per second; zero means no limit.
+	Rate float64
+	// Single puts each claim into a write of its own, as a baseline for measurements.
+	Single bool
 	// MaxClaims is the greatest number of claims that the instance remembers.
 	MaxClaims int
 	// MaxEntries is the greatest number of claims in one record.
@@ -118,6 +122,8 @@
 	started bool
 	state   State
 	answer  []byte
+	// followers are the tickets of the same request that get the verdict of this one.
+	followers []uint64
 }
 
 // Book holds the claims of one instance; it is not safe for concurrent use.
@@ -128,11 +134,18 @@
 	claims   map[uint64]*held
 	latest   map[Key]*held
 	out      Actions
+
+	rate float64
+	// tokens is the number of writes that may be made at refilled.
+	tokens   float64
+	refilled time.Time
+	// turn is the shard that is pumped first.
+	turn int
 }
 
 // New returns a Book without claims.
 func New(config Config) *Book {
-	b := &Book{config: config, claims: make(map[uint64]*held), latest: make(map[Key]*held)}
+	b := &Book{config: config, rate: config.Rate, claims: make(map[uint64]*held), latest: make(map[Key]*held)}
 	for number := range config.Shards {
 		b.shards = append(b.shards, &shard{number: number})
 	}
@@ -144,11 +157,7 @@
 	b.sequence++
 	claimed := &held{sequence: b.sequence, want: want, asked: now}
 	if earlier, ok := b.latest[want.Key]; ok && earlier.state != NotRun {
-		decision := Mine
-		if earlier.want.Request != want.Request {
-			decision = Mismatch
-		}
-		b.decide(claimed, Verdict{Decision: decision, Sequence: earlier.sequence})
+		b.follow(earlier, claimed)
 		return claimed.sequence, b.take()
 	}
 	if len(b.claims) >= b.config.MaxClaims {
@@ -163,6 +172,18 @@
 	return claimed.sequence, b.take()
 }
 
+// follow gives a request the verdict that an earlier one with its key implies, now or when it is out.
+func (b *Book) follow(earlier, claimed *held) {
+	switch {
+	case earlier.want.Request != claimed.want.Request:
+		b.decide(claimed, Verdict{Decision: Mismatch})
+	case earlier.decided:
+		b.decide(claimed, Verdict{Decision: Mine, Sequence: earlier.sequence})
+	default:
+		earlier.followers = append(earlier.followers, claimed.sequence)
+	}
+}
+
 // Start reports whether the request of a won claim may be dispatched now; it does so at most once for a claim.
 //
 // After a false report the request is not run.
@@ -225,17 +246,59 @@
 			b.forget(sequence, claimed)
 		}
 	}
-	for _, s := range b.shards {
-		b.pump(now, s)
+	return b.Pump(now)
+}
+
+// Pump makes the calls that had to wait for a pause or for the rate of writes.
+func (b *Book) Pump(now time.Time) Actions {
+	for i := range b.shards {
+		b.pump(now, b.shards[(b.turn+i)%len(b.shards)])
 	}
+	b.turn = (b.turn + 1) % len(b.shards)
 	return b.take()
 }
 
+// Wake returns the time of the next call of Pump, or false if none is due.
+func (b *Book) Wake(now time.Time) (at time.Time, ok bool) {
+	for _, s := range b.shards {
+		due, waits := s.due(now)
+		if !s.calling && waits && (!ok || due.Before(at)) {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+// SetRate replaces the greatest rate of writes.
+func (b *Book) SetRate(rate float64) { b.rate = rate }
+
+// allow takes leave for one write, or returns the time until there is one.
+func (b *Book) allow(now time.Time) (wait time.Duration) {
+	if b.rate == 0 {
+		return 0
+	}
+	b.tokens = min(b.tokens+now.Sub(b.refilled).Seconds()*b.rate, max(1, b.rate*burst.Seconds()))
+	b.refilled = now
+	if b.tokens < 1 {
+		return max(time.Millisecond, time.Duration((1-b.tokens)/b.rate*float64(time.Second)))
+	}
+	b.tokens--
+	return 0
+}
+
+// burst is the time whose writes may be made at once.
+const burst = 250 * time.Millisecond
+
 // forgetWindows is the number of windows after which the owner forgets a claim.
 const forgetWindows = 3
 
-// Busy reports whether a claim waits for its verdict or its request for its end.
+// Busy reports whether a claim waits for its verdict, its request for its end, or a state to be written.
 func (b *Book) Busy() bool {
+	for _, s := range b.shards {
+		if s.pending != nil || len(s.marks) > 0 {
+			return true
+		}
+	}
 	for _, claimed := range b.claims {
 		if !claimed.decided || (claimed.started && claimed.state == Running) {
 			return true
@@ -244,14 +307,6 @@
 	return false
 }
 
-// Unmarked returns the number of ended claims of which the records do not tell yet.
-func (b *Book) Unmarked() (count int) {
-	for _, s := range b.shards {
-		count += len(s.marks)
-	}
-	return count
-}
-
 func (b *Book) forget(sequence uint64, claimed *held) {
 	delete(b.claims, sequence)
 	if b.latest[claimed.want.Key] == claimed {
@@ -284,6 +339,14 @@
 	claimed.decided = true
 	verdict.Ticket = claimed.sequence
 	b.out.Verdicts = append(b.out.Verdicts, verdict)
+	if verdict.Decision == Won {
+		verdict.Decision, verdict.Sequence = Mine, claimed.sequence
+	}
+	for _, ticket := range claimed.followers {
+		verdict.Ticket = ticket
+		b.out.Verdicts = append(b.out.Verdicts, verdict)
+	}
+	claimed.followers = nil
 }
 
 func (b *Book) take() Actions {
--- a/rail/claim/book_test.go
+++ b/rail/claim/book_test.go
@@ -121,6 +121,8 @@
 			}
 			if test.state != Running {
 				s.run(now, owner, owner.Finish(now, ticket, test.state, []byte("answer")))
+				now = now.Add(markLinger)
+				s.run(now, owner, owner.Tick(now))
 			}
 			if test.same {
 				at = owner
--- a/rail/claim/shard.go
+++ b/rail/claim/shard.go
@@ -14,6 +14,8 @@
 
 	queue []*held
 	marks []*held
+	// marksDue is the time at which marks are written even if there is no claim; zero if not set.
+	marksDue time.Time
 
 	// calling tells that a read or write is on its way.
 	calling bool
@@ -32,15 +34,32 @@
 	uncertain bool
 }
 
+// markLinger is the time for which marks wait for a claim to ride with.
+const markLinger = 500 * time.Millisecond
+
+// due returns the time of the next call, or false if there is nothing to write.
+func (s *shard) due(now time.Time) (at time.Time, ok bool) {
+	if s.pending != nil || len(s.queue) > 0 {
+		return s.pauseUntil, true
+	}
+	if len(s.marks) == 0 {
+		return time.Time{}, false
+	}
+	if s.marksDue.IsZero() {
+		s.marksDue = now.Add(markLinger)
+	}
+	if s.marksDue.Before(s.pauseUntil) {
+		return s.pauseUntil, true
+	}
+	return s.marksDue, true
+}
+
 // maxRecordAnswers is the greatest size in bytes of all answers in one record.
 const maxRecordAnswers = 256 << 10
 
 // pump makes the next call for the shard if there is one to make.
 func (b *Book) pump(now time.Time, s *shard) {
-	if s.calling || now.Before(s.pauseUntil) {
-		return
-	}
-	if s.pending == nil && len(s.queue) == 0 && len(s.marks) == 0 {
+	if at, ok := s.due(now); s.calling || !ok || now.Before(at) {
 		return
 	}
 	if !s.known {
@@ -48,6 +67,10 @@
 		b.out.Reads = append(b.out.Reads, s.number)
 		return
 	}
+	if wait := b.allow(now); wait > 0 {
+		s.pauseUntil = now.Add(wait)
+		return
+	}
 	if s.pending == nil {
 		s.pending = b.compose(now, s)
 	}
@@ -70,12 +93,14 @@
 	for _, claimed := range s.marks {
 		changed = b.applyMark(&next, claimed) || changed
 	}
-	for _, claimed := range s.queue {
+	for len(s.queue) > 0 && (!b.config.Single || len(p.claims) == 0) {
+		claimed := s.queue[0]
+		s.queue = s.queue[1:]
 		if !claimed.decided && b.applyClaim(&next, claimed) {
 			p.claims = append(p.claims, claimed)
 		}
 	}
-	s.queue, s.marks = nil, nil
+	s.marks, s.marksDue = nil, time.Time{}
 	if !changed && len(p.claims) == 0 {
 		return nil
 	}
--- a/rail/kv/kv.go
+++ b/rail/kv/kv.go
@@ -85,7 +85,7 @@
 type Client struct {
 	// Address is the host and port of the service.
 	Address string
-	// HTTP makes the calls; nil means http.DefaultClient.
+	// HTTP makes the calls; nil means a client that all nil ones share.
 	HTTP *http.Client
 }
 
@@ -152,6 +152,12 @@
 	return instances, err
 }
 
+// maxIdle is the number of idle connections kept to the service.
+const maxIdle = 32
+
+// sharedClient uses no proxy; a repeat of a write by the transport is refused for its version.
+var sharedClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdle}}
+
 // call makes one call and decodes the answer into result.
 func (c *Client) call(ctx context.Context, method, path string, body, result any) (err error) {
 	var content []byte
@@ -166,7 +172,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = sharedClient
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/rail/outcome/outcome.go
+++ b/rail/outcome/outcome.go
@@ -41,6 +41,8 @@
 	CodeStopping Code = "stopping"
 	// CodeClaimed marks a request whose idempotency key another request has claimed.
 	CodeClaimed Code = "claimed"
+	// CodeMismatch marks a request whose idempotency key was claimed for another request.
+	CodeMismatch Code = "mismatch"
 	// CodeStore marks a request that needs the platform's service while the service is unavailable.
 	CodeStore Code = "store"
 	// CodeBackend marks a request that a backend server refused, broke off or answered wrongly.
@@ -100,6 +102,8 @@
 		return http.StatusServiceUnavailable
 	case CodeClaimed:
 		return http.StatusConflict
+	case CodeMismatch:
+		return http.StatusUnprocessableEntity
 	case CodeDeadline:
 		return http.StatusGatewayTimeout
 	case CodeInvariant:
