Keep the KV cache of every stage in the stand-in engine

Each stage after the first compared the state after the layers before it with the state before the first layer, found its KV cache invalid, and replayed the whole prompt for every token. Ruled out: retries (no attempt failed before the kill), the chains (idle machine, one stream: 18 ms), the load of other processes (plain calls: 3 ms). Change: an activation carries the state before the first layer unchanged, and caches compare that. The stand-in counts replayed tokens. Also: listed members never become news, whatever the size of the fleet.

--- a/rail/engine/engine.go
+++ b/rail/engine/engine.go
@@ -118,7 +118,9 @@
 	Position int `json:"position"`
 	// Context is the hash of the prompt and all earlier tokens.
 	Context uint64 `json:"context"`
-	// Previous is the Context of the position before, zero at the first position.
+	// Start is the Context before the first layer, which no stage changes.
+	Start uint64 `json:"start"`
+	// Previous is the Start of the position before, zero at the first position.
 	Previous uint64 `json:"previous,omitempty"`
 	// Length is the number of tokens, prompt included, before this one.
 	Length int `json:"length"`
--- a/rail/fake/fakeengine/cache.go
+++ b/rail/fake/fakeengine/cache.go
@@ -25,7 +25,7 @@
 	}
 	run, position := len(c.Contexts), activation.Position
 	if position < run {
-		return c.Contexts[position] == activation.Context
+		return c.Contexts[position] == activation.Start
 	}
 	return position == run && position > 0 && c.Contexts[position-1] == activation.Previous
 }
@@ -51,6 +51,7 @@
 func (s *Server) grow(id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.replayed += tokens
 	if held, ok := s.caches[id]; ok {
 		held.Held += tokens
 	}
@@ -67,7 +68,7 @@
 	for len(held.Contexts) < activation.Position {
 		held.Contexts = append(held.Contexts, 0)
 	}
-	held.Contexts = append(held.Contexts[:activation.Position], activation.Context)
+	held.Contexts = append(held.Contexts[:activation.Position], activation.Start)
 	held.Held = activation.Length
 	if !held.prompt {
 		held.prompt = true
--- a/rail/fake/fakeengine/fakeengine.go
+++ b/rail/fake/fakeengine/fakeengine.go
@@ -77,6 +77,7 @@
 	faults   Faults
 	fence    uint64
 	load     []sample
+	replayed int
 	cancel   context.CancelFunc
 	ctx      context.Context
 }
@@ -127,6 +128,13 @@
 // Close ends all streams.
 func (s *Server) Close() { s.cancel() }
 
+// Replayed returns the number of tokens that the engine replayed because their KV cache was missing.
+func (s *Server) Replayed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replayed
+}
+
 // SetFaults replaces the faults that the engine shows.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
--- a/rail/fake/fakeengine/stream.go
+++ b/rail/fake/fakeengine/stream.go
@@ -294,9 +294,10 @@
 
 // first returns the activation of the next token before the first layer.
 func first(run engine.Run, tokens []string) engine.Activation {
+	start := fakemodel.Context(run.Prompt, tokens)
 	activation := engine.Activation{
 		Stream: run.Stream, Attempt: run.Attempt, Position: len(tokens),
-		Context: fakemodel.Context(run.Prompt, tokens),
+		Context: start, Start: start,
 		Length:  engine.PromptTokens(run.Prompt) + len(tokens),
 		Prefix:  engine.Prefix(run.Prompt),
 	}
--- a/rail/spread/fleet_test.go
+++ b/rail/spread/fleet_test.go
@@ -81,10 +81,11 @@
 	}
 	for _, h := range f.hosts {
 		f.names[h.name] = h
-		h.up = true
+		f.epoch++
+		h.epoch, h.up = f.epoch, true
 	}
 	for _, h := range f.hosts {
-		f.start(h)
+		f.begin(h)
 	}
 	return f
 }
@@ -109,6 +110,11 @@
 func (f *fleet) start(h *host) {
 	f.epoch++
 	h.epoch, h.up, h.frozen = f.epoch, true, false
+	f.begin(h)
+}
+
+// begin lets an incarnation run that has its epoch.
+func (f *fleet) begin(h *host) {
 	h.run++
 	h.node = New(Config{Self: f.record(h)})
 	var listed []member.Member
--- a/rail/spread/node.go
+++ b/rail/spread/node.go
@@ -21,6 +21,7 @@
 	DefaultFar        = 2               // DefaultFar is the number of rings over the whole fleet.
 	maxFailures       = 3               // maxFailures is the number of failed heartbeats in a row that make a suspect.
 	maxUpdates        = 8               // maxUpdates is the number of updates in an ordinary heartbeat.
+	told              = 1 << 20         // told is more often than any update is sent.
 	repeatsPerDoubled = 3               // repeatsPerDoubled is how often an update is sent for each doubling of the fleet.
 	reviveTicks       = 3               // reviveTicks is the number of ticks between heartbeats to a dead member.
 	patience          = 8               // patience is the number of exchanges with different digests before all is asked for.
@@ -100,7 +101,7 @@
 	for _, listed := range members {
 		n.apply(now, Update{Member: listed})
 		if known := n.views[listed.Name]; known != nil && known.sent == 0 {
-			known.sent = n.repeats()
+			known.sent = told
 		}
 	}
 }
@@ -110,11 +111,6 @@
 	n.apply(now, Update{Member: joined})
 }
 
-// repeats returns how often an update is sent.
-func (n *Node) repeats() int {
-	return repeatsPerDoubled * bitLength(len(n.views)+1)
-}
-
 // Members returns the own instance and all members that are alive or suspect, by name.
 func (n *Node) Members() []member.Member {
 	members := []member.Member{n.self.Member}
@@ -288,7 +284,7 @@
 
 // news returns the updates that were sent least often and not yet often enough.
 func (n *Node) news() []Update {
-	limit := n.repeats()
+	limit := repeatsPerDoubled * bitLength(len(n.views)+1)
 	var fresh []*view
 	for _, known := range n.views {
 		if known.sent < limit {
