--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -10,6 +10,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
@@ -32,10 +33,14 @@
 	Membership *membership.Membership
 	// Peers carries calls between instances.
 	Peers *peer.Transport
+	// Linked shows that the calls between instances are joined.
+	Linked link.Linked
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
 	// Claims commits the claims of idempotency keys.
 	Claims *claims.Claims
+	// Lister reads the platform's list of instances.
+	Lister *probe.Lister
 	// Entry serves callers.
 	Entry *entry.Entry
 	// Admin serves operators.
@@ -53,6 +58,7 @@
 	state.Add(branches.Sync)
 	state.Add(branches.Membership)
 	state.Add(branches.Prober)
+	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Claims)
 	traffic.Add(branches.Entry)
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -13,10 +13,12 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
@@ -60,8 +62,10 @@
 	return &kv.Client{Address: loaded.Platform.Address}
 }
 
-func provideControl(log *logrus.Entry, checker *invariant.Checker) *control.Control {
-	return control.New(control.Config{Log: log, Checker: checker})
+func provideControl(loaded settings.Settings, log *logrus.Entry, checker *invariant.Checker) *control.Control {
+	return control.New(control.Config{
+		Log: log, Checker: checker, Observer: rand.Text(), ListLag: time.Duration(loaded.List.Lag),
+	})
 }
 
 func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry) *configsync.Sync {
@@ -85,19 +89,26 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	transport := peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
-	transport.Handle(membership.KindHeartbeat, members.ServeHeartbeat)
-	transport.Handle(membership.KindStatus, members.ServeStatus)
-	members.Call = transport.Call
-	return transport
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+}
+
+func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, log *logrus.Entry) *completion.Runner {
-	return completion.New(completion.Config{Control: state, HTTP: client, Log: log, Zone: loaded.Zone})
+func provideLister(store *kv.Client, state *control.Control, log *logrus.Entry) *probe.Lister {
+	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
+}
+
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+	return completion.New(completion.Config{
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+		Choose: chains.Choose, Track: chains.Track,
+	})
 }
 
 func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
@@ -127,6 +138,6 @@
 	})
 }
 
-func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, registry metrics.Registry) *admin.Admin {
-	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry})
+func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, registry metrics.Registry) *admin.Admin {
+	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry, Fleet: members.Fleet})
 }
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -11,8 +11,27 @@
 // Build builds a Process from its settings.
 func Build(loaded settings.Settings) (*Process, error) {
 	wire.Build(
-		provideLog, provideMetrics, provideHTTP, provideChecker, provideStore, provideControl,
-		provideSync, provideIdentity, provideSelf, provideMembership, providePeers, provideProber, provideRunner, provideDispatcher, provideClaims, provideRelay, provideEntry, provideAdmin,
+		provideLog,
+		provideMetrics,
+		provideHTTP,
+		provideChecker,
+		provideStore,
+		provideControl,
+		provideSync,
+		provideIdentity,
+		provideSelf,
+		provideMembership,
+		providePeers,
+		provideLinks,
+		provideProber,
+		provideLister,
+		provideChooser,
+		provideRunner,
+		provideDispatcher,
+		provideClaims,
+		provideRelay,
+		provideEntry,
+		provideAdmin,
 		wire.Struct(new(Branches), "*"), New,
 	)
 	return nil, nil
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -20,7 +20,7 @@
 	}
 	registry := provideMetrics()
 	checker := provideChecker(entry, registry)
-	control := provideControl(entry, checker)
+	control := provideControl(loaded, entry, checker)
 	client := provideStore(loaded)
 	sync := provideSync(client, control, entry)
 	identity, err := provideIdentity(loaded)
@@ -30,21 +30,26 @@
 	member := provideSelf(loaded, identity)
 	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
+	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	claims := provideClaims(member, client, control, transport, checker, entry)
-	runner := provideRunner(loaded, control, httpClient, entry)
+	lister := provideLister(client, control, entry)
+	chooser := provideChooser(loaded, control, checker)
+	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
 	relay := provideRelay(control, dispatcher, claims)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
-	admin := provideAdmin(loaded, control, sync, registry)
+	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
 		Sync:       sync,
 		Membership: membership,
 		Peers:      transport,
+		Linked:     linked,
 		Prober:     prober,
 		Claims:     claims,
+		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
 	}
