--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
 )
@@ -44,6 +45,8 @@
 	Linked link.Linked
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
+	// Claims commits the claims of idempotency keys.
+	Claims *claims.Claims
 	// Lister reads the platform's list of instances.
 	Lister *probe.Lister
 	// Entry serves callers.
@@ -65,6 +68,7 @@
 	state.Add(branches.Prober)
 	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
+	traffic.Add(branches.Claims)
 	traffic.Add(branches.Entry)
 	root.Add(state)
 	root.Add(traffic)
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -27,16 +27,18 @@
 	if err != nil {
 		return nil, err
 	}
-	membership := provideMembership(loaded, identity, client, control, entry)
+	member := provideSelf(loaded, identity)
+	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
 	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
+	claims := provideClaims(member, client, control, transport, checker, entry)
 	lister := provideLister(client, control, entry)
 	chooser := provideChooser(loaded, control, checker)
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher)
+	relay := provideRelay(control, dispatcher, claims)
 	admission := provideAdmission(loaded, control, checker, registry)
 	entryEntry := provideEntry(loaded, control, runner, relay, admission, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
@@ -47,6 +49,7 @@
 		Peers:      transport,
 		Linked:     linked,
 		Prober:     prober,
+		Claims:     claims,
 		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
