Probe sooner when tokens stop, and judge a probe by its quickest stage

Cause: a frozen stage was seen after 250 ms and given 250 ms more to answer; a lost link took two such rounds twice. Change: tokens have a floor of their own, the alive interval, since a probe costs one small call for each stage; the floor of the connection stays at two and a half alive intervals. Once a stage has answered, the others have 100 ms or four times its time.

--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -24,6 +24,7 @@
 const (
 	openTimeout   = 500 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	probeFloor    = 100 * time.Millisecond
 	cancelTimeout = time.Second
 	maxFruitless  = 10
 	minBackoff    = 20 * time.Millisecond
@@ -101,6 +102,7 @@
 		Servers:      func() []chain.Server { return r.candidates(pool) },
 		OpenTimeout:  openTimeout,
 		ProbeTimeout: probeTimeout,
+		ProbeFloor:   probeFloor,
 		Deadline:     deadline,
 	})
 	return newCarrier(r, request, session, deliver).carry(ctx)
--- a/comfreyrail/internal/traffic/completion/recovery_test.go
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -130,6 +130,6 @@
 	slices.Sort(gaps)
 	milliseconds := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	b.ReportMetric(milliseconds(gaps[len(gaps)/2]), "p50-ms")
-	b.ReportMetric(milliseconds(gaps[len(gaps)*95/100]), "p95-ms")
+	b.ReportMetric(milliseconds(gaps[(len(gaps)-1)*95/100]), "p95-ms")
 	b.ReportMetric(milliseconds(gaps[len(gaps)-1]), "max-ms")
 }
--- a/rail/silence/silence.go
+++ b/rail/silence/silence.go
@@ -10,6 +10,8 @@
 type Config struct {
 	// Floor is the least silence of the connection that calls for a probe; it exceeds engine.AliveInterval.
 	Floor time.Duration
+	// TokenFloor is the least time without a token that calls for a probe.
+	TokenFloor time.Duration
 	// Ceiling is the greatest silence, of the connection or of tokens, before a probe.
 	Ceiling time.Duration
 	// Patience is the number of probes that find nothing wrong before the stream is resumed all the same.
@@ -18,7 +20,7 @@
 
 // DefaultConfig returns the Config for production.
 func DefaultConfig() Config {
-	return Config{Floor: 5 * engine.AliveInterval / 2, Ceiling: 2 * time.Second, Patience: 8}
+	return Config{Floor: 5 * engine.AliveInterval / 2, TokenFloor: engine.AliveInterval, Ceiling: 2 * time.Second, Patience: 8}
 }
 
 // Watch tracks the liveness of one attempt; it is not safe for concurrent use.
@@ -68,10 +70,10 @@
 
 // Deadline returns when to probe the stages unless a frame arrives before.
 func (w *Watch) Deadline() time.Time {
-	connection := w.lastFrame.Add(w.bound(w.frameGap, w.config.Floor))
-	progress := w.lastToken.Add(w.bound(w.tokenGap, w.config.Ceiling/2))
-	if !w.probedAt.IsZero() && w.probedAt.After(w.lastToken) {
-		progress = w.probedAt.Add(min(w.config.Floor<<min(w.fruitless, maxDoublings), w.config.Ceiling))
+	connection := w.lastFrame.Add(w.bound(w.frameGap, w.config.Floor, w.config.Floor))
+	progress := w.lastToken.Add(w.bound(w.tokenGap, w.config.Floor, w.config.TokenFloor))
+	if w.probedAt.After(w.lastToken) {
+		progress = w.probedAt.Add(min(w.config.TokenFloor<<min(w.fruitless, maxDoublings), w.config.Ceiling))
 	}
 	if connection.Before(progress) {
 		return connection
@@ -83,16 +85,16 @@
 const maxDoublings = 8
 
 // bound returns the silence that is allowed after gaps as estimated; initial applies before the first gap.
-func (w *Watch) bound(gaps estimate, initial time.Duration) time.Duration {
+func (w *Watch) bound(gaps estimate, initial, floor time.Duration) time.Duration {
 	if !gaps.known {
 		return initial
 	}
-	return min(max(gaps.high(), w.config.Floor), w.config.Ceiling)
+	return min(max(gaps.high(), floor), w.config.Ceiling)
 }
 
 // Quiet reports whether the connection itself has been silent for longer than its bound.
 func (w *Watch) Quiet(now time.Time) bool {
-	return now.Sub(w.lastFrame) >= w.bound(w.frameGap, w.config.Floor)
+	return now.Sub(w.lastFrame) >= w.bound(w.frameGap, w.config.Floor, w.config.Floor)
 }
 
 // Finding is what a probe of all stages over new connections found.
--- a/rail/stream/prove_test.go
+++ b/rail/stream/prove_test.go
@@ -84,7 +84,7 @@
 			MaxFruitless: 10, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second, Avoid: 5 * time.Second, Patience: 5 * time.Second,
 		},
 		Silence: silence.DefaultConfig(), Servers: func() []chain.Server { return m.view },
-		OpenTimeout: 500 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond, Deadline: m.now.Add(answerTime),
+		OpenTimeout: 500 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond, ProbeFloor: 100 * time.Millisecond, Deadline: m.now.Add(answerTime),
 	})
 	return c
 }
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -36,6 +36,8 @@
 	OpenTimeout time.Duration
 	// ProbeTimeout is the longest time for a stage to answer a probe.
 	ProbeTimeout time.Duration
+	// ProbeFloor is the least time that a stage is given once another stage has answered the probe.
+	ProbeFloor time.Duration
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
 }
@@ -294,6 +296,10 @@
 	}
 	s.probe.seen[e.Index] = true
 	s.probe.replies[e.Index] = e
+	if e.Answered {
+		began := s.probe.finding.Began
+		s.until = earlier(began.Add(s.config.ProbeTimeout), began.Add(max(s.config.ProbeFloor, slowest*now.Sub(began))))
+	}
 	for _, seen := range s.probe.seen {
 		if !seen {
 			return
@@ -302,6 +308,9 @@
 	s.judge(now)
 }
 
+// slowest is how many times longer than the latest stage to answer a probe the others may take.
+const slowest = 4
+
 // judge decides after a probe.
 func (s *Session) judge(now time.Time) {
 	attempt, _ := s.answer.Current()
