--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -354,9 +354,12 @@
 // abandon ends the session with a failure.
 func (s *Session) abandon(code outcome.Code, reason string) {
 	s.phase = ended
-	result := outcome.NotRun
-	if s.ran {
-		result = outcome.Unknown
+	result := outcome.Unknown
+	if !s.ran {
+		result = outcome.NotRun
+		if code == outcome.CodeBackend {
+			code = outcome.CodeNoServer
+		}
 	}
 	err := s.checker.Check(result == outcome.Unknown || len(s.answer.Tokens()) == 0, "stream.notrun",
 		"not run after %d tokens", len(s.answer.Tokens()))
