--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -11,8 +11,25 @@
 // Build builds a Process from its settings.
 func Build(loaded settings.Settings) (*Process, error) {
 	wire.Build(
-		provideLog, provideMetrics, provideHTTP, provideChecker, provideStore, provideControl,
-		provideSync, provideIdentity, provideMembership, providePeers, provideProber, provideRunner, provideRelay, provideEntry, provideAdmin,
+		provideLog,
+		provideMetrics,
+		provideHTTP,
+		provideChecker,
+		provideStore,
+		provideControl,
+		provideSync,
+		provideIdentity,
+		provideMembership,
+		providePeers,
+		provideLinks,
+		provideProber,
+		provideLister,
+		provideChooser,
+		provideRunner,
+		provideDispatcher,
+		provideRelay,
+		provideEntry,
+		provideAdmin,
 		wire.Struct(new(Branches), "*"), New,
 	)
 	return nil, nil
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -20,7 +20,7 @@
 	}
 	registry := provideMetrics()
 	checker := provideChecker(entry, registry)
-	control := provideControl(entry, checker)
+	control := provideControl(loaded, entry, checker)
 	client := provideStore(loaded)
 	sync := provideSync(client, control, entry)
 	identity, err := provideIdentity(loaded)
@@ -29,18 +29,24 @@
 	}
 	membership := provideMembership(loaded, identity, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
+	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
-	runner := provideRunner(loaded, control, httpClient, checker, registry, entry)
-	relay := provideRelay(control, httpClient)
+	lister := provideLister(client, control, entry)
+	chooser := provideChooser(loaded, control, checker)
+	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
+	dispatcher := provideDispatcher(checker)
+	relay := provideRelay(control, dispatcher)
 	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
-	admin := provideAdmin(loaded, control, sync, registry)
+	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
 		Sync:       sync,
 		Membership: membership,
 		Peers:      transport,
+		Linked:     linked,
 		Prober:     prober,
+		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
 	}
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -61,6 +61,8 @@
 	Metrics metrics.Registry
 	// Choose chooses a chain; nil means chain.Choose.
 	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
+	// Track counts an attempt at every stage of its plan until done is called; nil counts nothing.
+	Track func(pool string, plan chain.Plan) (done func())
 	// Silence configures the deadlines for frames; the zero value means silence.DefaultConfig.
 	Silence silence.Config
 	// RechainAlways answers every failure with a whole new chain, for comparisons.
@@ -78,6 +80,9 @@
 	if config.Choose == nil {
 		config.Choose = chain.Choose
 	}
+	if config.Track == nil {
+		config.Track = func(string, chain.Plan) func() { return func() {} }
+	}
 	if config.Silence == (silence.Config{}) {
 		config.Silence = silence.DefaultConfig()
 	}
@@ -114,7 +119,7 @@
 	_, _ = digest.Write([]byte(request.ID))
 	return stream.RecoveryConfig{
 		Choose:        r.config.Choose,
-		Request:       chain.Request{Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
+		Request:       chain.Request{Pool: pool.Name, Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
 		Rand:          rand.New(rand.NewPCG(digest.Sum64(), 0)),
 		MaxFruitless:  maxFruitless,
 		Backoff:       minBackoff,
