Use the picker in the proofs and keep the zone of live stages

Half of the random histories choose chains by chain.Picker, as the process does. A kept stage had no availability zone, so the picker charged its links wrongly. Tokens that the last stage has passed on and that have not arrived count as a gap, like those lost between two stages.

--- a/rail/stream/prove_test.go
+++ b/rail/stream/prove_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	oldrand "math/rand"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -77,10 +78,14 @@
 	if rapid.Bool().Draw(rt, "stops") {
 		c.prompt += fmt.Sprintf(" [stop %d]", rapid.IntRange(0, 24).Draw(rt, "stop"))
 	}
+	choose := chain.Choose
+	if rapid.Bool().Draw(rt, "picker") {
+		choose = chain.New(chain.Config{Random: oldrand.New(oldrand.NewSource(int64(number))), Checker: checker}).ChooseFrom
+	}
 	c.session = stream.NewSession(stream.SessionConfig{
 		Answer: stream.AnswerConfig{Stream: c.id, Layers: layers, MaxTokens: c.maxTokens, Checker: checker},
 		Recovery: stream.RecoveryConfig{
-			Choose: chain.Choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewPCG(1, uint64(number))),
+			Choose: choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewPCG(1, uint64(number))),
 			MaxFruitless: 10, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second, Avoid: 5 * time.Second, Patience: 5 * time.Second,
 		},
 		Silence: silence.DefaultConfig(), Servers: func() []chain.Server { return m.view },
--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -254,8 +254,7 @@
 			continue
 		}
 		kept++
-		status := engine.Status{Server: hop.Server, First: hop.First, Last: hop.Last, Version: failure.Plan.Version}
-		candidates = append(candidates, chain.Server{Name: hop.Server, Address: hop.Address, Status: status, Usable: true})
+		candidates = append(candidates, keep(failure.Plan, hop, servers))
 	}
 	if kept == 0 || kept == len(failure.Plan.Hops) {
 		return chain.Plan{}, false
@@ -265,6 +264,19 @@
 	return r.config.Choose(candidates, request)
 }
 
+// keep returns the server of the hop as the only one for its layers.
+func keep(plan chain.Plan, hop engine.Hop, servers []chain.Server) chain.Server {
+	kept := chain.Server{Name: hop.Server, Address: hop.Address}
+	for _, server := range servers {
+		if server.Name == hop.Server {
+			kept.Zone = server.Zone
+		}
+	}
+	kept.Usable = true
+	kept.Status = engine.Status{Server: hop.Server, First: hop.First, Last: hop.Last, Version: plan.Version}
+	return kept
+}
+
 // substitutes returns the servers that can run the layers of the hop and have not failed lately.
 func (r *Recovery) substitutes(now time.Time, plan chain.Plan, hop engine.Hop, servers []chain.Server) []chain.Server {
 	var found []chain.Server
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -325,6 +325,8 @@
 		finding.Lost = finding.Lost || reply.Progress.Attempt != attempt
 		finding.Gap = finding.Gap || gap
 	}
+	last := len(s.probe.replies) - 1
+	finding.Gap = finding.Gap || s.probe.replies[last].Progress.Passed > len(s.answer.Tokens())
 	finding.Moved, s.probe.worked = worked != s.probe.worked, worked
 	if !s.broken && s.watch.Probed(now, finding) == silence.Wait {
 		s.phase = running
