--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -119,13 +119,12 @@
 	Reason string
 }
 
-// maxSame is the number of attempts in a row without a new token on the same chain.
-const maxSame = 2
+// maxSame is the number of times in a row that a chain is resumed without a new token.
+const maxSame = 1
 
 // Decide returns the step after a failed attempt.
 func (r *Recovery) Decide(now time.Time, failure Failure, servers []chain.Server) Step {
 	r.fruitless++
-	r.same++
 	if failure.Delivered > r.delivered {
 		r.fruitless, r.same, r.delivered = 0, 0, failure.Delivered
 	}
@@ -137,6 +136,7 @@
 	}
 	if !slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Bad }) {
 		if r.same < maxSame {
+			r.same++
 			return Step{Way: Same, Plan: failure.Plan, At: now.Add(r.backoff())}
 		}
 		suspects := slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Suspect })
