--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -22,7 +22,7 @@
 
 // Limits of one completion.
 const (
-	openTimeout   = 500 * time.Millisecond
+	openTimeout   = 250 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
 	probeFloor    = 100 * time.Millisecond
 	cancelTimeout = time.Second
--- a/comfreyrail/internal/traffic/completion/recovery_test.go
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -1,15 +1,22 @@
 package completion
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakemodel"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
 func TestRunRecovers(t *testing.T) {
@@ -133,3 +140,46 @@
 	b.ReportMetric(milliseconds(gaps[(len(gaps)-1)*95/100]), "p95-ms")
 	b.ReportMetric(milliseconds(gaps[len(gaps)-1]), "max-ms")
 }
+
+func TestRunCancelsWhenTheCallerLeaves(t *testing.T) {
+	f := newFleet(t, 200*time.Microsecond, 0)
+	registry := metrics.NewRegistry()
+	f.runner.config.Metrics = registry
+	request := Request{ID: "id", Route: table.Route{Name: "r", Pool: "model"}, Prompt: "prompt", MaxTokens: 1000}
+	_, err := f.runner.Run(t.Context(), request, func(string) error { return io.ErrClosedPipe })
+	var failure *outcome.Failure
+	if !errors.As(err, &failure) || failure.Code != outcome.CodeCaller || failure.Outcome != outcome.Unknown {
+		t.Errorf("got %v, want an unknown outcome with code %q", err, outcome.CodeCaller)
+	}
+	if got := metrics.GetOrRegisterCounter("attempts.begin", registry).Count(); got != 1 {
+		t.Errorf("got %d first attempts, want 1", got)
+	}
+	registry.Each(func(name string, counter any) {
+		if got := counter.(metrics.Counter).Count(); name != "attempts.begin" && got != 0 {
+			t.Errorf("got %d for %s, want none", got, name)
+		}
+	})
+	for _, name := range []string{"0a", "1a", "2a"} {
+		if !f.forgets(name, "id") {
+			t.Errorf("engine %s still holds the stream", name)
+		}
+	}
+}
+
+// forgets waits a while for the engine to drop the stream.
+func (f *fleet) forgets(name, id string) bool {
+	for range 200 {
+		response, err := f.runner.post(context.Background(), f.proxies[name].address, engine.PathProbe, engine.Probe{Stream: id}, true)
+		if err != nil {
+			return false
+		}
+		var progress engine.Progress
+		err = json.NewDecoder(response.Body).Decode(&progress)
+		closeBody(response)
+		if err == nil && progress == (engine.Progress{}) {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
