--- a/comfreyrail/internal/traffic/completion/recovery_test.go
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -183,3 +184,23 @@
 	}
 	return false
 }
+
+func TestRunManyThroughFaults(t *testing.T) {
+	const callers, tokens = 32, 40
+	f := newFleet(t, 500*time.Microsecond, 0)
+	time.AfterFunc(100*time.Millisecond, func() { f.kill("1a") })
+	time.AfterFunc(150*time.Millisecond, func() { f.proxies["0a"].silence() })
+	time.AfterFunc(200*time.Millisecond, func() { f.freeze("2a") })
+	time.AfterFunc(700*time.Millisecond, func() { f.engines["2a"].SetFaults(fakeengine.Faults{}) })
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			prompt := fmt.Sprintf("prompt %d", i)
+			got, _, err := f.ask(t, prompt, prompt, tokens, 0, nil)
+			if want := fakemodel.Answer(prompt, layers, tokens); err != nil || !slices.Equal(got, want) {
+				t.Errorf("caller %d: got %d tokens %q and error %v, want %q", i, len(got), got, err, want)
+			}
+		})
+	}
+	group.Wait()
+}
