Bound attempts without progress by the pool's retry budget

Attempts that follow a new token are exempt; others wait for the budget, up to the patience for a chain. The backoff is retry.Backoff now; it stood twice.

--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
-	"math/rand/v2"
+	"math/rand"
 	"net/http"
 	"time"
 
@@ -71,8 +71,9 @@
 
 // Runner runs completion requests.
 type Runner struct {
-	config Config
-	fresh  *http.Client
+	config  Config
+	fresh   *http.Client
+	budgets budgets
 }
 
 // New returns a Runner.
@@ -110,7 +111,11 @@
 		ProbeFloor:   probeFloor,
 		Deadline:     deadline,
 	})
-	return newCarrier(r, request, session, deliver).carry(ctx)
+	finish, err = newCarrier(r, request, session, deliver).carry(ctx)
+	if err == nil {
+		r.budgets.succeeded(time.Now(), pool.Name)
+	}
+	return finish, err
 }
 
 // recovery returns how to go on with the request after failures.
@@ -120,7 +125,8 @@
 	return stream.RecoveryConfig{
 		Choose:        r.config.Choose,
 		Request:       chain.Request{Pool: pool.Name, Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
-		Rand:          rand.New(rand.NewPCG(digest.Sum64(), 0)),
+		Rand:          rand.New(rand.NewSource(int64(digest.Sum64()))),
+		Allow:         func(now time.Time) bool { return r.budgets.allow(now, pool.Name) },
 		MaxFruitless:  maxFruitless,
 		Backoff:       minBackoff,
 		MaxBackoff:    maxBackoff,
--- a/rail/stream/prove_test.go
+++ b/rail/stream/prove_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"fmt"
-	oldrand "math/rand"
-	"math/rand/v2"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -80,12 +79,12 @@
 	}
 	choose := chain.Choose
 	if rapid.Bool().Draw(rt, "picker") {
-		choose = chain.New(chain.Config{Random: oldrand.New(oldrand.NewSource(int64(number))), Checker: checker}).ChooseFrom
+		choose = chain.New(chain.Config{Random: rand.New(rand.NewSource(int64(number))), Checker: checker}).ChooseFrom
 	}
 	c.session = stream.NewSession(stream.SessionConfig{
 		Answer: stream.AnswerConfig{Stream: c.id, Layers: layers, MaxTokens: c.maxTokens, Checker: checker},
 		Recovery: stream.RecoveryConfig{
-			Choose: choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewPCG(1, uint64(number))),
+			Choose: choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewSource(int64(number))),
 			MaxFruitless: 10, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second, Avoid: 5 * time.Second, Patience: 5 * time.Second,
 		},
 		Silence: silence.DefaultConfig(), Servers: func() []chain.Server { return m.view },
--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -1,7 +1,7 @@
 package stream
 
 import (
-	"math/rand/v2"
+	"math/rand"
 	"slices"
 	"sort"
 	"time"
@@ -9,6 +9,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/retry"
 )
 
 // Way is a way to go on with an answer.
@@ -68,6 +69,8 @@
 	Request chain.Request
 	// Rand spreads the retries of many streams.
 	Rand *rand.Rand
+	// Allow reports whether the pool can bear one more attempt after one without a new token; nil allows all.
+	Allow func(now time.Time) bool
 	// MaxFruitless is the number of attempts in a row without a new token before giving up.
 	MaxFruitless int
 	// Backoff is the wait before the second attempt in a row without a new token; it doubles with each.
@@ -135,7 +138,7 @@
 		condemn(failure.Stages, func(Stage) bool { return true })
 	}
 	if !slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Bad }) {
-		if r.same < maxSame {
+		if r.same < maxSame && r.allowed(now) {
 			r.same++
 			return Step{Way: Same, Plan: failure.Plan, At: now.Add(r.backoff())}
 		}
@@ -162,6 +165,9 @@
 	if failure.Delivered > 0 {
 		servers = ofVersion(servers, failure.Plan.Version)
 	}
+	if !r.allowed(now) {
+		return r.wait(now, failure)
+	}
 	r.same = 0
 	step := Step{At: now.Add(r.backoff())}
 	var ok bool
@@ -192,13 +198,17 @@
 // laterShare is the number of times that a chain is sought while there is none.
 const laterShare = 20
 
+// allowed reports whether another attempt may be made; one that follows a new token always may.
+func (r *Recovery) allowed(now time.Time) bool {
+	return r.fruitless == 0 || r.config.Allow == nil || r.config.Allow(now)
+}
+
 // backoff returns the wait before the next attempt, none after an attempt that made progress.
 func (r *Recovery) backoff() time.Duration {
 	if r.fruitless == 0 {
 		return 0
 	}
-	wait := min(r.config.Backoff<<(r.fruitless-1), r.config.MaxBackoff)
-	return wait/2 + time.Duration(r.config.Rand.Int64N(int64(wait)/2+1))
+	return retry.Backoff(r.config.Rand, r.fruitless, r.config.Backoff, r.config.MaxBackoff)
 }
 
 // choose returns a chain without the servers that failed lately, or with those of them that failed least.
--- a/rail/stream/session_test.go
+++ b/rail/stream/session_test.go
@@ -1,7 +1,7 @@
 package stream_test
 
 import (
-	"math/rand/v2"
+	"math/rand"
 	"slices"
 	"testing"
 	"time"
@@ -24,6 +24,7 @@
 	abandoned stream.Abandon
 	plans     []chain.Plan
 	imports   [][]string
+	allow     func(now time.Time) bool
 }
 
 func server(name string, first, last int, version string) chain.Server {
@@ -84,8 +85,8 @@
 	s := stream.NewSession(stream.SessionConfig{
 		Answer: stream.AnswerConfig{Stream: "s", Layers: 4, MaxTokens: 9, Checker: &invariant.Checker{}},
 		Recovery: stream.RecoveryConfig{
-			Choose: chain.Choose, Request: chain.Request{Layers: 4}, Rand: rand.New(rand.NewPCG(1, 1)),
-			MaxFruitless: 4, Backoff: time.Millisecond, MaxBackoff: time.Second, Avoid: time.Second, Patience: time.Second,
+			Choose: chain.Choose, Request: chain.Request{Layers: 4}, Rand: rand.New(rand.NewSource(1)),
+			Allow: w.allow, MaxFruitless: 4, Backoff: time.Millisecond, MaxBackoff: time.Second, Avoid: time.Second, Patience: time.Second,
 		},
 		Silence: silence.DefaultConfig(), Servers: func() []chain.Server { return w.servers },
 		OpenTimeout: time.Second, ProbeTimeout: time.Second, Deadline: now.Add(time.Minute),
@@ -148,3 +149,29 @@
 		t.Errorf("got second plan %v, want a to be kept and b replaced by c", got)
 	}
 }
+
+func TestSessionAsksForTheRetryBudget(t *testing.T) {
+	tests := []struct {
+		name     string
+		refusals int
+		want     int
+	}{
+		{"budget", 0, 4},
+		{"budget after a while", 5, 4},
+		{"no budget", 1000, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			asked := 0
+			w := world{servers: []chain.Server{server("a", 0, 4, "v1"), server("b", 0, 4, "v1")}, afterRun: func(*world) {}}
+			w.allow = func(time.Time) bool {
+				asked++
+				return asked > test.refusals
+			}
+			w.run(t)
+			if got := len(w.plans); got != test.want {
+				t.Errorf("got %d attempts, want %d", got, test.want)
+			}
+		})
+	}
+}
