Keep the hash of the history apart from the state in the stand-in engine

Cause: BenchmarkGap without a fault took 8.3 s for 16 tokens after a prompt of 2000 tokens, 500 ms a token. The state after each layer overwrote the hash of the history in an activation, so that all stages but the first took their own KV cache for that of another history and replayed the prompt for every token. Ruled out: false resumes (one attempt was made). Change: a State field of its own; a test counts the tokens replayed by each stage over three attempts, one of them after a restart.

--- a/rail/engine/engine.go
+++ b/rail/engine/engine.go
@@ -118,6 +118,8 @@
 	Position int `json:"position"`
 	// Context is the hash of the prompt and all earlier tokens.
 	Context uint64 `json:"context"`
+	// State is the state after the last layer that was run.
+	State uint64 `json:"state"`
 	// Previous is the Context of the position before, zero at the first position.
 	Previous uint64 `json:"previous,omitempty"`
 	// Length is the number of tokens, prompt included, before this one.
--- a/rail/fake/fakeengine/cache.go
+++ b/rail/fake/fakeengine/cache.go
@@ -14,8 +14,9 @@
 // kv is the KV cache of one stream at this stage; it outlives attempts.
 type kv struct {
 	engine.KV
-	prompt bool
-	used   time.Time
+	prompt   bool
+	replayed int
+	used     time.Time
 }
 
 // valid reports whether the cache belongs to the tokens before the activation and to the range and version.
@@ -53,6 +54,7 @@
 	defer s.mu.Unlock()
 	if held, ok := s.caches[id]; ok {
 		held.Held += tokens
+		held.replayed += tokens
 	}
 }
 
--- a/rail/fake/fakeengine/cache_test.go
+++ b/rail/fake/fakeengine/cache_test.go
@@ -1,6 +1,11 @@
 package fakeengine
 
 import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -66,3 +71,57 @@
 		t.Errorf("got hits %v, want the last two prefixes", got)
 	}
 }
+
+func TestChainReplaysOnlyWhatIsMissing(t *testing.T) {
+	const prompt, stream = "a prompt of some length", "s"
+	servers, hops := make([]*Server, 3), make([]engine.Hop, 3)
+	for i := range servers {
+		servers[i] = New(Config{Name: string(rune('a' + i)), First: i, Last: i + 1, Version: "v1"})
+		listener := httptest.NewServer(servers[i])
+		t.Cleanup(listener.Close)
+		t.Cleanup(servers[i].Close)
+		hops[i] = engine.Hop{Server: servers[i].config.Name, Address: listener.Listener.Addr().String(), First: i, Last: i + 1}
+	}
+	runs := []struct {
+		resume int
+		lost   int
+		want   []int
+	}{
+		{0, -1, []int{5, 5, 5}},
+		{4, -1, []int{5, 5, 5}},
+		{4, 1, []int{5, 9, 5}},
+	}
+	answer := fakemodel.Answer(prompt, 3, 6)
+	for i, run := range runs {
+		if run.lost >= 0 {
+			servers[run.lost].SetFaults(Faults{Crash: true})
+			servers[run.lost].SetFaults(Faults{})
+		}
+		for index, hop := range hops {
+			call(t, hop, engine.PathOpen, engine.Open{Stream: stream, Attempt: i + 1, Index: index, Hops: hops, Version: "v1"})
+		}
+		call(t, hops[2], engine.PathRun, engine.Run{Stream: stream, Attempt: i + 1, Prompt: prompt, Resume: answer[:run.resume], MaxTokens: 6})
+		for index, s := range servers {
+			if got := s.caches[stream].replayed; got != run.want[index] {
+				t.Errorf("run %d: got %d tokens replayed at stage %d, want %d", i, got, index, run.want[index])
+			}
+		}
+	}
+}
+
+// call sends a message to a stage and waits for the end of the answer.
+func call(t *testing.T, hop engine.Hop, path string, message any) {
+	t.Helper()
+	body, err := json.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+hop.Address+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err = io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%s at %s: status code %d, error %v", path, hop.Server, response.StatusCode, err)
+	}
+}
--- a/rail/fake/fakeengine/stream.go
+++ b/rail/fake/fakeengine/stream.go
@@ -181,7 +181,7 @@
 	if s.currentFaults().SkipLayer {
 		last--
 	}
-	activation.Context = fakemodel.Apply(activation.Context, hop.First, last)
+	activation.State = fakemodel.Apply(activation.State, hop.First, last)
 	activation.Receipts = append(activation.Receipts, s.receipt(stream))
 	s.mu.Lock()
 	stream.progress.Passed = activation.Position + 1
@@ -300,6 +300,7 @@
 		Length:  engine.PromptTokens(run.Prompt) + len(tokens),
 		Prefix:  engine.Prefix(run.Prompt),
 	}
+	activation.State = activation.Context
 	if len(tokens) > 0 {
 		activation.Previous = fakemodel.Context(run.Prompt, tokens[:len(tokens)-1])
 	}
@@ -325,7 +326,7 @@
 			if done.Position != len(tokens) {
 				continue
 			}
-			token = fakemodel.Token(done.Context)
+			token = fakemodel.Token(done.State)
 			s.freeze(stream.ctx)
 			out.send(engine.Frame{Position: done.Position, Token: token, Receipts: done.Receipts})
 			return token, nil
--- a/rail/stream/model_test.go
+++ b/rail/stream/model_test.go
@@ -271,7 +271,7 @@
 	}
 	m.pass(held, engine.Activation{
 		Stream: c.id, Attempt: held.open.Attempt, Position: len(held.tokens),
-		Context: fakemodel.Context(held.open.Version+c.prompt, held.tokens),
+		State: fakemodel.Context(held.open.Version+c.prompt, held.tokens),
 	})
 }
 
@@ -317,7 +317,7 @@
 	if n.skips {
 		receipt.Last--
 	}
-	activation.Context = fakemodel.Apply(activation.Context, receipt.First, receipt.Last)
+	activation.State = fakemodel.Apply(activation.State, receipt.First, receipt.Last)
 	activation.Receipts = append(slices.Clone(activation.Receipts), receipt)
 	key := span{activation.Stream, activation.Attempt, activation.Position}
 	m.ledger[key] = append(m.ledger[key], receipt)
@@ -327,7 +327,7 @@
 		m.pass(held, activation)
 		return
 	}
-	token := fakemodel.Token(activation.Context)
+	token := fakemodel.Token(activation.State)
 	held.tokens = append(held.tokens, token)
 	frame := engine.Frame{
 		Position: activation.Position, Token: token, Receipts: activation.Receipts,
