--- a/rail/fake/fakeengine/cache.go
+++ b/rail/fake/fakeengine/cache.go
@@ -14,9 +14,8 @@
 // kv is the KV cache of one stream at this stage; it outlives attempts.
 type kv struct {
 	engine.KV
-	prompt   bool
-	replayed int
-	used     time.Time
+	prompt bool
+	used   time.Time
 }
 
 // valid reports whether the cache belongs to the tokens before the activation and to the range and version.
@@ -52,9 +51,9 @@
 func (s *Server) grow(id string, tokens int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.replayed += tokens
 	if held, ok := s.caches[id]; ok {
 		held.Held += tokens
-		held.replayed += tokens
 	}
 }
 
