--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -167,6 +167,12 @@
 	next.replace(changed...)
 }
 
+// Usable reports whether the backend server is listed and takes new work.
+func (s *Snapshot) Usable(name string) bool {
+	server, ok := s.Servers[name]
+	return ok && server.Usable
+}
+
 // replace puts other records of backend servers into the snapshot; readers keep the map that they have.
 func (s *Snapshot) replace(servers ...*chain.Server) {
 	if len(servers) == 0 {
--- a/comfreyrail/internal/traffic/completion/fleet_test.go
+++ b/comfreyrail/internal/traffic/completion/fleet_test.go
@@ -82,11 +82,7 @@
 		state.Send(ctx, control.ServerReported{Name: row.Name, Status: status, At: time.Now()})
 	}
 	last := tables.Pools[0].Servers[2*stages-1].Name
-	usable := func() bool {
-		server := state.Snapshot().Servers[last]
-		return server != nil && server.Usable
-	}
-	for !usable() {
+	for !state.Snapshot().Usable(last) {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -88,7 +88,7 @@
 	running.Go(func() { _ = kept.Serve(ctx) })
 	state.Send(ctx, control.TablesRead{Tables: f.tables})
 	state.Send(ctx, control.ServerReported{Name: "s", Status: engine.Status{Server: "s"}, At: time.Now()})
-	for !state.Snapshot().Servers["s"].Usable {
+	for !state.Snapshot().Usable("s") {
 		time.Sleep(time.Millisecond)
 	}
 	stop := func() {
