Pass signs of leaving backend servers with the heartbeats

Cause: an instance that neither reads the platform's list nor talks to a server did not hear that the server is leaving. Ruled out: waiting for the next heartbeat, which takes up to a second a hop. Change: heartbeats and replies carry the marks; a newly seen sign is sent to the partners at once. The end-to-end test takes the platform away first.

--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -59,6 +59,7 @@
 	// published is the revision of peers that the snapshot holds.
 	published uint64
 	servers   *servers
+	urgent    chan struct{}
 	snapshot  atomic.Pointer[Snapshot]
 }
 
@@ -83,6 +84,7 @@
 		log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer),
 		installer: install.New(install.Config{Checker: config.Checker}),
 		servers:   newServers(config),
+		urgent:    make(chan struct{}, 1),
 	}
 	c.snapshot.Store(&Snapshot{
 		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]*chain.Server{},
--- a/comfreyrail/internal/control/membership/heartbeat.go
+++ b/comfreyrail/internal/control/membership/heartbeat.go
@@ -33,7 +33,16 @@
 // Announce tells the partners at once that a generation of the tables is in force here.
 func (m *Membership) Announce(ctx context.Context, head spread.Head) {
 	beats := make(chan []spread.Beat, 1)
-	m.config.Control.Send(ctx, control.HeadInstalled{Head: head, Beats: beats})
+	m.config.Control.Send(ctx, control.HeadInstalled{At: time.Now(), Head: head, Beats: beats})
+	for _, due := range receive(ctx, beats) {
+		go m.send(ctx, due)
+	}
+}
+
+// hurry tells the partners at once of news about leaving backend servers.
+func (m *Membership) hurry(ctx context.Context) {
+	beats := make(chan []spread.Beat, 1)
+	m.config.Control.Send(ctx, control.NewsDue{At: time.Now(), Beats: beats})
 	for _, due := range receive(ctx, beats) {
 		go m.send(ctx, due)
 	}
--- a/comfreyrail/internal/control/membership/membership.go
+++ b/comfreyrail/internal/control/membership/membership.go
@@ -81,10 +81,13 @@
 	go m.renewLease(ctx)
 	ticker := time.NewTicker(spread.DefaultInterval)
 	defer ticker.Stop()
+	m.beat(ctx)
 	for {
-		m.beat(ctx)
 		select {
 		case <-ticker.C:
+			m.beat(ctx)
+		case <-m.config.Control.Urgent():
+			m.hurry(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -12,11 +12,13 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/spread"
+	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
 // instance is one instance with real connections to others.
@@ -60,7 +62,7 @@
 		t.Fatal(err)
 	}
 	address := freePort(t)
-	state := control.New(control.Config{Log: quiet(), Checker: new(invariant.Checker)})
+	state := control.New(control.Config{Log: quiet(), Checker: new(invariant.Checker), Observer: name})
 	members := New(Config{
 		Self:  member.Member{Name: name, Zone: "a", Incarnation: name, Address: address, Fingerprint: identity.Fingerprint},
 		Store: store, Control: state, Log: quiet(),
@@ -169,3 +171,21 @@
 		})
 	}
 }
+
+func TestLeavingServerIsToldToPeers(t *testing.T) {
+	platform, store := startPlatform(t)
+	first, second := startInstance(t, "rail-1", store), startInstance(t, "rail-2", store)
+	tables := &table.Tables{Generation: 1, Pools: []table.Pool{
+		{Name: "bookings", Kind: table.Plain, Servers: []table.Server{{Name: "plain-1", Address: "127.0.0.1:1", Zone: "a"}}},
+	}}
+	now := time.Now()
+	for _, one := range []*instance{first, second} {
+		waitFor(t, "view of two instances", one.sees(2))
+		one.control.Send(t.Context(), control.TablesRead{Tables: tables})
+		one.control.Send(t.Context(), control.ServerReported{Name: "plain-1", Status: engine.Status{Server: "plain-1"}, Asked: now, At: now})
+		waitFor(t, "usable server", func() bool { return one.control.Snapshot().Usable("plain-1") })
+	}
+	platform.SetFaults(fakeplatform.Faults{Outage: true})
+	first.control.Refused(t.Context(), "plain-1", "leaving", time.Now())
+	waitFor(t, "news of the leaving server at the other instance", func() bool { return !second.control.Snapshot().Usable("plain-1") })
+}
--- a/comfreyrail/internal/control/peers.go
+++ b/comfreyrail/internal/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyrail/comfreyrail/rail/drain"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
@@ -79,12 +80,14 @@
 		e.Beats <- nil
 		return
 	}
-	e.Beats <- c.peers.Tick(e.At)
+	e.Beats <- c.marked(c.peers.Tick(e.At), e.At)
 	c.publishPeers(next)
 }
 
 // HeadInstalled tells that a generation of the tables is in force and asks for the heartbeats that announce it.
 type HeadInstalled struct {
+	// At is the present time.
+	At time.Time
 	// Head is the generation.
 	Head spread.Head
 	// Beats receives the heartbeats; it must have room for them.
@@ -97,7 +100,54 @@
 		return
 	}
 	c.peers.SetHead(e.Head)
-	e.Beats <- c.peers.Announce()
+	e.Beats <- c.marked(c.peers.Announce(), e.At)
+}
+
+// NewsDue asks for heartbeats that carry at once what Urgent told of.
+type NewsDue struct {
+	// At is the present time.
+	At time.Time
+	// Beats receives the heartbeats; it must have room for them.
+	Beats chan<- []spread.Beat
+}
+
+func (e NewsDue) apply(c *Control, _ *Snapshot) {
+	if c.peers == nil {
+		e.Beats <- nil
+		return
+	}
+	e.Beats <- c.marked(c.peers.Announce(), e.At)
+}
+
+// marked adds the signs of leaving backend servers to heartbeats.
+func (c *Control) marked(beats []spread.Beat, now time.Time) []spread.Beat {
+	if len(beats) == 0 {
+		return nil
+	}
+	marks := c.servers.drains.Marks(now)
+	for i := range beats {
+		beats[i].Message.Marks = marks
+	}
+	return beats
+}
+
+// mergeMarks takes the signs of leaving backend servers that a peer passed on.
+func (c *Control) mergeMarks(next *Snapshot, marks []drain.Mark, now time.Time) {
+	c.servers.drains.Merge(marks, now)
+	for _, mark := range marks {
+		c.judge(next, mark.Server)
+	}
+}
+
+// Urgent tells of news about a leaving backend server that peers should hear before the next heartbeat.
+func (c *Control) Urgent() <-chan struct{} { return c.urgent }
+
+// hurry makes Urgent tell of news.
+func (c *Control) hurry() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
 }
 
 // HeartbeatReceived brings a heartbeat of another instance and asks for the reply.
@@ -115,7 +165,10 @@
 		close(e.Reply)
 		return
 	}
-	e.Reply <- c.peers.Receive(e.At, e.Message)
+	reply := c.peers.Receive(e.At, e.Message)
+	c.mergeMarks(next, e.Message.Marks, e.At)
+	reply.Marks = c.servers.drains.Marks(e.At)
+	e.Reply <- reply
 	c.publishPeers(next)
 }
 
@@ -131,6 +184,7 @@
 
 func (e HeartbeatAnswered) apply(c *Control, next *Snapshot) {
 	c.peers.Answered(e.At, e.Name, e.Reply)
+	c.mergeMarks(next, e.Reply.Marks, e.At)
 	c.publishPeers(next)
 }
 
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -60,22 +60,6 @@
 	At time.Time
 }
 
-// MarksReceived tells that a peer passed on marks.
-type MarksReceived struct {
-	// Marks are the marks.
-	Marks []drain.Mark
-	// At is the time at which they arrived.
-	At time.Time
-}
-
-// MarksWanted asks for the marks to pass on to peers.
-type MarksWanted struct {
-	// At is the time of the request.
-	At time.Time
-	// Marks receives the marks; it must have room for one message.
-	Marks chan<- []drain.Mark
-}
-
 // servers is what the control goroutine keeps about the backend servers beyond the snapshot.
 type servers struct {
 	drains *drain.State
@@ -162,7 +146,7 @@
 		judged := *server
 		judged.Usable = usable
 		changed = append(changed, &judged)
-		c.logUsable(name, usable)
+		c.tellUsable(name, usable)
 	}
 	next.replace(changed...)
 }
@@ -185,13 +169,15 @@
 	s.Reports++
 }
 
-func (c *Control) logUsable(name string, usable bool) {
+// tellUsable logs a change, and hurries the news that a backend server is leaving.
+func (c *Control) tellUsable(name string, usable bool) {
 	source, leaving := c.servers.drains.Leaving(name)
 	entry := c.log.WithField("server", name)
 	switch {
 	case usable:
 		entry.Info("backend server takes new work")
 	case leaving:
+		c.hurry()
 		entry.WithField("sign", source).Info("backend server is leaving and gets no new work")
 	default:
 		entry.Warn("backend server does not answer and gets no new work")
@@ -208,7 +194,7 @@
 	reported := *server
 	reported.Status, reported.ReportedAt, reported.Usable = e.Status, e.At, c.usable(e.Name)
 	if reported.Usable != server.Usable {
-		c.logUsable(e.Name, reported.Usable)
+		c.tellUsable(e.Name, reported.Usable)
 	}
 	next.replace(&reported)
 }
@@ -233,14 +219,3 @@
 		c.judge(next, instance.Name)
 	}
 }
-
-func (e MarksReceived) apply(c *Control, next *Snapshot) {
-	c.servers.drains.Merge(e.Marks, e.At)
-	for _, mark := range e.Marks {
-		c.judge(next, mark.Server)
-	}
-}
-
-func (e MarksWanted) apply(c *Control, _ *Snapshot) {
-	e.Marks <- c.servers.drains.Marks(e.At)
-}
--- a/rail/spread/message.go
+++ b/rail/spread/message.go
@@ -1,6 +1,9 @@
 package spread
 
-import "github.com/comfreyrail/comfreyrail/rail/member"
+import (
+	"github.com/comfreyrail/comfreyrail/rail/drain"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+)
 
 // State is what is believed about a member.
 type State uint8
@@ -74,6 +77,8 @@
 	Digest uint64 `cbor:"4,keyasint"`
 	// Updates is news about members.
 	Updates []Update `cbor:"5,keyasint,omitempty"`
+	// Marks are signs that backend servers are leaving.
+	Marks []drain.Mark `cbor:"7,keyasint,omitempty"`
 	// Full asks for all that the receiver knows about the members.
 	Full bool `cbor:"6,keyasint,omitempty"`
 }
