Tell control what traffic learns of backend servers

Cause: refusals and successes of traffic did not reach control; a first form let any traffic in the last 2 s outweigh failed status calls, which would have kept a killed busy server usable for seconds.

Change: dispatches and engine calls report refusals by reason "leaving" and successes; a failed status call does not count only if traffic succeeded after that call was sent.

--- a/comfreyrail/internal/control/probe/probe.go
+++ b/comfreyrail/internal/control/probe/probe.go
@@ -95,7 +95,7 @@
 		err = fmt.Errorf("backend server calls itself %q", status.Server)
 	}
 	if err != nil {
-		p.config.Control.Send(ctx, control.ServerFailed{Name: name, At: time.Now()})
+		p.config.Control.Send(ctx, control.ServerFailed{Name: name, Asked: asked, At: time.Now()})
 	} else {
 		p.config.Control.Send(ctx, control.ServerReported{Name: name, Status: status, Asked: asked, At: time.Now()})
 	}
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -30,20 +30,20 @@
 	At time.Time
 }
 
-// ServerFailed tells that a status call failed or that a connection with traffic broke.
+// ServerFailed tells that a call that every backend server answers at once failed.
 type ServerFailed struct {
 	// Name is the name of the backend server.
 	Name string
+	// Asked is the time at which the call was sent.
+	Asked time.Time
 	// At is the time of the failure.
 	At time.Time
 }
 
-// ServerRefused tells that a backend server refused a request.
+// ServerRefused tells that a backend server refused a request because it is leaving.
 type ServerRefused struct {
-	// Name is the name of the backend server.
-	Name string
-	// Reason is the reason that the server gave.
-	Reason string
+	// Address is the host and port of the backend server.
+	Address string
 	// Sent is the time at which the request was sent.
 	Sent time.Time
 	// At is the time of the refusal.
@@ -81,7 +81,7 @@
 	drains *drain.State
 	health map[string]*health.State
 	config health.Config
-	// served holds for each name the time of the last successful traffic; traffic writes it.
+	// served holds for each address the time of the last successful traffic; traffic writes it.
 	served sync.Map
 }
 
@@ -93,26 +93,28 @@
 	}
 }
 
-// Served tells that a backend server answered traffic; unlike an event it costs one atomic write.
-func (c *Control) Served(name string, at time.Time) {
-	last, ok := c.servers.served.Load(name)
+// Served tells that the backend server at the address answered traffic; unlike an event it costs one atomic write.
+func (c *Control) Served(address string, at time.Time) {
+	last, ok := c.servers.served.Load(address)
 	if !ok {
-		last, _ = c.servers.served.LoadOrStore(name, new(atomic.Int64))
+		last, _ = c.servers.served.LoadOrStore(address, new(atomic.Int64))
 	}
 	last.(*atomic.Int64).Store(at.UnixNano())
 }
 
 // lastServed returns the time of the last successful traffic, or zero.
-func (s *servers) lastServed(name string) time.Time {
-	if last, ok := s.served.Load(name); ok {
+func (s *servers) lastServed(address string) time.Time {
+	if last, ok := s.served.Load(address); ok {
 		return time.Unix(0, last.(*atomic.Int64).Load())
 	}
 	return time.Time{}
 }
 
-// Refused tells that a backend server refused a request that was sent at the time.
-func (c *Control) Refused(ctx context.Context, name, reason string, sent time.Time) {
-	c.Send(ctx, ServerRefused{Name: name, Reason: reason, Sent: sent, At: time.Now()})
+// Refused tells that the backend server at the address refused a request that was sent at the time.
+func (c *Control) Refused(ctx context.Context, address, reason string, sent time.Time) {
+	if reason == reasonLeaving {
+		c.Send(ctx, ServerRefused{Address: address, Sent: sent, At: time.Now()})
+	}
 }
 
 // list takes the backend servers of the tables into the snapshot.
@@ -192,15 +194,17 @@
 
 func (e ServerFailed) apply(c *Control, next *Snapshot) {
 	if state := c.servers.health[e.Name]; state != nil {
-		state.Fail(c.servers.config, c.servers.lastServed(e.Name), e.At)
+		state.Fail(c.servers.config, e.Asked, c.servers.lastServed(next.Servers[e.Name].Address), e.At)
 		c.judge(next, e.Name)
 	}
 }
 
 func (e ServerRefused) apply(c *Control, next *Snapshot) {
-	if e.Reason == reasonLeaving {
-		c.servers.drains.Answered(e.Name, true, e.Sent, e.At)
-		c.judge(next, e.Name)
+	for name, server := range next.Servers {
+		if server.Address == e.Address {
+			c.servers.drains.Answered(name, true, e.Sent, e.At)
+			c.judge(next, name)
+		}
 	}
 }
 
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -104,8 +104,8 @@
 	})
 }
 
-func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Checker: checker})
+func provideDispatcher(state *control.Control, checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker, Refused: state.Refused, Served: state.Served})
 }
 
 func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -35,7 +35,7 @@
 	lister := provideLister(client, control, entry)
 	chooser := provideChooser(loaded, control, checker)
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
-	dispatcher := provideDispatcher(checker)
+	dispatcher := provideDispatcher(control, checker)
 	relay := provideRelay(control, dispatcher)
 	entryEntry := provideEntry(loaded, control, runner, relay, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
--- a/comfreyrail/internal/traffic/completion/carrier.go
+++ b/comfreyrail/internal/traffic/completion/carrier.go
@@ -204,6 +204,7 @@
 func (c *carrier) probe(ctx context.Context, probe, index int, hop engine.Hop) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	asked := time.Now()
 	reply := stream.StageProbed{Probe: probe, Index: index}
 	response, err := c.runner.post(call, hop.Address, engine.PathProbe, engine.Probe{Stream: c.request.ID}, true)
 	if err == nil {
@@ -211,7 +212,7 @@
 		reply.Answered = json.NewDecoder(response.Body).Decode(&reply.Progress) == nil
 	}
 	if !reply.Answered {
-		c.runner.config.Control.Send(ctx, control.ServerFailed{Name: hop.Server})
+		c.runner.config.Control.Send(ctx, control.ServerFailed{Name: hop.Server, Asked: asked, At: time.Now()})
 	}
 	c.send(ctx, reply)
 }
--- a/comfreyrail/internal/traffic/dispatch/dispatch.go
+++ b/comfreyrail/internal/traffic/dispatch/dispatch.go
@@ -56,18 +56,30 @@
 type Config struct {
 	// Checker counts repeats that the transport tried; nil leaves them uncounted.
 	Checker *invariant.Checker
+	// Refused hears that the backend server at the address refused a request sent at the time; nil ignores it.
+	Refused func(ctx context.Context, address, reason string, sent time.Time)
+	// Served hears that the backend server at the address answered a request; nil ignores it.
+	Served func(address string, at time.Time)
 }
 
 // Dispatcher sends requests to backend servers; its methods may be called concurrently.
 type Dispatcher struct {
 	transport *http.Transport
 	checker   *invariant.Checker
+	refused   func(ctx context.Context, address, reason string, sent time.Time)
+	served    func(address string, at time.Time)
 	dials     atomic.Uint64
 }
 
 // New returns a Dispatcher without connections.
 func New(config Config) *Dispatcher {
-	d := &Dispatcher{checker: config.Checker}
+	d := &Dispatcher{checker: config.Checker, refused: config.Refused, served: config.Served}
+	if d.refused == nil {
+		d.refused = func(context.Context, string, string, time.Time) {}
+	}
+	if d.served == nil {
+		d.served = func(string, time.Time) {}
+	}
 	if d.checker == nil {
 		d.checker = new(invariant.Checker)
 	}
@@ -130,6 +142,7 @@
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(request.Body)), int64(len(request.Body))
 	}
 	// RoundTrip follows no redirects, which would run the request at another address.
+	sent := time.Now()
 	response, err := d.transport.RoundTrip(out)
 	if err != nil {
 		return Answer{}, err
@@ -141,9 +154,11 @@
 	}
 	if reason, ok := refusal(response.StatusCode, content); ok {
 		current.note((*outcome.Dispatch).Refuse)
+		d.refused(ctx, request.Address, reason, sent)
 		return Answer{}, fmt.Errorf("backend server refused: %s", reason)
 	}
 	current.note((*outcome.Dispatch).Answer)
+	d.served(request.Address, time.Now())
 	return Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: content}, nil
 }
 
--- a/rail/health/health.go
+++ b/rail/health/health.go
@@ -6,8 +6,6 @@
 type Config struct {
 	// Failures is the number of failures in a row that make a server unhealthy.
 	Failures int
-	// Trust is the time for which successful traffic outweighs failed status calls.
-	Trust time.Duration
 	// MaxSuccesses is the greatest number of successes in a row that a server needs to become healthy again.
 	MaxSuccesses int
 	// Calm is the time without failures after which a server's past does not count.
@@ -16,7 +14,7 @@
 
 // Defaults returns the usual configuration.
 func Defaults() Config {
-	return Config{Failures: 3, Trust: 2 * time.Second, MaxSuccesses: 4, Calm: time.Minute}
+	return Config{Failures: 3, MaxSuccesses: 4, Calm: time.Minute}
 }
 
 // State judges one backend server; its zero value is a server that has never answered.
@@ -62,10 +60,12 @@
 	return needed
 }
 
-// Fail takes a failed status call or a broken connection; served is the time of the last successful traffic.
-func (s *State) Fail(config Config, served, now time.Time) {
+// Fail takes a status call, sent at asked, that failed; served is the time of the last successful traffic.
+//
+// Traffic that succeeded after the call was sent shows that the server answers, however late it is with its status.
+func (s *State) Fail(config Config, asked, served, now time.Time) {
 	s.successes = 0
-	if s.healthy && !served.IsZero() && now.Sub(served) <= config.Trust {
+	if s.healthy && served.After(asked) {
 		return
 	}
 	if now.Sub(s.failedAt) > config.Calm {
--- a/rail/health/health_test.go
+++ b/rail/health/health_test.go
@@ -18,7 +18,8 @@
 		{"one failure", "sf", true},
 		{"failures with answers between", "sffsffsff", true},
 		{"three failures", "sfff", false},
-		{"three failures while traffic succeeds", "stfff", true},
+		{"three failures while traffic succeeds", "stftftf", true},
+		{"four failures, three of calls sent after traffic succeeded", "stffff", false},
 		{"recovery after the first fall", "sfffs", true},
 		{"recovery after the second fall needs two answers", "sfffsfffs", false},
 		{"two answers after the second fall", "sfffsfffss", true},
@@ -34,7 +35,7 @@
 				case ok:
 					s.Succeed(Defaults(), now)
 				case fail:
-					s.Fail(Defaults(), served, now)
+					s.Fail(Defaults(), now.Add(-150*time.Millisecond), served, now)
 				case traffic:
 					served = now
 				}
