Pass marks of leaving servers on with heartbeats

Cause: an instance cut off from the platform's service must learn from its peers that a server is leaving.

--- a/comfreyrail/internal/control/peers.go
+++ b/comfreyrail/internal/control/peers.go
@@ -79,7 +79,7 @@
 		e.Beats <- nil
 		return
 	}
-	e.Beats <- c.peers.Tick(e.At)
+	e.Beats <- c.withMarks(c.peers.Tick(e.At), e.At)
 	c.publishPeers(next)
 }
 
@@ -115,7 +115,10 @@
 		close(e.Reply)
 		return
 	}
-	e.Reply <- c.peers.Receive(e.At, e.Message)
+	reply := c.peers.Receive(e.At, e.Message)
+	c.mergeMarks(next, e.Message.Marks, e.At)
+	reply.Marks = c.servers.drains.Marks(e.At)
+	e.Reply <- reply
 	c.publishPeers(next)
 }
 
@@ -131,6 +134,7 @@
 
 func (e HeartbeatAnswered) apply(c *Control, next *Snapshot) {
 	c.peers.Answered(e.At, e.Name, e.Reply)
+	c.mergeMarks(next, e.Reply.Marks, e.At)
 	c.publishPeers(next)
 }
 
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/health"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // reasonLeaving is the reason by which a backend server refuses work because it is leaving.
@@ -60,22 +61,6 @@
 	At time.Time
 }
 
-// MarksReceived tells that a peer passed on marks.
-type MarksReceived struct {
-	// Marks are the marks.
-	Marks []drain.Mark
-	// At is the time at which they arrived.
-	At time.Time
-}
-
-// MarksWanted asks for the marks to pass on to peers.
-type MarksWanted struct {
-	// At is the time of the request.
-	At time.Time
-	// Marks receives the marks; it must have room for one message.
-	Marks chan<- []drain.Mark
-}
-
 // servers is what the control goroutine keeps about the backend servers beyond the snapshot.
 type servers struct {
 	drains *drain.State
@@ -215,13 +200,19 @@
 	}
 }
 
-func (e MarksReceived) apply(c *Control, next *Snapshot) {
-	c.servers.drains.Merge(e.Marks, e.At)
-	for _, mark := range e.Marks {
-		c.judge(next, mark.Server)
+// withMarks adds the marks to heartbeats.
+func (c *Control) withMarks(beats []spread.Beat, now time.Time) []spread.Beat {
+	marks := c.servers.drains.Marks(now)
+	for i := range beats {
+		beats[i].Message.Marks = marks
 	}
+	return beats
 }
 
-func (e MarksWanted) apply(c *Control, _ *Snapshot) {
-	e.Marks <- c.servers.drains.Marks(e.At)
+// mergeMarks takes the marks of a peer.
+func (c *Control) mergeMarks(next *Snapshot, marks []drain.Mark, now time.Time) {
+	c.servers.drains.Merge(marks, now)
+	for _, mark := range marks {
+		c.judge(next, mark.Server)
+	}
 }
--- a/rail/spread/message.go
+++ b/rail/spread/message.go
@@ -1,6 +1,9 @@
 package spread
 
-import "github.com/comfreyrail/comfreyrail/rail/member"
+import (
+	"github.com/comfreyrail/comfreyrail/rail/drain"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+)
 
 // State is what is believed about a member.
 type State uint8
@@ -76,6 +79,8 @@
 	Updates []Update `cbor:"5,keyasint,omitempty"`
 	// Full asks for all that the receiver knows about the members.
 	Full bool `cbor:"6,keyasint,omitempty"`
+	// Marks are the signs that backend servers are leaving.
+	Marks []drain.Mark `cbor:"7,keyasint,omitempty"`
 }
 
 // Beat is a heartbeat to send.
