--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -186,6 +186,6 @@
 		waitFor(t, "usable server", func() bool { return one.control.Snapshot().Usable("plain-1") })
 	}
 	platform.SetFaults(fakeplatform.Faults{Outage: true})
-	first.control.Refused(t.Context(), "plain-1", "leaving", time.Now())
+	first.control.Refused(t.Context(), "127.0.0.1:1", "leaving", time.Now())
 	waitFor(t, "news of the leaving server at the other instance", func() bool { return !second.control.Snapshot().Usable("plain-1") })
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -112,8 +112,8 @@
 	})
 }
 
-func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Checker: checker})
+func provideDispatcher(state *control.Control, checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker, Refused: state.Refused, Served: state.Served})
 }
 
 func provideClaims(self member.Member, store *kv.Client, state *control.Control, transport *peer.Transport, checker *invariant.Checker, log *logrus.Entry) *claims.Claims {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -37,7 +37,7 @@
 	lister := provideLister(client, control, entry)
 	chooser := provideChooser(loaded, control, checker)
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
-	dispatcher := provideDispatcher(checker)
+	dispatcher := provideDispatcher(control, checker)
 	relay := provideRelay(control, dispatcher, claims)
 	admission := provideAdmission(loaded, control, checker, registry)
 	entryEntry := provideEntry(loaded, control, runner, relay, admission, membership, checker, entry, registry)
