--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -10,15 +11,23 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
 )
 
 // Process is the root of the supervisor tree.
 type Process struct {
-	root *suture.Supervisor
+	root    *suture.Supervisor
+	callers *graceful.Server
+	admin   *admin.Admin
+	log     *logrus.Entry
+
+	asked  atomic.Int32
+	forced chan struct{}
 }
 
 // Branches are the services below the root.
@@ -31,8 +40,12 @@
 	Membership *membership.Membership
 	// Peers carries calls between instances.
 	Peers *peer.Transport
+	// Linked shows that the calls between instances are joined.
+	Linked link.Linked
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
+	// Lister reads the platform's list of instances.
+	Lister *probe.Lister
 	// Entry serves callers.
 	Entry *entry.Entry
 	// Admin serves operators.
@@ -50,20 +63,36 @@
 	state.Add(branches.Sync)
 	state.Add(branches.Membership)
 	state.Add(branches.Prober)
+	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
 	root.Add(state)
 	root.Add(traffic)
 	root.Add(branches.Peers)
 	root.Add(branches.Admin)
-	return &Process{root: root}
+	return &Process{
+		root: root, callers: branches.Entry.Server(), admin: branches.Admin, log: log, forced: make(chan struct{}),
+	}
 }
 
-// Serve runs the tree until the context ends.
+// Serve runs the tree until a planned stop has ended, or until the context ends, which cuts every request.
 func (p *Process) Serve(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "process")
-	if err = p.root.Serve(ctx); ctx.Err() != nil {
-		return nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		select {
+		case <-p.callers.Stopped():
+		case <-p.forced:
+		case <-ctx.Done():
+		}
+	}()
+	if err = p.root.Serve(ctx); ctx.Err() == nil {
+		return err
+	}
+	if cut := p.callers.Cut(); len(cut) > 0 {
+		return &CutError{Requests: cut}
 	}
-	return err
+	return nil
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/admin"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/link"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
@@ -19,6 +20,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -58,8 +60,10 @@
 	return &kv.Client{Address: loaded.Platform.Address}
 }
 
-func provideControl(log *logrus.Entry, checker *invariant.Checker) *control.Control {
-	return control.New(control.Config{Log: log, Checker: checker})
+func provideControl(loaded settings.Settings, log *logrus.Entry, checker *invariant.Checker) *control.Control {
+	return control.New(control.Config{
+		Log: log, Checker: checker, Observer: rand.Text(), ListLag: time.Duration(loaded.List.Lag),
+	})
 }
 
 func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry) *configsync.Sync {
@@ -79,33 +83,43 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	transport := peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
-	transport.Handle(membership.KindHeartbeat, members.ServeHeartbeat)
-	transport.Handle(membership.KindStatus, members.ServeStatus)
-	members.Call = transport.Call
-	return transport
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+}
+
+func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
 	return probe.New(probe.Config{Control: state, HTTP: client})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, log *logrus.Entry) *completion.Runner {
+func provideLister(store *kv.Client, state *control.Control, log *logrus.Entry) *probe.Lister {
+	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
+}
+
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{
-		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Choose: chains.Choose, Track: chains.Track,
+		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
+		Choose: chains.Choose, Track: chains.Track,
 	})
 }
 
-func provideRelay(state *control.Control, client *http.Client) *relay.Relay {
-	return relay.New(relay.Config{Control: state, HTTP: client})
+func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker})
+}
+
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
 		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Log: log, Metrics: registry,
+		Checker: checker, Stop: loaded.Stop, Release: members.Stop,
 	})
 }
 
-func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, registry metrics.Registry) *admin.Admin {
-	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry})
+func provideAdmin(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, registry metrics.Registry) *admin.Admin {
+	return admin.New(admin.Config{Settings: loaded.Admin, Control: state, Sync: sync, Metrics: registry, Fleet: members.Fleet})
 }
--- a/rail/spread/node.go
+++ b/rail/spread/node.go
@@ -21,6 +21,7 @@
 	DefaultFar        = 2               // DefaultFar is the number of rings over the whole fleet.
 	maxFailures       = 3               // maxFailures is the number of failed heartbeats in a row that make a suspect.
 	maxUpdates        = 8               // maxUpdates is the number of updates in an ordinary heartbeat.
+	told              = 1 << 20         // told is more often than any update is sent.
 	repeatsPerDoubled = 3               // repeatsPerDoubled is how often an update is sent for each doubling of the fleet.
 	reviveTicks       = 3               // reviveTicks is the number of ticks between heartbeats to a dead member.
 	patience          = 8               // patience is the number of exchanges with different digests before all is asked for.
@@ -95,13 +96,21 @@
 // Self returns the own record.
 func (n *Node) Self() member.Member { return n.self.Member }
 
-// Learn takes in members that the platform's service lists.
+// Learn takes in members that the platform's service lists; the others read the same list, so that they are no news.
 func (n *Node) Learn(now time.Time, members []member.Member) {
 	for _, listed := range members {
 		n.apply(now, Update{Member: listed})
+		if known := n.views[listed.Name]; known != nil && known.sent == 0 {
+			known.sent = told
+		}
 	}
 }
 
+// Greet takes in a member that has just joined, which the others hear as news.
+func (n *Node) Greet(now time.Time, joined member.Member) {
+	n.apply(now, Update{Member: joined})
+}
+
 // Members returns the own instance and all members that are alive or suspect, by name.
 func (n *Node) Members() []member.Member {
 	members := []member.Member{n.self.Member}
--- a/railload/main.go
+++ b/railload/main.go
@@ -3,19 +3,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
-	"github.com/spf13/cobra"
-
-	"github.com/comfreyrail/comfreyrail/railload/internal/experiment"
+	"github.com/comfreyrail/comfreyrail/railload/internal/command"
 )
 
 func main() {
-	root := &cobra.Command{Use: "railload", Short: "Load and measure comfreyrail", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(experiment.Command())
-	if err := root.Execute(); err != nil {
-		_, _ = fmt.Fprintf(os.Stderr, "railload: %v\n", err)
-		os.Exit(1)
-	}
+	os.Exit(command.Execute(os.Args[1:], os.Stdout, os.Stderr))
 }
