Take retries from a budget for each pool

Cause: a pool in which attempts fail got up to ten attempts for each completion and three dispatches for each idempotent plain request.

Change: traffic/retries holds a retry.Budget for each pool, earned by the answers that entry serves. The relay asks it before it repeats an idempotent request that may have run. A completion asks it only after an attempt that brought no new token: an attempt that delivered some has earned its successor, so that many streams can recover at once from the death of one stage. While it is denied the recovery waits (Later) within its patience.

--- a/comfreyrail/internal/process/load.go
+++ b/comfreyrail/internal/process/load.go
@@ -10,7 +10,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/retries"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/retry"
 )
 
 func provideChooser(loaded settings.Settings, state *control.Control, checker *invariant.Checker) *chooser.Chooser {
@@ -25,3 +27,7 @@
 		Seed: rand.Int63(), Checker: checker, Metrics: registry,
 	})
 }
+
+func provideRetries(state *control.Control, registry metrics.Registry) *retries.Retries {
+	return retries.New(retries.Config{Control: state, Budget: retry.BudgetConfig{}, Metrics: registry})
+}
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -23,6 +23,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/retries"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -98,10 +99,10 @@
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, budgets *retries.Retries, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{
 		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
-		Choose: chains.Choose, Track: chains.Track,
+		Choose: chains.Choose, Track: chains.Track, Retry: budgets.Allow,
 	})
 }
 
@@ -109,13 +110,13 @@
 	return dispatch.New(dispatch.Config{Checker: checker})
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
-	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, budgets *retries.Retries) *relay.Relay {
+	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher, Retry: budgets.Allow})
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, budgets *retries.Retries, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
-		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Log: log, Metrics: registry,
+		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Retries: budgets, Log: log, Metrics: registry,
 		Checker: checker, Stop: loaded.Stop, Release: members.Stop,
 	})
 }
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -26,6 +26,7 @@
 		provideLister,
 		provideChooser,
 		provideAdmission,
+		provideRetries,
 		provideRunner,
 		provideDispatcher,
 		provideRelay,
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -34,11 +34,12 @@
 	prober := provideProber(control, httpClient)
 	lister := provideLister(client, control, entry)
 	chooser := provideChooser(loaded, control, checker)
-	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
+	retries := provideRetries(control, registry)
+	runner := provideRunner(loaded, control, httpClient, chooser, retries, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher)
+	relay := provideRelay(control, dispatcher, retries)
 	admission := provideAdmission(loaded, control, checker, registry)
-	entryEntry := provideEntry(loaded, control, runner, relay, admission, membership, checker, entry, registry)
+	entryEntry := provideEntry(loaded, control, runner, relay, admission, retries, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -62,6 +62,8 @@
 	Choose func(servers []chain.Server, request chain.Request) (chain.Plan, bool)
 	// Track counts an attempt at every stage of its plan until done is called; nil counts nothing.
 	Track func(pool string, plan chain.Plan) (done func())
+	// Retry takes one attempt on the pool from a budget after an attempt without a new token; nil allows every attempt.
+	Retry func(pool string) bool
 	// Silence configures the deadlines for frames; the zero value means silence.DefaultConfig.
 	Silence silence.Config
 	// RechainAlways answers every failure with a whole new chain, for comparisons.
@@ -79,6 +81,9 @@
 	if config.Choose == nil {
 		config.Choose = chain.Choose
 	}
+	if config.Retry == nil {
+		config.Retry = func(string) bool { return true }
+	}
 	if config.Track == nil {
 		config.Track = func(string, chain.Plan) func() { return func() {} }
 	}
@@ -117,6 +122,7 @@
 	_, _ = digest.Write([]byte(request.ID))
 	return stream.RecoveryConfig{
 		Choose:        r.config.Choose,
+		Retry:         func() bool { return r.config.Retry(pool.Name) },
 		Request:       chain.Request{Pool: pool.Name, Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
 		Rand:          rand.New(rand.NewPCG(digest.Sum64(), 0)),
 		MaxFruitless:  maxFruitless,
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/retries"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
@@ -41,6 +42,8 @@
 	Relay *relay.Relay
 	// Admission holds requests until they may run.
 	Admission *admission.Admission
+	// Retries bounds the retries on each pool.
+	Retries *retries.Retries
 	// Log receives the log.
 	Log *logrus.Entry
 	// Metrics receives the counts of outcomes.
@@ -187,9 +190,18 @@
 
 // enter waits until the request may run.
 func (e *Entry) enter(ctx context.Context, id, workspace string, route table.Route, units int) (leave func(served bool), err error) {
-	return e.config.Admission.Enter(ctx, admission.Request{
+	done, err := e.config.Admission.Enter(ctx, admission.Request{
 		ID: id, Pool: route.Pool, Workspace: workspace, Priority: route.Priority, Units: units,
 	})
+	if err != nil {
+		return nil, err
+	}
+	return func(served bool) {
+		done(served)
+		if served {
+			e.config.Retries.Succeeded(route.Pool)
+		}
+	}, nil
 }
 
 // failureBody is the body of an answer that tells a failure.
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -39,15 +39,15 @@
 	Control *control.Control
 	// Dispatcher sends requests to the services.
 	Dispatcher *dispatch.Dispatcher
-	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
-	Retry func() bool
+	// Retry takes one retry on the pool from a budget for requests that may have run and are idempotent; nil allows none.
+	Retry func(pool string) bool
 }
 
 // Relay passes plain requests on.
 type Relay struct {
 	control    *control.Control
 	dispatcher *dispatch.Dispatcher
-	retry      func() bool
+	retry      func(pool string) bool
 }
 
 // New returns a Relay.
@@ -62,7 +62,7 @@
 //
 // Another backend server is tried only while the request provably has not run, or if it is idempotent.
 func (r *Relay) Run(ctx context.Context, request Request) (answer Answer, err error) {
-	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
+	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.budget(request.Route.Pool)}
 	tried := make(map[string]bool)
 	ran := false
 	for {
@@ -90,6 +90,14 @@
 	}
 }
 
+// budget returns the function that takes one retry on the pool from the budget, nil if there is none.
+func (r *Relay) budget(pool string) func() bool {
+	if r.retry == nil {
+		return nil
+	}
+	return func() bool { return r.retry(pool) }
+}
+
 // firstFailure returns the failure of the last dispatch, or why none was possible.
 func firstFailure(dispatched, chosen error) error {
 	if dispatched != nil {
--- /dev/null
+++ b/comfreyrail/internal/traffic/retries/doc.go
@@ -0,0 +1,2 @@
+// Package retries holds the retry budgets of one instance.
+package retries
--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -78,6 +78,8 @@
 	Avoid time.Duration
 	// Patience is how long to wait for a chain to become available.
 	Patience time.Duration
+	// Retry takes one attempt from a budget after an attempt without a new token; nil allows every attempt.
+	Retry func() bool
 	// RechainAlways answers every failure with a Rechain that avoids the whole chain, for comparisons.
 	RechainAlways bool
 }
@@ -170,7 +172,7 @@
 	} else if step.Plan, ok = r.choose(now, servers); ok {
 		step.Way = Rechain
 	}
-	if !ok {
+	if !ok || r.fruitless > 0 && r.config.Retry != nil && !r.config.Retry() {
 		return r.wait(now, failure)
 	}
 	r.noneSince = time.Time{}
