Measure admission and retries, and mend the adaptive limit

Cause: no figures for admission and retries under failures.

Change: the adaptive limit compared the time for a unit of work with the least window seen, which is too low by the noise of exponential times, and shrank without a reason. It now follows the usual time, weighs 32 requests and grows by a tenth. A request keeps twice its expected time before its deadline instead of once.

--- a/rail/admit/admit.go
+++ b/rail/admit/admit.go
@@ -59,9 +59,13 @@
 // Share returns the number of requests that one instance may have in progress.
 //
 // It is an equal part of the slots, or what the instance has now and an equal part of the unused slots. As every
-// instance takes only its part of what is unused, all together take no more than there is.
+// instance takes only its part of what is unused, all together take no more than there is. If more is used than there
+// is, an instance above its part gives back in proportion.
 func (c Capacity) Share(own int) int {
 	instances := max(1, c.Instances)
-	spare := max(0, c.Slots-c.Used)
-	return max(1, (c.Slots+instances-1)/instances, own+spare/instances)
+	part := (c.Slots + instances - 1) / instances
+	if c.Used > c.Slots {
+		return max(1, part, own*c.Slots/c.Used)
+	}
+	return max(1, part, own+(c.Slots-c.Used)/instances)
 }
--- a/rail/admit/gate.go
+++ b/rail/admit/gate.go
@@ -17,6 +17,8 @@
 	guaranteedShare = 2
 	// expiryInterval is the time between two searches for requests whose deadline cannot be met.
 	expiryInterval = 20 * time.Millisecond
+	// margin is the time that is kept for a request, as a multiple of the expected one.
+	margin = 2
 	// leastRetryAfter is the shortest time that a refusal asks for.
 	leastRetryAfter = time.Second
 	// maxRetryAfter is the longest time that a refusal asks for, before jitter.
@@ -239,7 +241,7 @@
 	}
 	ahead := g.ahead(request, space)
 	wait := g.limiter.expected(request.Units) * time.Duration(ahead+1) / time.Duration(g.limiter.allow())
-	return now.Add(wait + g.limiter.expected(request.Units)).After(request.Deadline)
+	return now.Add(wait + margin*g.limiter.expected(request.Units)).After(request.Deadline)
 }
 
 // ahead estimates how many waiting requests run before a new one.
@@ -276,7 +278,7 @@
 	for id, held := range g.waiting {
 		latest := held.Deadline
 		if !g.config.KeepLate {
-			latest = latest.Add(-g.limiter.expected(held.Units))
+			latest = latest.Add(-margin * g.limiter.expected(held.Units))
 		}
 		if !now.Before(latest) {
 			ids = append(ids, id)
--- a/rail/admit/limit.go
+++ b/rail/admit/limit.go
@@ -5,14 +5,16 @@
 // Constants of the adaptive limit.
 const (
 	// windowSize is the number of finished requests after which the limit is weighed again.
-	windowSize = 16
-	// tolerance is the time for a unit of work, relative to the least one, above which the limit shrinks.
+	windowSize = 32
+	// tolerance is the time for a unit of work, relative to the usual one, above which the limit shrinks.
 	tolerance = 2.0
 	// shrink and growth change the limit after one window.
 	shrink = 0.9
-	growth = 0.05
-	// drift lets the least time rise slowly, so that it follows a pool that has become slower.
+	growth = 0.1
+	// drift lets the usual time rise slowly, so that it follows a pool that has become slower.
 	drift = 1.01
+	// descent is the weight of a window whose time is below the usual one.
+	descent = 0.2
 	// smoothing is the weight of one window in the mean time for a unit of work.
 	smoothing = 0.3
 )
@@ -21,7 +23,7 @@
 type limiter struct {
 	limit  float64
 	most   float64
-	least  time.Duration
+	usual  time.Duration
 	mean   time.Duration
 	sum    time.Duration
 	count  int
@@ -52,12 +54,16 @@
 	}
 	mean := l.sum / time.Duration(l.count)
 	l.mean += time.Duration(smoothing * float64(mean-l.mean))
-	l.least = time.Duration(float64(l.least) * drift)
-	if l.least == 0 || mean < l.least {
-		l.least = mean
+	switch {
+	case l.usual == 0:
+		l.usual = mean
+	case mean < l.usual:
+		l.usual += time.Duration(descent * float64(mean-l.usual))
+	default:
+		l.usual = min(mean, time.Duration(float64(l.usual)*drift))
 	}
 	switch {
-	case float64(mean) > tolerance*float64(l.least):
+	case float64(mean) > tolerance*float64(l.usual):
 		l.limit = max(1, min(l.limit, l.most)*shrink)
 	case l.wanted:
 		l.limit = min(l.most, l.limit+max(1, l.limit*growth))
--- a/railload/internal/experiment/command.go
+++ b/railload/internal/experiment/command.go
@@ -17,6 +17,8 @@
 // experiments lists all experiments.
 var experiments = []experiment{
 	{name: "chain", run: chains},
+	{name: "admission", run: admission},
+	{name: "retry", run: retries},
 }
 
 // defaultRuns is the number of seeds.
