--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -39,7 +39,7 @@
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
 	relay := provideRelay(control, dispatcher, claims)
-	entryEntry := provideEntry(loaded, control, runner, relay, entry, registry)
+	entryEntry := provideEntry(loaded, control, runner, relay, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
 		Control:    control,
