Test the claims' answers to peers, stop and panics

Cause: only the relay's tests reached them. Change: three tests; the benchmark covers the default of 16 records. Conclusion: a stop waits for a claimed request and writes its state; a run that panics is unknown for every repeat.

--- a/comfreyrail/internal/traffic/claims/bench_test.go
+++ b/comfreyrail/internal/traffic/claims/bench_test.go
@@ -35,14 +35,14 @@
 // BenchmarkClaims measures what a claim adds to a call at the service's budget; run it with -benchtime 1x.
 func BenchmarkClaims(b *testing.B) {
 	var loads []load
-	for _, rate := range []int{50, 200, 400, 1000, 3000} {
-		loads = append(loads, load{true, 6, 8, rate}, load{false, 6, 8, rate})
+	for _, rate := range []int{20, 50, 200, 400, 1000, 3000} {
+		loads = append(loads, load{true, 6, defaultShards, rate}, load{false, 6, defaultShards, rate})
 	}
-	for _, shards := range []int{1, 2, 4, 16, 64} {
+	for _, shards := range []int{1, 4, 8, 64} {
 		loads = append(loads, load{false, 6, shards, 1000})
 	}
-	for _, instances := range []int{1, 3, 9, 18} {
-		loads = append(loads, load{false, instances, 8, 1000})
+	for _, instances := range []int{1, 9, 18} {
+		loads = append(loads, load{false, instances, defaultShards, 1000})
 	}
 	for _, l := range loads {
 		b.Run(fmt.Sprintf("single=%t/instances=%d/shards=%d/rate=%d", l.single, l.instances, l.shards, l.rate), func(b *testing.B) {
--- /dev/null
+++ b/comfreyrail/internal/traffic/claims/claims_test.go
@@ -0,0 +1,134 @@
+package claims
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// startClaims starts Claims with a platform's service of their own.
+func startClaims(t *testing.T, owner string) (started *Claims, platform *fakeplatform.Server, stop func()) {
+	t.Helper()
+	platform = fakeplatform.New(fakeplatform.Config{})
+	server := httptest.NewServer(platform)
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	started = New(Config{
+		Owner: owner, Store: &kv.Client{Address: strings.TrimPrefix(server.URL, "http://")},
+		Checker: new(invariant.Checker), Log: logrus.NewEntry(log),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		_ = started.Serve(ctx)
+		close(ended)
+	}()
+	stop = func() {
+		cancel()
+		<-ended
+	}
+	t.Cleanup(stop)
+	return started, platform, stop
+}
+
+func TestServePeer(t *testing.T) {
+	c, _, _ := startClaims(t, "me")
+	request := Request{Key: claim.NewKey("w", "r", "k"), Run: func(context.Context) ([]byte, error) { return []byte("answer"), nil }}
+	if _, err := c.Run(t.Context(), request); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name     string
+		question Question
+		want     claim.State
+	}{
+		{"own claim", Question{Owner: "me", Sequence: 1}, claim.Done},
+		{"claim that is not known", Question{Owner: "me", Sequence: 9}, claim.Unknown},
+		{"claim of an earlier incarnation", Question{Owner: "before", Sequence: 1}, claim.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			body, err := cbor.Marshal(test.question)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := c.ServePeer(t.Context(), member.Member{}, body)
+			if answer, ok := got.(claim.Answer); err != nil || !ok || answer.State != test.want {
+				t.Errorf("got %v (%v), want state %d", got, err, test.want)
+			}
+		})
+	}
+	if _, err := c.ServePeer(t.Context(), member.Member{}, []byte("x")); err == nil {
+		t.Error("got no error from a malformed question, want one")
+	}
+}
+
+// TestStopWaits covers a stop while a claimed request runs.
+func TestStopWaits(t *testing.T) {
+	c, platform, stop := startClaims(t, "me")
+	running, release := make(chan struct{}), make(chan struct{})
+	result := make(chan error, 1)
+	go func() {
+		_, err := c.Run(context.WithoutCancel(t.Context()), Request{Key: claim.NewKey("w", "r", "k"), Run: func(context.Context) ([]byte, error) {
+			close(running)
+			<-release
+			return []byte("answer"), nil
+		}})
+		result <- err
+	}()
+	<-running
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+		t.Fatal("got a stop while a claimed request runs, want it to wait")
+	case <-time.After(50 * time.Millisecond):
+	}
+	before, _ := platform.Calls()
+	close(release)
+	if err := <-result; err != nil {
+		t.Errorf("got error %v, want the answer", err)
+	}
+	<-stopped
+	if after, _ := platform.Calls(); after != before+1 {
+		t.Errorf("got %d writes at the end of the stop, want 1 with the state of the claim", after-before)
+	}
+	_, err := c.Run(t.Context(), Request{Key: claim.NewKey("w", "r", "other")})
+	if got, want := outcome.From(err).Code, outcome.CodeStopping; got != want || outcome.From(err).Outcome != outcome.NotRun {
+		t.Errorf("got %v after the stop, want code %q and not run", err, want)
+	}
+}
+
+// TestPanicIsUnknown covers a run that panics.
+func TestPanicIsUnknown(t *testing.T) {
+	c, _, _ := startClaims(t, "me")
+	key := claim.NewKey("w", "r", "k")
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = c.Run(t.Context(), Request{Key: key, Run: func(context.Context) ([]byte, error) { panic("run") }})
+	}()
+	_, err := c.Run(t.Context(), Request{Key: key, Run: func(context.Context) ([]byte, error) {
+		t.Error("got a second run, want none")
+		return nil, nil
+	}})
+	if got, want := outcome.From(err).Outcome, outcome.Unknown; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
