Mint idempotency keys that need no call to the service

Cause: while the platform's service is out, a request with a caller's own key is refused; a long outage must not stop calls that may not be repeated. Weighed: a returned header (the caller learns the key after the run, too late for a lost answer); an endpoint, which this is. Change: POST /v1/idempotency-keys answers with a key that holds the incarnation that minted it and its age by that incarnation's own monotonic clock. Only that incarnation runs the request; another instance passes the request to it over the peers' transport. If it is gone the answer is "unknown"; a key older than the window is "unknown", never run. The minting instance remembers a request for longer than it accepts the key. Conclusion: keyed calls go on in an outage, at most once, while the minting instance lives.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -128,8 +128,16 @@
 	return kept
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims) *relay.Relay {
-	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher, Claims: kept})
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, transport *peer.Transport) *relay.Relay {
+	passer := relay.New(relay.Config{
+		Control: state, Dispatcher: dispatcher, Claims: kept,
+		Forward: func(ctx context.Context, to member.Member, forwarded relay.Forwarded) (reply relay.Reply, err error) {
+			err = transport.Call(ctx, to, relay.KindForward, forwarded, &reply)
+			return reply, err
+		},
+	})
+	transport.Handle(relay.KindForward, passer.ServePeer)
+	return passer
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -38,7 +38,7 @@
 	chooser := provideChooser(loaded, control, checker)
 	runner := provideRunner(loaded, control, httpClient, chooser, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher, claims)
+	relay := provideRelay(control, dispatcher, claims, transport)
 	entryEntry := provideEntry(loaded, control, runner, relay, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
 	branches := Branches{
--- a/comfreyrail/internal/traffic/claims/claims.go
+++ b/comfreyrail/internal/traffic/claims/claims.go
@@ -88,7 +88,7 @@
 		config.Shards = defaultShards
 	}
 	book := claim.Config{
-		Owner: config.Owner, Shards: config.Shards, Window: window, Bound: bound, Pause: callPause, Rate: fleetWrites,
+		Owner: config.Owner, Started: time.Now(), Shards: config.Shards, Window: window, Bound: bound, Pause: callPause, Rate: fleetWrites,
 		MaxClaims: maxClaims, MaxEntries: maxEntries, MaxAnswer: maxRecordAnswer, Single: config.Single, Checker: config.Checker,
 	}
 	return &Claims{
--- /dev/null
+++ b/comfreyrail/internal/traffic/claims/minted.go
@@ -0,0 +1,76 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// minting asks for a new key.
+type minting struct{ reply chan<- string }
+
+func (e minting) apply(c *Claims, now time.Time) claim.Actions {
+	e.reply <- c.book.Mint(now).String()
+	return claim.Actions{}
+}
+
+// wantedMinted asks for the claim of a minted key.
+type wantedMinted struct {
+	want   claim.Want
+	minted claim.Minted
+	reply  chan<- claim.Verdict
+}
+
+func (e wantedMinted) apply(c *Claims, now time.Time) claim.Actions {
+	ticket, actions := c.book.ClaimMinted(now, e.want, e.minted)
+	c.verdicts[ticket] = e.reply
+	return actions
+}
+
+// Mint returns a new idempotency key, whose request only this incarnation runs; no call to the service is needed.
+func (c *Claims) Mint() (key string, err error) {
+	reply := make(chan string, 1)
+	if c.send(minting{reply: reply}) {
+		select {
+		case key = <-reply:
+			return key, nil
+		case <-c.stopped:
+		}
+	}
+	return "", refused(outcome.CodeStopping, "the instance is stopping")
+}
+
+// Minter returns the instance that minted the key, and whether it is this one; ok is false if it is gone.
+func (c *Claims) Minter(minted claim.Minted) (minter member.Member, self, ok bool) {
+	if minted.Owner == c.config.Owner {
+		return member.Member{}, true, true
+	}
+	if c.config.Members == nil {
+		return member.Member{}, false, false
+	}
+	for _, other := range c.config.Members() {
+		if other.Incarnation == minted.Owner {
+			return other, false, true
+		}
+	}
+	return member.Member{}, false, false
+}
+
+// RunMinted runs the request of a key that this incarnation minted, at most once, and returns the answer of the run.
+//
+// The error is an outcome.Failure.
+func (c *Claims) RunMinted(ctx context.Context, minted claim.Minted, request Request) (answer []byte, err error) {
+	reply := make(chan claim.Verdict, 1)
+	want := claim.Want{Key: request.Key, Request: request.Digest}
+	if c.send(wantedMinted{want: want, minted: minted, reply: reply}) {
+		select {
+		case verdict := <-reply:
+			return c.obey(ctx, verdict, request)
+		case <-c.stopped:
+		}
+	}
+	return nil, refused(outcome.CodeStopping, "the instance is stopping; this call was not run")
+}
--- a/comfreyrail/internal/traffic/claims/run.go
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -36,6 +36,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.obey(ctx, verdict, request)
+}
+
+// obey does what the verdict says.
+func (c *Claims) obey(ctx context.Context, verdict claim.Verdict, request Request) (answer []byte, err error) {
 	switch verdict.Decision {
 	case claim.Won:
 		return c.runWon(ctx, verdict.Ticket, request)
@@ -45,6 +50,8 @@
 		return told(c.ask(ctx, verdict.Entry))
 	case claim.Mismatch:
 		return nil, outcome.NotRunf(outcome.CodeMismatch, "the idempotency key was used for another request; use a new key")
+	case claim.Expired:
+		return nil, outcome.Unknownf(outcome.CodeClaimed, "the idempotency key was minted too long ago; its request may have run")
 	case claim.Full:
 		return nil, refused(outcome.CodeOverload, "too many idempotency keys are in use; this call was not run")
 	default:
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -66,6 +66,7 @@
 	}
 	service := new(restful.WebService)
 	service.Route(service.POST("/v1/completions").To(e.complete))
+	service.Route(service.POST("/v1/idempotency-keys").To(e.mint))
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
 		service.Route(service.Method(method).Path("/{path:*}").To(e.pass))
 	}
--- /dev/null
+++ b/comfreyrail/internal/traffic/entry/mint.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+)
+
+// mintedBody is the answer to a call for an idempotency key.
+type mintedBody struct {
+	Key string `json:"key"`
+}
+
+// mint answers with a new idempotency key.
+func (e *Entry) mint(r *restful.Request, w *restful.Response) {
+	id := graceful.RequestID(r.Request.Context())
+	key, err := e.config.Relay.Mint()
+	if err != nil {
+		e.fail(w, id, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(outcome.Header, string(outcome.Done))
+	w.Header().Set(outcome.RequestHeader, id)
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(mintedBody{Key: key})
+}
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
@@ -41,6 +42,7 @@
 	mu      sync.Mutex
 	members []member.Member
 	owners  map[string]*claims.Claims
+	relays  map[string]*Relay
 	born    int
 }
 
@@ -56,7 +58,7 @@
 	log.SetOutput(io.Discard)
 	f := &fleet{
 		t: t, platform: fakeplatform.New(fakeplatform.Config{}), service: fakeservice.New(fakeservice.Config{Name: "s"}),
-		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log), owners: make(map[string]*claims.Claims),
+		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log), owners: make(map[string]*claims.Claims), relays: make(map[string]*Relay),
 	}
 	platform, service := httptest.NewServer(f.platform), httptest.NewServer(f.service)
 	t.Cleanup(platform.Close)
@@ -97,7 +99,11 @@
 		f.remove(self.Incarnation)
 	}
 	f.t.Cleanup(stop)
-	return &node{Relay: New(Config{Control: state, Dispatcher: dispatch.New(dispatch.Config{Checker: checker}), Claims: kept}), stop: stop}
+	relayed := New(Config{Control: state, Dispatcher: dispatch.New(dispatch.Config{Checker: checker}), Claims: kept, Forward: f.forward})
+	f.mu.Lock()
+	f.relays[self.Incarnation] = relayed
+	f.mu.Unlock()
+	return &node{Relay: relayed, stop: stop}
 }
 
 func (f *fleet) list() []member.Member {
@@ -125,6 +131,25 @@
 	return asked.ServeQuestion(ctx, owner, question), nil
 }
 
+// forward stands for the call to another instance, encoded as it travels.
+func (f *fleet) forward(ctx context.Context, to member.Member, forwarded Forwarded) (reply Reply, err error) {
+	f.mu.Lock()
+	asked := f.relays[to.Incarnation]
+	f.mu.Unlock()
+	body, err := cbor.Marshal(forwarded)
+	if err != nil {
+		return reply, err
+	}
+	answer, err := asked.ServePeer(ctx, to, body)
+	if err != nil {
+		return reply, err
+	}
+	if body, err = cbor.Marshal(answer); err != nil {
+		return reply, err
+	}
+	return reply, cbor.Unmarshal(body, &reply)
+}
+
 // call is one call of a caller and what it was told.
 type call struct {
 	id      string
--- a/comfreyrail/internal/traffic/relay/keyed.go
+++ b/comfreyrail/internal/traffic/relay/keyed.go
@@ -21,7 +21,15 @@
 	if len(key) > maxKeyBytes || len(request.Header.Values(KeyHeader)) != 1 {
 		return Answer{}, outcome.NotRunf(outcome.CodeInvalid, "%s must be given once with at most %d bytes", KeyHeader, maxKeyBytes)
 	}
-	encoded, err := r.claims.Run(ctx, claims.Request{
+	if minted, ok := claim.ParseMinted(key); ok {
+		return r.runMinted(ctx, minted, request)
+	}
+	return decoded(r.claims.Run(ctx, r.claimed(key, request)))
+}
+
+// claimed returns the request in the form in which it runs under a claim.
+func (r *Relay) claimed(key string, request Request) claims.Request {
+	return claims.Request{
 		Key:    claim.NewKey(request.Workspace, request.Route.Name, key),
 		Digest: claim.NewDigest(request.Method, request.Path, request.Body),
 		Run: func(ctx context.Context) ([]byte, error) {
@@ -31,7 +39,11 @@
 			}
 			return cbor.Marshal(ran)
 		},
-	})
+	}
+}
+
+// decoded returns the answer that a claim keeps.
+func decoded(encoded []byte, err error) (answer Answer, _ error) {
 	if err != nil {
 		return Answer{}, outcome.From(err)
 	}
--- /dev/null
+++ b/comfreyrail/internal/traffic/relay/minted.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/outcome"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// KindForward is the kind of a Forwarded request to another instance, which is answered by a Reply.
+const KindForward peer.Kind = "forward"
+
+// Forwarded is a request on its way to the instance that minted its key.
+type Forwarded struct {
+	// ID identifies the request.
+	ID string `cbor:"1,keyasint"`
+	// Workspace is the workspace of the caller.
+	Workspace string `cbor:"2,keyasint"`
+	// Route is the name of the route that the request matched.
+	Route string `cbor:"3,keyasint"`
+	// Method is the HTTP method.
+	Method string `cbor:"4,keyasint"`
+	// Path is the path with its query.
+	Path string `cbor:"5,keyasint"`
+	// Header holds the headers to pass on.
+	Header http.Header `cbor:"6,keyasint"`
+	// Body is the whole body.
+	Body []byte `cbor:"7,keyasint"`
+}
+
+// Reply tells what became of a forwarded request.
+type Reply struct {
+	// Outcome is Done if Answer is set.
+	Outcome outcome.Outcome `cbor:"1,keyasint"`
+	// Answer is the answer of a done request.
+	Answer Answer `cbor:"2,keyasint"`
+	// Code names the reason of a failure.
+	Code outcome.Code `cbor:"3,keyasint,omitempty"`
+	// Message explains the failure.
+	Message string `cbor:"4,keyasint,omitempty"`
+	// RetryAfter is the time after which a repeat may succeed.
+	RetryAfter time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Mint returns a new idempotency key.
+func (r *Relay) Mint() (key string, err error) { return r.claims.Mint() }
+
+// runMinted runs the request here if this incarnation minted its key, or else passes it to the one that did.
+func (r *Relay) runMinted(ctx context.Context, minted claim.Minted, request Request) (answer Answer, err error) {
+	minter, self, ok := r.claims.Minter(minted)
+	switch {
+	case self:
+		return decoded(r.claims.RunMinted(ctx, minted, r.claimed(minted.String(), request)))
+	case !ok || r.forward == nil:
+		return Answer{}, outcome.Unknownf(outcome.CodeClaimed, "the instance that minted the idempotency key is gone; the request may have run")
+	}
+	reply, err := r.forward(ctx, minter, Forwarded{
+		ID: request.ID, Workspace: request.Workspace, Route: request.Route.Name,
+		Method: request.Method, Path: request.Path, Header: request.Header, Body: request.Body,
+	})
+	switch {
+	case err != nil:
+		return Answer{}, outcome.Unknownf(outcome.CodeClaimed, "the instance that minted the idempotency key did not answer: %v", err)
+	case reply.Outcome == outcome.Done:
+		return reply.Answer, nil
+	default:
+		return Answer{}, &outcome.Failure{Outcome: reply.Outcome, Code: reply.Code, Message: reply.Message, RetryAfter: reply.RetryAfter}
+	}
+}
+
+// ServePeer runs a Forwarded request that came from another instance.
+func (r *Relay) ServePeer(ctx context.Context, _ member.Member, body []byte) (answer any, err error) {
+	var forwarded Forwarded
+	if err = peer.Decode(body, &forwarded); err != nil {
+		return nil, err
+	}
+	return r.ServeForwarded(ctx, forwarded), nil
+}
+
+// ServeForwarded runs a request whose key this incarnation minted, and goes on if the other instance stops waiting.
+func (r *Relay) ServeForwarded(ctx context.Context, forwarded Forwarded) Reply {
+	answer, err := r.runForwarded(context.WithoutCancel(ctx), forwarded)
+	if err == nil {
+		return Reply{Outcome: outcome.Done, Answer: answer}
+	}
+	failure := outcome.From(err)
+	return Reply{Outcome: failure.Outcome, Code: failure.Code, Message: failure.Message, RetryAfter: failure.RetryAfter}
+}
+
+func (r *Relay) runForwarded(ctx context.Context, forwarded Forwarded) (answer Answer, err error) {
+	minted, ok := claim.ParseMinted(forwarded.Header.Get(KeyHeader))
+	if _, self, _ := r.claims.Minter(minted); !ok || !self {
+		return Answer{}, outcome.NotRunf(outcome.CodeInvalid, "the idempotency key was not minted by this instance")
+	}
+	route, ok := findRoute(r.control.Snapshot().Tables, forwarded.Route)
+	if !ok {
+		return Answer{}, outcome.NotRunf(outcome.CodeNoRoute, "route %q is not in force at the instance that minted the idempotency key", forwarded.Route)
+	}
+	ctx, cancel := context.WithTimeout(ctx, route.Deadline())
+	defer cancel()
+	return r.runMinted(ctx, minted, Request{
+		ID: forwarded.ID, Workspace: forwarded.Workspace, Route: route,
+		Method: forwarded.Method, Path: forwarded.Path, Header: forwarded.Header, Body: forwarded.Body,
+	})
+}
+
+func findRoute(tables *table.Tables, name string) (table.Route, bool) {
+	for _, route := range tables.Routes {
+		if route.Name == name {
+			return route, true
+		}
+	}
+	return table.Route{}, false
+}
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
+	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
@@ -42,6 +43,8 @@
 	Dispatcher *dispatch.Dispatcher
 	// Claims runs requests that bear an idempotency key; nil relays them like any other.
 	Claims *claims.Claims
+	// Forward passes a request to another instance; nil means that no other instance can be reached.
+	Forward func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
 	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
 	Retry func() bool
 }
@@ -51,12 +54,15 @@
 	control    *control.Control
 	dispatcher *dispatch.Dispatcher
 	claims     *claims.Claims
+	forward    func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
 	retry      func() bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
-	return &Relay{control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, retry: config.Retry}
+	return &Relay{
+		control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, forward: config.Forward, retry: config.Retry,
+	}
 }
 
 // maxDispatches is the greatest number of backend servers that one request is sent to.
--- a/rail/claim/book.go
+++ b/rail/claim/book.go
@@ -11,6 +11,8 @@
 type Config struct {
 	// Owner is the incarnation of this instance.
 	Owner string
+	// Started is the time at which the incarnation started.
+	Started time.Time
 	// Shards is the number of records that the keys are spread over; every instance must use the same.
 	Shards int
 	// Window is the least time for which a key is remembered.
@@ -59,6 +61,8 @@
 	Unavailable
 	// Full means that there are too many claims.
 	Full
+	// Expired means that the key was minted too long ago to tell whether its request has run.
+	Expired
 )
 
 // Verdict answers one Want.
@@ -114,6 +118,8 @@
 	sequence uint64
 	want     Want
 	asked    time.Time
+	// minted tells that the claim has no record in the service.
+	minted bool
 	// decided tells that the verdict is out.
 	decided bool
 	// committed tells that the record holds the claim.
@@ -130,10 +136,12 @@
 type Book struct {
 	config   Config
 	sequence uint64
-	shards   []*shard
-	claims   map[uint64]*held
-	latest   map[Key]*held
-	out      Actions
+	// minted is the number of keys that were minted.
+	minted uint64
+	shards []*shard
+	claims map[uint64]*held
+	latest map[Key]*held
+	out    Actions
 
 	rate float64
 	// tokens is the number of writes that may be made at refilled.
@@ -324,6 +332,9 @@
 
 // mark asks for the state of the claim to be written to its record.
 func (b *Book) mark(claimed *held) {
+	if claimed.minted {
+		return
+	}
 	s := b.shardOf(claimed)
 	s.marks = append(s.marks, claimed)
 }
--- a/rail/claim/model_test.go
+++ b/rail/claim/model_test.go
@@ -82,8 +82,13 @@
 	born      int
 	// calm leaves out restarts and outages, so that records are rotated often.
 	calm bool
+	// mints are the keys that instances minted.
+	mints []Minted
 }
 
+// firstMinted is the number of the first minted key.
+const firstMinted = 1 << 20
+
 // seedBytes is the size of the seed of one history.
 const seedBytes = 32
 
@@ -107,11 +112,12 @@
 	w.born++
 	owner := fmt.Sprintf("i%d", w.born)
 	checker := &invariant.Checker{Report: func(v *invariant.Violation) { w.tally.Violate(w.rt, "%v", v) }}
+	offset := time.Duration(w.between(0, 1000)) * time.Minute
 	return &instance{
-		name: owner, offset: time.Duration(w.between(0, 1000)) * time.Minute,
+		name: owner, offset: offset,
 		waiting: make(map[uint64]*attempt),
 		book: New(Config{
-			Owner: owner, Shards: 2, Window: testWindow, Bound: testBound, Pause: time.Second,
+			Owner: owner, Started: time.Unix(0, 0).Add(w.now + offset), Shards: 2, Window: testWindow, Bound: testBound, Pause: time.Second,
 			MaxClaims: 1000, MaxEntries: 1000, MaxAnswer: 16, Checker: checker,
 		}),
 	}
@@ -153,6 +159,35 @@
 	w.act(i, actions)
 }
 
+// callMinted lets a caller use a minted key at any time; the request goes to the instance that minted it.
+func (w *world) callMinted() {
+	i := pick(w, w.instances)
+	if !w.awake(i) {
+		return
+	}
+	if len(w.mints) == 0 || w.between(0, 3) == 0 {
+		w.mints = append(w.mints, i.book.Mint(w.local(i)))
+	}
+	number := w.between(max(0, len(w.mints)-4), len(w.mints)-1)
+	a := &attempt{key: firstMinted + number, body: w.between(0, 4) / 4}
+	w.attempts = append(w.attempts, a)
+	for _, owner := range w.instances {
+		if owner.name != w.mints[number].Owner || !w.awake(owner) {
+			continue
+		}
+		a.at = owner
+		now := w.local(owner)
+		want := Want{Key: NewKey("w", "r", fmt.Sprint(a.key)), Request: NewDigest("POST", "/", []byte{byte(a.body)})}
+		ticket, actions := owner.book.ClaimMinted(now, want, w.mints[number])
+		a.ticket = ticket
+		owner.waiting[ticket] = a
+		w.act(owner, actions)
+		return
+	}
+	w.tally.Fault("minter gone")
+	w.tell(a, Unknown)
+}
+
 // act carries out the actions of an instance.
 func (w *world) act(i *instance, actions Actions) {
 	for _, number := range actions.Reads {
@@ -175,6 +210,9 @@
 		w.tell(a, i.book.Ask(verdict.Sequence).State)
 	case Held:
 		w.tell(a, w.ask(verdict.Entry))
+	case Expired:
+		w.tally.Fault("expired")
+		w.tell(a, Unknown)
 	default:
 		w.tell(a, NotRun)
 	}
--- a/rail/claim/prove_test.go
+++ b/rail/claim/prove_test.go
@@ -16,7 +16,7 @@
 
 // steps are the kinds of steps, as often as they are to be drawn.
 var steps = []string{
-	"call", "call", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver",
+	"call", "call", "minted", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver", "deliver",
 	"advance", "advance", "advance", "advance", "disturb",
 }
 
@@ -33,6 +33,8 @@
 			switch pick(w, steps) {
 			case "call":
 				w.call()
+			case "minted":
+				w.callMinted()
 			case "deliver":
 				w.deliver()
 			case "advance":
