Report a backend server as failed only if it refuses a probe

A probe that was cancelled because its request had ended, or that ran out of its 250 ms, could mark a live server as failed for every request. Slow servers are for the prober to judge, whose timeout is longer; the stream that waited avoids them by itself.

--- a/comfreyrail/internal/traffic/completion/carrier.go
+++ b/comfreyrail/internal/traffic/completion/carrier.go
@@ -200,7 +200,7 @@
 	return err
 }
 
-// probe asks a stage over a new connection how far it has come.
+// probe asks a stage over a new connection how far it has come; a server that refuses is reported at once.
 func (c *carrier) probe(ctx context.Context, probe, index int, hop engine.Hop) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -210,7 +210,7 @@
 		defer response.Body.Close()
 		reply.Answered = json.NewDecoder(response.Body).Decode(&reply.Progress) == nil
 	}
-	if !reply.Answered {
+	if !reply.Answered && call.Err() == nil {
 		c.runner.config.Control.Send(ctx, control.ServerFailed{Name: hop.Server})
 	}
 	c.send(ctx, reply)
