Measure an edit, and drive each sweeper alone in its proof

Repeated watches and heartbeats up to 20 s late are further faults of the proof of the configuration.

--- a/comfreyrail/internal/control/configsync/configsync_test.go
+++ b/comfreyrail/internal/control/configsync/configsync_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,9 @@
 	platform *fakeplatform.Server
 	address  string
 	checker  *invariant.Checker
+	traffic  *traffic
+	// fromPeers counts the bytes of content that instances got from each other.
+	fromPeers atomic.Int64
 
 	mu    sync.Mutex
 	nodes []*Sync
@@ -48,9 +52,10 @@
 func newFleet(t testing.TB, size int) *fleet {
 	t.Helper()
 	platform := fakeplatform.New(fakeplatform.Config{Writes: 1e6, Reads: 1e6})
-	server := httptest.NewServer(platform)
+	counted := &traffic{next: platform}
+	server := httptest.NewServer(counted)
 	t.Cleanup(server.Close)
-	f := &fleet{t: t, platform: platform, address: strings.TrimPrefix(server.URL, "http://"), checker: new(invariant.Checker)}
+	f := &fleet{t: t, platform: platform, traffic: counted, address: strings.TrimPrefix(server.URL, "http://"), checker: new(invariant.Checker)}
 	for range size {
 		f.join()
 	}
@@ -83,6 +88,7 @@
 		if !ok {
 			return nil, errors.New("peer lacks the content")
 		}
+		f.fromPeers.Add(int64(len(content)))
 		return content, nil
 	}
 	s.PeerHeads = func(context.Context) (heads []Head, err error) {
--- a/rail/edit/prove_test.go
+++ b/rail/edit/prove_test.go
@@ -59,7 +59,12 @@
 	if from == to || from.alone || to.alone {
 		return
 	}
-	w.at(to, time.Duration(1+w.rand.IntN(40))*time.Millisecond, func() {
+	lag := time.Duration(1+w.rand.IntN(40)) * time.Millisecond
+	if w.rand.IntN(50) == 0 {
+		w.count("late-heartbeat")
+		lag = time.Duration(w.rand.IntN(20000)) * time.Millisecond
+	}
+	w.at(to, lag, func() {
 		w.handle(to, install.HeadOffered{Peer: strconv.Itoa(from.name), Generation: inForce.Manifest.Generation, Hash: inForce.Hash})
 	})
 }
@@ -269,19 +274,16 @@
 				w.complete(sweeper.Next)
 			}
 			deletion := table.Operation{Action: table.Delete, Row: row, Version: w.history[len(w.history)-1].Generation}
-			machines := []*machine{w.machine(w.attempt(deletion).Next)}
-			for range sweepsPerEdit {
-				for _, sweeper := range sweepers {
-					machines = append(machines, w.machine(sweeper.Next))
-				}
+			machines := []*machine{w.machine(w.attempt(deletion).Next, 1)}
+			for _, sweeper := range sweepers {
+				machines = append(machines, w.machine(sweeper.Next, sweepsPerEdit))
 			}
 			for len(machines) > 0 {
 				tally.Operations++
 				if rapid.IntRange(0, 3).Draw(rt, "pause") == 0 {
 					w.now = w.now.Add(Grace)
 				}
-				// The machines of one sweeper follow each other.
-				i := rapid.IntRange(0, min(len(machines)-1, len(sweepers))).Draw(rt, "machine")
+				i := rapid.IntRange(0, len(machines)-1).Draw(rt, "machine")
 				if machines[i].advance() {
 					machines = append(machines[:i], machines[i+1:]...)
 				}
@@ -293,22 +295,25 @@
 	})
 }
 
-// machine runs one Attempt or Sweeper, a step at a time.
+// machine runs one Attempt or Sweeper, a step at a time, once or several times over.
 type machine struct {
 	world *world
 	next  func(Answer, time.Time) Step
 	last  Answer
+	runs  int
 }
 
-func (w *world) machine(next func(Answer, time.Time) Step) *machine {
-	return &machine{world: w, next: next}
+func (w *world) machine(next func(Answer, time.Time) Step, runs int) *machine {
+	return &machine{world: w, next: next, runs: runs}
 }
 
 // advance makes one step and reports whether it was the last.
 func (m *machine) advance() bool {
 	step := m.next(m.last, m.world.now)
 	if _, ok := step.(Finish); ok {
-		return true
+		m.last = Answer{}
+		m.runs--
+		return m.runs == 0
 	}
 	m.last = m.world.effect(step)
 	return false
@@ -326,7 +331,7 @@
 
 // complete runs an Attempt or a sweep alone.
 func (w *world) complete(next func(Answer, time.Time) Step) {
-	m := w.machine(next)
+	m := w.machine(next, 1)
 	for !m.advance() {
 		continue
 	}
--- a/rail/edit/world_test.go
+++ b/rail/edit/world_test.go
@@ -308,6 +308,7 @@
 		}
 		w.at(n, w.lag(), func() { w.hear(n, Answer{Content: content, Version: 1}) })
 		if w.rand.IntN(4) == 0 {
+			w.count("repeated-watch")
 			w.at(n, time.Duration(w.rand.IntN(20000))*time.Millisecond, func() { w.hear(n, Answer{Content: content, Version: 1}) })
 		}
 	}
