Keep a starting instance unready below a generation that it heard of

Cause: a start with the service out could become ready at generation 4 from one peer although another had named 5, whose content could not be fetched: its address would revert to rows that a later accepted edit had changed. Ruled out: remembering the candidate alone (a failed fetch drops it).

--- a/rail/edit/prove_test.go
+++ b/rail/edit/prove_test.go
@@ -35,6 +35,7 @@
 	n.incarnation++
 	n.installer = install.New(install.Config{Checker: w.checker})
 	n.sweeper, n.generation, n.frozen, n.disturbed, n.rereading = NewSweeper(), 0, time.Time{}, w.now, false
+	n.heard, n.contact = 0, w.now
 	w.at(n, 0, func() {
 		w.perform(n, ReadHead{}, func(a Answer) { w.hear(n, a) })
 		for _, peer := range w.nodes {
--- a/rail/edit/world_test.go
+++ b/rail/edit/world_test.go
@@ -66,6 +66,8 @@
 	disturbed   time.Time
 	generation  uint64
 	rereading   bool
+	heard       uint64
+	contact     time.Time
 }
 
 // world is the service, the instances and the operators in virtual time.
@@ -348,6 +350,7 @@
 
 // handle hands an event to the instance and carries out its actions.
 func (w *world) handle(n *node, event install.Event) {
+	w.note(n, event)
 	for _, action := range n.installer.Handle(event, w.now) {
 		switch action := action.(type) {
 		case install.Fetch:
@@ -364,6 +367,28 @@
 				w.heartbeat(n, w.nodes[w.rand.IntN(len(w.nodes))])
 			}
 		case install.SetReady:
+			if action.Ready && n.generation < n.heard {
+				w.fail("instance %d is ready at generation %d and has heard of %d", n.name, n.generation, n.heard)
+			}
+		}
+	}
+	if n.installer.Ready() && w.now.Sub(n.contact) > install.DefaultIsolation {
+		w.fail("instance %d is ready and has heard nobody since %s", n.name, w.now.Sub(n.contact))
+	}
+}
+
+// note keeps what the instance heard, apart from what it makes of it.
+func (w *world) note(n *node, event install.Event) {
+	switch event := event.(type) {
+	case install.HeadRead:
+		n.heard, n.contact = max(n.heard, event.Manifest.Generation), w.now
+	case install.HeadOffered:
+		n.heard, n.contact = max(n.heard, event.Generation), w.now
+	case install.HeadAbsent:
+		n.contact = w.now
+	case install.Fetched:
+		if !event.Failed {
+			n.contact = w.now
 		}
 	}
 }
--- a/rail/install/install.go
+++ b/rail/install/install.go
@@ -39,12 +39,15 @@
 
 // Installer decides for one instance; it is used by one goroutine.
 //
-// It trusts what is in force once it caught up: a service or peers that answered since the start, or since it was isolated.
+// It trusts what is in force once it caught up: the service or peers answered since the start, or since it was isolated,
+// and nobody named a greater generation.
 type Installer struct {
 	config     Config
 	inForce    *InForce
 	candidates []*candidate
 	fetched    map[table.Hash][]byte
+	// heard is the greatest generation that anyone named.
+	heard uint64
 
 	started    time.Time
 	contact    time.Time
@@ -129,6 +132,7 @@
 
 // wanted reports whether the generation is newer than the one in force, and asserts that a generation has one content.
 func (i *Installer) wanted(generation uint64, hash table.Hash) bool {
+	i.heard = max(i.heard, generation)
 	if generation < i.inForce.Manifest.Generation || generation == 0 {
 		return false
 	}
@@ -231,8 +235,8 @@
 	switch {
 	case !trusted || !i.peersAsked:
 		return "waiting for the platform's service or the peers to tell the newest generation"
-	case len(i.candidates) > 0:
-		return fmt.Sprintf("fetching generation %d", i.candidates[0].generation)
+	case i.heard > i.inForce.Manifest.Generation:
+		return fmt.Sprintf("generation %d is accepted, but its content is not here yet", i.heard)
 	case i.inForce.Manifest.Generation == 0:
 		return "no tables are in force"
 	}
--- a/rail/install/install_test.go
+++ b/rail/install/install_test.go
@@ -69,6 +69,7 @@
 		{"late fetch", []eventAt{{0, read(one)}, {0, read(two)}, {0, fetched(two, service)}, {0, fetched(one, service)}}, 2, false, 0},
 		{"peer alone, too soon", []eventAt{{0, offer(one)}, {0, fetched(one, peer)}, {0, fetched(one, peer)}, {0, PeersAsked{}}}, 1, false, 0},
 		{"peer alone, service out", []eventAt{{0, offer(one)}, {0, fetched(one, peer)}, {0, fetched(one, peer)}, {0, PeersAsked{}}, {DefaultStartWait, Tick{}}}, 1, true, 0},
+		{"newer generation that cannot be fetched", []eventAt{{0, read(one)}, {0, fetched(one, service)}, {0, offer(two)}, {0, failed(two, peer)}, {0, PeersAsked{}}}, 1, false, 0},
 		{"peer without content, then the service", []eventAt{{0, offer(one)}, {0, failed(one, peer)}, {0, read(one)}, {0, fetched(one, service)}}, 1, false, 0},
 		{"fetch without end", []eventAt{{0, offer(one)}, {time.Minute, Tick{}}, {time.Minute, read(one)}, {time.Minute, fetched(one, service)}}, 1, false, 0},
 		{"isolated", []eventAt{{0, read(one)}, {0, fetched(one, service)}, {0, PeersAsked{}}, {time.Minute, Tick{}}}, 1, false, 0},
