--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -30,20 +30,20 @@
 	At time.Time
 }
 
-// ServerFailed tells that a status call failed or that a connection with traffic broke.
+// ServerFailed tells that a call that every backend server answers at once failed.
 type ServerFailed struct {
 	// Name is the name of the backend server.
 	Name string
+	// Asked is the time at which the call was sent.
+	Asked time.Time
 	// At is the time of the failure.
 	At time.Time
 }
 
-// ServerRefused tells that a backend server refused a request.
+// ServerRefused tells that a backend server refused a request because it is leaving.
 type ServerRefused struct {
-	// Name is the name of the backend server.
-	Name string
-	// Reason is the reason that the server gave.
-	Reason string
+	// Address is the host and port of the backend server.
+	Address string
 	// Sent is the time at which the request was sent.
 	Sent time.Time
 	// At is the time of the refusal.
@@ -60,28 +60,12 @@
 	At time.Time
 }
 
-// MarksReceived tells that a peer passed on marks.
-type MarksReceived struct {
-	// Marks are the marks.
-	Marks []drain.Mark
-	// At is the time at which they arrived.
-	At time.Time
-}
-
-// MarksWanted asks for the marks to pass on to peers.
-type MarksWanted struct {
-	// At is the time of the request.
-	At time.Time
-	// Marks receives the marks; it must have room for one message.
-	Marks chan<- []drain.Mark
-}
-
 // servers is what the control goroutine keeps about the backend servers beyond the snapshot.
 type servers struct {
 	drains *drain.State
 	health map[string]*health.State
 	config health.Config
-	// served holds for each name the time of the last successful traffic; traffic writes it.
+	// served holds for each address the time of the last successful traffic; traffic writes it.
 	served sync.Map
 }
 
@@ -93,37 +77,43 @@
 	}
 }
 
-// Served tells that a backend server answered traffic; unlike an event it costs one atomic write.
-func (c *Control) Served(name string, at time.Time) {
-	last, ok := c.servers.served.Load(name)
+// Served tells that the backend server at the address answered traffic; unlike an event it costs one atomic write.
+func (c *Control) Served(address string, at time.Time) {
+	last, ok := c.servers.served.Load(address)
 	if !ok {
-		last, _ = c.servers.served.LoadOrStore(name, new(atomic.Int64))
+		last, _ = c.servers.served.LoadOrStore(address, new(atomic.Int64))
 	}
 	last.(*atomic.Int64).Store(at.UnixNano())
 }
 
 // lastServed returns the time of the last successful traffic, or zero.
-func (s *servers) lastServed(name string) time.Time {
-	if last, ok := s.served.Load(name); ok {
+func (s *servers) lastServed(address string) time.Time {
+	if last, ok := s.served.Load(address); ok {
 		return time.Unix(0, last.(*atomic.Int64).Load())
 	}
 	return time.Time{}
 }
 
-// Refused tells that a backend server refused a request that was sent at the time.
-func (c *Control) Refused(ctx context.Context, name, reason string, sent time.Time) {
-	c.Send(ctx, ServerRefused{Name: name, Reason: reason, Sent: sent, At: time.Now()})
+// Refused tells that the backend server at the address refused a request that was sent at the time.
+func (c *Control) Refused(ctx context.Context, address, reason string, sent time.Time) {
+	if reason == reasonLeaving {
+		c.Send(ctx, ServerRefused{Address: address, Sent: sent, At: time.Now()})
+	}
 }
 
 // list takes the backend servers of the tables into the snapshot.
 func (c *Control) list(next *Snapshot) {
 	leaving := make(map[string]bool)
 	known := next.Servers
-	next.Servers = make(map[string]chain.Server)
+	next.Servers = make(map[string]*chain.Server)
+	next.Reports++
 	for _, pool := range next.Tables.Pools {
 		for _, row := range pool.Servers {
 			leaving[row.Name] = leaving[row.Name] || row.Leaving
-			server := known[row.Name]
+			server := new(chain.Server)
+			if before := known[row.Name]; before != nil {
+				*server = *before
+			}
 			server.Name, server.Address, server.Zone = row.Name, row.Address, row.Zone
 			next.Servers[row.Name] = server
 			if c.servers.health[row.Name] == nil {
@@ -148,29 +138,48 @@
 
 // judge brings the snapshot up to date with what is known about the named backend servers.
 func (c *Control) judge(next *Snapshot, names ...string) {
-	cloned := false
+	var changed []*chain.Server
 	for _, name := range names {
 		server, ok := next.Servers[name]
 		usable := c.usable(name)
 		if !ok || usable == server.Usable {
 			continue
 		}
-		if !cloned {
-			next.Servers, cloned = maps.Clone(next.Servers), true
-		}
-		server.Usable = usable
-		next.Servers[name] = server
-		c.logUsable(name, usable)
+		judged := *server
+		judged.Usable = usable
+		changed = append(changed, &judged)
+		c.tellUsable(name, usable)
+	}
+	next.replace(changed...)
+}
+
+// Usable reports whether the backend server is listed and takes new work.
+func (s *Snapshot) Usable(name string) bool {
+	server, ok := s.Servers[name]
+	return ok && server.Usable
+}
+
+// replace puts other records of backend servers into the snapshot; readers keep the map that they have.
+func (s *Snapshot) replace(servers ...*chain.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	s.Servers = maps.Clone(s.Servers)
+	for _, server := range servers {
+		s.Servers[server.Name] = server
 	}
+	s.Reports++
 }
 
-func (c *Control) logUsable(name string, usable bool) {
+// tellUsable logs a change, and hurries the news that a backend server is leaving.
+func (c *Control) tellUsable(name string, usable bool) {
 	source, leaving := c.servers.drains.Leaving(name)
 	entry := c.log.WithField("server", name)
 	switch {
 	case usable:
 		entry.Info("backend server takes new work")
 	case leaving:
+		c.hurry()
 		entry.WithField("sign", source).Info("backend server is leaving and gets no new work")
 	default:
 		entry.Warn("backend server does not answer and gets no new work")
@@ -184,23 +193,27 @@
 	}
 	c.servers.drains.Answered(e.Name, e.Status.Leaving, e.Asked, e.At)
 	c.servers.health[e.Name].Succeed(c.servers.config, e.At)
-	server.Status, server.ReportedAt = e.Status, e.At
-	next.Servers = maps.Clone(next.Servers)
-	next.Servers[e.Name] = server
-	c.judge(next, e.Name)
+	reported := *server
+	reported.Status, reported.ReportedAt, reported.Usable = e.Status, e.At, c.usable(e.Name)
+	if reported.Usable != server.Usable {
+		c.tellUsable(e.Name, reported.Usable)
+	}
+	next.replace(&reported)
 }
 
 func (e ServerFailed) apply(c *Control, next *Snapshot) {
 	if state := c.servers.health[e.Name]; state != nil {
-		state.Fail(c.servers.config, c.servers.lastServed(e.Name), e.At)
+		state.Fail(c.servers.config, e.Asked, c.servers.lastServed(next.Servers[e.Name].Address), e.At)
 		c.judge(next, e.Name)
 	}
 }
 
 func (e ServerRefused) apply(c *Control, next *Snapshot) {
-	if e.Reason == reasonLeaving {
-		c.servers.drains.Answered(e.Name, true, e.Sent, e.At)
-		c.judge(next, e.Name)
+	for name, server := range next.Servers {
+		if server.Address == e.Address {
+			c.servers.drains.Answered(name, true, e.Sent, e.At)
+			c.judge(next, name)
+		}
 	}
 }
 
@@ -210,14 +223,3 @@
 		c.judge(next, instance.Name)
 	}
 }
-
-func (e MarksReceived) apply(c *Control, next *Snapshot) {
-	c.servers.drains.Merge(e.Marks, e.At)
-	for _, mark := range e.Marks {
-		c.judge(next, mark.Server)
-	}
-}
-
-func (e MarksWanted) apply(c *Control, _ *Snapshot) {
-	e.Marks <- c.servers.drains.Marks(e.At)
-}
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"crypto/rand"
 	"net/http"
 	"os"
@@ -17,11 +18,15 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/relay"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/retries"
+	"github.com/comfreyrail/comfreyrail/rail/claim"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -73,11 +78,15 @@
 	return peer.NewIdentity(loaded.Name)
 }
 
-func provideMembership(loaded settings.Settings, identity peer.Identity, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
-	self := member.Member{
+// provideSelf returns the record of this incarnation.
+func provideSelf(loaded settings.Settings, identity peer.Identity) member.Member {
+	return member.Member{
 		Name: loaded.Name, Zone: loaded.Zone, Incarnation: rand.Text(),
 		Address: loaded.Peer.Listen, Fingerprint: identity.Fingerprint,
 	}
+}
+
+func provideMembership(self member.Member, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
 	return membership.New(membership.Config{Self: self, Store: store, Control: state, Log: log})
 }
 
@@ -97,24 +106,45 @@
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+func provideRunner(loaded settings.Settings, state *control.Control, client *http.Client, chains *chooser.Chooser, budgets *retries.Retries, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{
 		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
-		Choose: chains.Choose, Track: chains.Track,
+		Choose: chains.Choose, Track: chains.Track, Retry: budgets.Allow,
 	})
 }
 
-func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Checker: checker})
+func provideDispatcher(state *control.Control, checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker, Refused: state.Refused, Served: state.Served})
+}
+
+func provideClaims(self member.Member, store *kv.Client, state *control.Control, transport *peer.Transport, checker *invariant.Checker, log *logrus.Entry) *claims.Claims {
+	kept := claims.New(claims.Config{
+		Owner: self.Incarnation, Store: store, Checker: checker, Log: log,
+		Members: func() []member.Member { return state.Snapshot().Members() },
+		AskOwner: func(ctx context.Context, owner member.Member, question claims.Question) (answer claim.Answer, err error) {
+			err = transport.Call(ctx, owner, claims.KindQuestion, question, &answer)
+			return answer, err
+		},
+	})
+	transport.Handle(claims.KindQuestion, kept.ServePeer)
+	return kept
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher) *relay.Relay {
-	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher})
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, budgets *retries.Retries, transport *peer.Transport) *relay.Relay {
+	passer := relay.New(relay.Config{
+		Control: state, Dispatcher: dispatcher, Claims: kept, Retry: budgets.Allow,
+		Forward: func(ctx context.Context, to member.Member, forwarded relay.Forwarded) (reply relay.Reply, err error) {
+			err = transport.Call(ctx, to, relay.KindForward, forwarded, &reply)
+			return reply, err
+		},
+	})
+	transport.Handle(relay.KindForward, passer.ServePeer)
+	return passer
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, budgets *retries.Retries, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
-		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Log: log, Metrics: registry,
+		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Retries: budgets, Log: log, Metrics: registry,
 		Checker: checker, Stop: loaded.Stop, Release: members.Stop,
 	})
 }
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -36,6 +36,8 @@
 	OpenTimeout time.Duration
 	// ProbeTimeout is the longest time for a stage to answer a probe.
 	ProbeTimeout time.Duration
+	// ProbeFloor is the least time that a stage is given once another stage has answered the probe.
+	ProbeFloor time.Duration
 	// Deadline is when the answer is of no more use.
 	Deadline time.Time
 }
@@ -294,6 +296,10 @@
 	}
 	s.probe.seen[e.Index] = true
 	s.probe.replies[e.Index] = e
+	if e.Answered {
+		began := s.probe.finding.Began
+		s.until = earlier(began.Add(s.config.ProbeTimeout), began.Add(max(s.config.ProbeFloor, slowest*now.Sub(began))))
+	}
 	for _, seen := range s.probe.seen {
 		if !seen {
 			return
@@ -302,6 +308,9 @@
 	s.judge(now)
 }
 
+// slowest is how many times longer than the latest stage to answer a probe the others may take.
+const slowest = 4
+
 // judge decides after a probe.
 func (s *Session) judge(now time.Time) {
 	attempt, _ := s.answer.Current()
@@ -316,6 +325,8 @@
 		finding.Lost = finding.Lost || reply.Progress.Attempt != attempt
 		finding.Gap = finding.Gap || gap
 	}
+	last := len(s.probe.replies) - 1
+	finding.Gap = finding.Gap || s.probe.replies[last].Progress.Passed > len(s.answer.Tokens())
 	finding.Moved, s.probe.worked = worked != s.probe.worked, worked
 	if !s.broken && s.watch.Probed(now, finding) == silence.Wait {
 		s.phase = running
@@ -345,9 +356,12 @@
 // abandon ends the session with a failure.
 func (s *Session) abandon(code outcome.Code, reason string) {
 	s.phase = ended
-	result := outcome.NotRun
-	if s.ran {
-		result = outcome.Unknown
+	result := outcome.Unknown
+	if !s.ran {
+		result = outcome.NotRun
+		if code == outcome.CodeBackend {
+			code = outcome.CodeNoServer
+		}
 	}
 	err := s.checker.Check(result == outcome.Unknown || len(s.answer.Tokens()) == 0, "stream.notrun",
 		"not run after %d tokens", len(s.answer.Tokens()))
