--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -18,6 +18,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/completion"
@@ -111,8 +112,8 @@
 	})
 }
 
-func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Checker: checker})
+func provideDispatcher(state *control.Control, checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker, Refused: state.Refused, Served: state.Served})
 }
 
 func provideClaims(self member.Member, store *kv.Client, state *control.Control, transport *peer.Transport, checker *invariant.Checker, log *logrus.Entry) *claims.Claims {
@@ -140,9 +141,9 @@
 	return passer
 }
 
-func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
+func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
 	return entry.New(entry.Config{
-		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Log: log, Metrics: registry,
+		Settings: loaded.Caller, Control: state, Completions: runner, Relay: passer, Admission: gates, Log: log, Metrics: registry,
 		Checker: checker, Stop: loaded.Stop, Release: members.Stop,
 	})
 }
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -26,6 +26,7 @@
 		provideProber,
 		provideLister,
 		provideChooser,
+		provideAdmission,
 		provideRunner,
 		provideDispatcher,
 		provideClaims,
