--- a/rail/claim/record.go
+++ b/rail/claim/record.go
@@ -1,11 +1,6 @@
 package claim
 
-import (
-	"fmt"
-	"maps"
-
-	"github.com/fxamacker/cbor/v2"
-)
+import "maps"
 
 // State is what is known about a claimed request.
 type State uint8
@@ -93,74 +88,3 @@
 	r.Epoch++
 	r.Previous, r.Current = r.Current, make(map[Key]Entry)
 }
-
-// packedRecord is the encoded form of a Record, which names each owner once.
-type packedRecord struct {
-	_        struct{} `cbor:",toarray"`
-	Epoch    uint64
-	Owners   []string
-	Current  []packedEntry
-	Previous []packedEntry
-}
-
-type packedEntry struct {
-	_        struct{} `cbor:",toarray"`
-	Key      []byte
-	Request  []byte
-	Owner    int
-	Sequence uint64
-	State    State
-	Answer   []byte
-}
-
-// Encode returns the record as bytes.
-func (r *Record) Encode() ([]byte, error) {
-	packed := packedRecord{Epoch: r.Epoch}
-	numbers := make(map[string]int)
-	pack := func(entries map[Key]Entry) []packedEntry {
-		list := make([]packedEntry, 0, len(entries))
-		for key, entry := range entries {
-			number, ok := numbers[entry.Owner]
-			if !ok {
-				number = len(packed.Owners)
-				numbers[entry.Owner] = number
-				packed.Owners = append(packed.Owners, entry.Owner)
-			}
-			list = append(list, packedEntry{
-				Key: key[:], Request: entry.Request[:], Owner: number,
-				Sequence: entry.Sequence, State: entry.State, Answer: entry.Answer,
-			})
-		}
-		return list
-	}
-	packed.Current, packed.Previous = pack(r.Current), pack(r.Previous)
-	return cbor.Marshal(packed)
-}
-
-// Decode returns the record that the bytes encode.
-func Decode(encoded []byte) (record Record, err error) {
-	var packed packedRecord
-	if err = cbor.Unmarshal(encoded, &packed); err != nil {
-		return Record{}, fmt.Errorf("claims are malformed: %w", err)
-	}
-	record.Epoch = packed.Epoch
-	if record.Current, err = unpack(packed.Owners, packed.Current); err == nil {
-		record.Previous, err = unpack(packed.Owners, packed.Previous)
-	}
-	return record, err
-}
-
-func unpack(owners []string, list []packedEntry) (map[Key]Entry, error) {
-	entries := make(map[Key]Entry, len(list))
-	for _, packed := range list {
-		if packed.Owner < 0 || packed.Owner >= len(owners) || len(packed.Key) != len(Key{}) || len(packed.Request) != len(Digest{}) {
-			return nil, fmt.Errorf("claims are malformed: entry of %d and %d bytes for owner %d of %d",
-				len(packed.Key), len(packed.Request), packed.Owner, len(owners))
-		}
-		entries[Key(packed.Key)] = Entry{
-			Request: Digest(packed.Request), Owner: owners[packed.Owner],
-			Sequence: packed.Sequence, State: packed.State, Answer: packed.Answer,
-		}
-	}
-	return entries, nil
-}
