--- a/comfreyrail/internal/traffic/completion/fleet_test.go
+++ b/comfreyrail/internal/traffic/completion/fleet_test.go
@@ -56,7 +56,7 @@
 			name := fmt.Sprintf("%d%s", stage, letter)
 			f.engines[name] = fakeengine.New(fakeengine.Config{
 				Name: name, First: stage * stageLayers, Last: (stage + 1) * stageLayers, Version: "v1",
-				LayerTime: layerTime * time.Duration(10+replica) / 10, PrefillTime: prefillTime, Prefixes: 8,
+				LayerTime: layerTime * time.Duration(10+replica) / 10, PrefillTime: prefillTime, ImportTime: prefillTime / 10, Prefixes: 8,
 			})
 			tb.Cleanup(f.engines[name].Close)
 			f.servers[name] = httptest.NewServer(f.engines[name])
--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -81,7 +81,7 @@
 	Avoid time.Duration
 	// Patience is how long to wait for a chain to become available.
 	Patience time.Duration
-	// RechainAlways answers every failure with a Rechain that avoids the whole chain, for comparisons.
+	// RechainAlways answers every failure with a Rechain that avoids the whole chain and imports nothing, for comparisons.
 	RechainAlways bool
 }
 
@@ -135,7 +135,9 @@
 		return Step{Way: GiveUp, Code: outcome.CodeBackend, Reason: failure.Reason}
 	}
 	if r.config.RechainAlways {
-		condemn(failure.Stages, func(Stage) bool { return true })
+		for i := range failure.Stages {
+			failure.Stages[i] = Stage{Bad: true}
+		}
 	}
 	if !slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Bad }) {
 		if r.same < maxSame && r.allowed(now) {
