--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -83,7 +83,7 @@
 	Patience time.Duration
 	// Retry takes one attempt from a budget after an attempt without a new token; nil allows every attempt.
 	Retry func() bool
-	// RechainAlways answers every failure with a Rechain that avoids the whole chain, for comparisons.
+	// RechainAlways answers every failure with a Rechain that avoids the whole chain and imports nothing, for comparisons.
 	RechainAlways bool
 }
 
@@ -137,7 +137,9 @@
 		return Step{Way: GiveUp, Code: outcome.CodeBackend, Reason: failure.Reason}
 	}
 	if r.config.RechainAlways {
-		condemn(failure.Stages, func(Stage) bool { return true })
+		for i := range failure.Stages {
+			failure.Stages[i] = Stage{Bad: true}
+		}
 	}
 	if !slices.ContainsFunc(failure.Stages, func(stage Stage) bool { return stage.Bad }) {
 		if r.same < maxSame && r.allowed(now) {
