--- a/rail/fake/fakeengine/stream.go
+++ b/rail/fake/fakeengine/stream.go
@@ -181,7 +181,7 @@
 	if s.currentFaults().SkipLayer {
 		last--
 	}
-	activation.Context = fakemodel.Apply(activation.Context, hop.First, last)
+	activation.State = fakemodel.Apply(activation.State, hop.First, last)
 	activation.Receipts = append(activation.Receipts, s.receipt(stream))
 	s.mu.Lock()
 	stream.progress.Passed = activation.Position + 1
@@ -294,13 +294,13 @@
 
 // first returns the activation of the next token before the first layer.
 func first(run engine.Run, tokens []string) engine.Activation {
-	start := fakemodel.Context(run.Prompt, tokens)
 	activation := engine.Activation{
 		Stream: run.Stream, Attempt: run.Attempt, Position: len(tokens),
-		Context: start, Start: start,
-		Length: engine.PromptTokens(run.Prompt) + len(tokens),
-		Prefix: engine.Prefix(run.Prompt),
+		Context: fakemodel.Context(run.Prompt, tokens),
+		Length:  engine.PromptTokens(run.Prompt) + len(tokens),
+		Prefix:  engine.Prefix(run.Prompt),
 	}
+	activation.State = activation.Context
 	if len(tokens) > 0 {
 		activation.Previous = fakemodel.Context(run.Prompt, tokens[:len(tokens)-1])
 	}
@@ -326,7 +326,7 @@
 			if done.Position != len(tokens) {
 				continue
 			}
-			token = fakemodel.Token(done.Context)
+			token = fakemodel.Token(done.State)
 			s.freeze(stream.ctx)
 			out.send(engine.Frame{Position: done.Position, Token: token, Receipts: done.Receipts})
 			return token, nil
@@ -350,12 +350,17 @@
 	server *Server
 	stream *state
 	digest engine.Digest
+	trace  engine.Trace
 }
 
 func (f *frames) send(frame engine.Frame) {
 	frame.Stream, frame.Attempt = f.stream.open.Stream, f.stream.open.Attempt
 	if frame.Token != "" {
 		f.digest = f.digest.Add(frame.Token)
+		if frame.Trace = engine.TraceOf(frame.Receipts); frame.Trace == f.trace {
+			frame.Receipts = nil
+		}
+		f.trace = frame.Trace
 	}
 	if frame.Token != "" || frame.End {
 		frame.Sum = uint64(f.digest)
