Be ready only once the backend servers have been asked

Change: not ready until every listed server has answered or failed once, or 3 s after the first tables came in force. The set-up of the admin test runs a prober, as the process does; its checks are as before.

--- /dev/null
+++ b/comfreyrail/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e holds tests with several processes of comfreyrail.
+package e2e
--- a/comfreyrail/internal/admin/admin_test.go
+++ b/comfreyrail/internal/admin/admin_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -49,6 +50,8 @@
 	t.Cleanup(cancel)
 	go func() { _ = state.Serve(ctx) }()
 	go func() { _ = sync.Serve(ctx) }()
+	prober := probe.New(probe.Config{Control: state, HTTP: http.DefaultClient})
+	go func() { _ = prober.Serve(ctx) }()
 	return New(Config{
 		Settings: settings.Admin{TokenSHA256: digest(writeToken), ReadTokenSHA256: digest(readToken)},
 		Control:  state, Sync: sync, Metrics: metrics.NewRegistry(),
--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -63,6 +63,10 @@
 		_ = w.WriteErrorString(http.StatusServiceUnavailable, obstacle+"\n")
 		return
 	}
+	if !snapshot.Probed {
+		_ = w.WriteErrorString(http.StatusServiceUnavailable, "the backend servers are being asked for their status\n")
+		return
+	}
 	_, _ = w.Write([]byte("ready\n"))
 }
 
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -31,6 +31,8 @@
 	Self member.Member
 	// Fleet holds what is known about every instance, by name.
 	Fleet []spread.Update
+	// Probed tells that the backend servers have been asked for their status, so that requests can be served.
+	Probed bool
 	// Stopping tells that the instance stops as planned and takes no new connections.
 	Stopping bool
 	// Superseded tells that a later incarnation of this instance is known.
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -61,11 +61,16 @@
 	At time.Time
 }
 
+// probeTime is the time after which an instance is ready although it has not asked every backend server.
+const probeTime = 3 * time.Second
+
 // servers is what the control goroutine keeps about the backend servers beyond the snapshot.
 type servers struct {
 	drains *drain.State
 	health map[string]*health.State
 	config health.Config
+	// listedAt is the time at which the first tables came in force.
+	listedAt time.Time
 	// served holds for each address the time of the last successful traffic; traffic writes it.
 	served sync.Map
 }
@@ -126,7 +131,12 @@
 		_, listed := next.Servers[name]
 		return !listed
 	})
-	c.servers.drains.Tabled(leaving, time.Now())
+	now := time.Now()
+	if c.servers.listedAt.IsZero() {
+		c.servers.listedAt = now
+	}
+	c.servers.drains.Tabled(leaving, now)
+	c.markProbed(next, now)
 	c.judge(next, slices.Collect(maps.Keys(leaving))...)
 }
 
@@ -166,6 +176,23 @@
 	s.Reports++
 }
 
+// markProbed notes in the snapshot that the backend servers have been asked; it stays so.
+func (c *Control) markProbed(next *Snapshot, now time.Time) {
+	if next.Probed || now.Sub(c.servers.listedAt) < probeTime && !c.allKnown() {
+		return
+	}
+	next.Probed = true
+}
+
+func (c *Control) allKnown() bool {
+	for _, state := range c.servers.health {
+		if !state.Known() {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Control) logUsable(name string, usable bool) {
 	source, leaving := c.servers.drains.Leaving(name)
 	entry := c.log.WithField("server", name)
@@ -192,12 +219,14 @@
 		c.logUsable(e.Name, reported.Usable)
 	}
 	next.replace(&reported)
+	c.markProbed(next, e.At)
 }
 
 func (e ServerFailed) apply(c *Control, next *Snapshot) {
 	if state := c.servers.health[e.Name]; state != nil {
 		state.Fail(c.servers.config, e.Asked, c.servers.lastServed(next.Servers[e.Name].Address), e.At)
 		c.judge(next, e.Name)
+		c.markProbed(next, e.At)
 	}
 }
 
--- a/rail/health/health.go
+++ b/rail/health/health.go
@@ -30,6 +30,9 @@
 	failedAt time.Time
 }
 
+// Known reports whether a status call to the server has ever ended.
+func (s *State) Known() bool { return s.healthy || s.successes > 0 || !s.failedAt.IsZero() }
+
 // Healthy reports whether the server answers.
 func (s *State) Healthy() bool { return s.healthy }
 
