--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -24,7 +24,9 @@
 	// Obstacle says why the configuration keeps the instance from taking requests, empty if it does not.
 	Obstacle string
 	// Servers holds what is known about each backend server, by name.
-	Servers map[string]chain.Server
+	Servers map[string]*chain.Server
+	// Reports counts the changes of Servers, so that a reader notices one without comparing them.
+	Reports uint64
 	// Self is the record of this incarnation; its epoch is zero before it is registered.
 	Self member.Member
 	// Fleet holds what is known about every instance, by name.
@@ -57,6 +59,7 @@
 	// published is the revision of peers that the snapshot holds.
 	published uint64
 	servers   *servers
+	urgent    chan struct{}
 	snapshot  atomic.Pointer[Snapshot]
 }
 
@@ -81,9 +84,10 @@
 		log: config.Log, checker: config.Checker, events: make(chan Event, eventBuffer),
 		installer: install.New(install.Config{Checker: config.Checker}),
 		servers:   newServers(config),
+		urgent:    make(chan struct{}, 1),
 	}
 	c.snapshot.Store(&Snapshot{
-		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]chain.Server{},
+		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]*chain.Server{},
 	})
 	return c
 }
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -60,22 +60,6 @@
 	At time.Time
 }
 
-// MarksReceived tells that a peer passed on marks.
-type MarksReceived struct {
-	// Marks are the marks.
-	Marks []drain.Mark
-	// At is the time at which they arrived.
-	At time.Time
-}
-
-// MarksWanted asks for the marks to pass on to peers.
-type MarksWanted struct {
-	// At is the time of the request.
-	At time.Time
-	// Marks receives the marks; it must have room for one message.
-	Marks chan<- []drain.Mark
-}
-
 // servers is what the control goroutine keeps about the backend servers beyond the snapshot.
 type servers struct {
 	drains *drain.State
@@ -119,11 +103,15 @@
 func (c *Control) list(next *Snapshot) {
 	leaving := make(map[string]bool)
 	known := next.Servers
-	next.Servers = make(map[string]chain.Server)
+	next.Servers = make(map[string]*chain.Server)
+	next.Reports++
 	for _, pool := range next.Tables.Pools {
 		for _, row := range pool.Servers {
 			leaving[row.Name] = leaving[row.Name] || row.Leaving
-			server := known[row.Name]
+			server := new(chain.Server)
+			if before := known[row.Name]; before != nil {
+				*server = *before
+			}
 			server.Name, server.Address, server.Zone = row.Name, row.Address, row.Zone
 			next.Servers[row.Name] = server
 			if c.servers.health[row.Name] == nil {
@@ -148,29 +136,48 @@
 
 // judge brings the snapshot up to date with what is known about the named backend servers.
 func (c *Control) judge(next *Snapshot, names ...string) {
-	cloned := false
+	var changed []*chain.Server
 	for _, name := range names {
 		server, ok := next.Servers[name]
 		usable := c.usable(name)
 		if !ok || usable == server.Usable {
 			continue
 		}
-		if !cloned {
-			next.Servers, cloned = maps.Clone(next.Servers), true
-		}
-		server.Usable = usable
-		next.Servers[name] = server
-		c.logUsable(name, usable)
+		judged := *server
+		judged.Usable = usable
+		changed = append(changed, &judged)
+		c.tellUsable(name, usable)
 	}
+	next.replace(changed...)
 }
 
-func (c *Control) logUsable(name string, usable bool) {
+// Usable reports whether the backend server is listed and takes new work.
+func (s *Snapshot) Usable(name string) bool {
+	server, ok := s.Servers[name]
+	return ok && server.Usable
+}
+
+// replace puts other records of backend servers into the snapshot; readers keep the map that they have.
+func (s *Snapshot) replace(servers ...*chain.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	s.Servers = maps.Clone(s.Servers)
+	for _, server := range servers {
+		s.Servers[server.Name] = server
+	}
+	s.Reports++
+}
+
+// tellUsable logs a change, and hurries the news that a backend server is leaving.
+func (c *Control) tellUsable(name string, usable bool) {
 	source, leaving := c.servers.drains.Leaving(name)
 	entry := c.log.WithField("server", name)
 	switch {
 	case usable:
 		entry.Info("backend server takes new work")
 	case leaving:
+		c.hurry()
 		entry.WithField("sign", source).Info("backend server is leaving and gets no new work")
 	default:
 		entry.Warn("backend server does not answer and gets no new work")
@@ -184,10 +191,12 @@
 	}
 	c.servers.drains.Answered(e.Name, e.Status.Leaving, e.Asked, e.At)
 	c.servers.health[e.Name].Succeed(c.servers.config, e.At)
-	server.Status, server.ReportedAt = e.Status, e.At
-	next.Servers = maps.Clone(next.Servers)
-	next.Servers[e.Name] = server
-	c.judge(next, e.Name)
+	reported := *server
+	reported.Status, reported.ReportedAt, reported.Usable = e.Status, e.At, c.usable(e.Name)
+	if reported.Usable != server.Usable {
+		c.tellUsable(e.Name, reported.Usable)
+	}
+	next.replace(&reported)
 }
 
 func (e ServerFailed) apply(c *Control, next *Snapshot) {
@@ -210,14 +219,3 @@
 		c.judge(next, instance.Name)
 	}
 }
-
-func (e MarksReceived) apply(c *Control, next *Snapshot) {
-	c.servers.drains.Merge(e.Marks, e.At)
-	for _, mark := range e.Marks {
-		c.judge(next, mark.Server)
-	}
-}
-
-func (e MarksWanted) apply(c *Control, _ *Snapshot) {
-	e.Marks <- c.servers.drains.Marks(e.At)
-}
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -27,17 +27,19 @@
 	if err != nil {
 		return nil, err
 	}
-	membership := provideMembership(loaded, identity, client, control, entry)
+	member := provideSelf(loaded, identity)
+	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
 	linked := provideLinks(control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
+	claims := provideClaims(member, client, control, transport, checker, entry)
 	lister := provideLister(client, control, entry)
 	chooser := provideChooser(loaded, control, checker)
 	retries := provideRetries(control, registry)
 	runner := provideRunner(loaded, control, httpClient, chooser, retries, checker, registry, entry)
 	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher, retries)
+	relay := provideRelay(control, dispatcher, claims, retries)
 	admission := provideAdmission(loaded, control, checker, registry)
 	entryEntry := provideEntry(loaded, control, runner, relay, admission, retries, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
@@ -48,6 +50,7 @@
 		Peers:      transport,
 		Linked:     linked,
 		Prober:     prober,
+		Claims:     claims,
 		Lister:     lister,
 		Entry:      entryEntry,
 		Admin:      admin,
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -159,10 +159,10 @@
 	if s.Caller.MaxConcurrent <= 0 {
 		report("caller.max_concurrent", s.Caller.MaxConcurrent, "use a positive number of requests")
 	}
+	s.stopProblems(report)
 	if s.Caller.MaxQueued <= 0 {
 		report("caller.max_queued", s.Caller.MaxQueued, "use a positive number of requests")
 	}
-	s.stopProblems(report)
 	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
 		report("log.level", s.Log.Level, "use error, warn, info or debug")
 	}
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
-	"math/rand/v2"
+	"math/rand"
 	"net/http"
 	"time"
 
@@ -22,8 +22,9 @@
 
 // Limits of one completion.
 const (
-	openTimeout   = 500 * time.Millisecond
+	openTimeout   = 250 * time.Millisecond
 	probeTimeout  = 250 * time.Millisecond
+	probeFloor    = 100 * time.Millisecond
 	cancelTimeout = time.Second
 	maxFruitless  = 10
 	minBackoff    = 20 * time.Millisecond
@@ -72,8 +73,9 @@
 
 // Runner runs completion requests.
 type Runner struct {
-	config Config
-	fresh  *http.Client
+	config  Config
+	fresh   *http.Client
+	budgets budgets
 }
 
 // New returns a Runner.
@@ -111,9 +113,14 @@
 		Servers:      func() []chain.Server { return r.candidates(pool) },
 		OpenTimeout:  openTimeout,
 		ProbeTimeout: probeTimeout,
+		ProbeFloor:   probeFloor,
 		Deadline:     deadline,
 	})
-	return newCarrier(r, request, session, deliver).carry(ctx)
+	finish, err = newCarrier(r, request, session, deliver).carry(ctx)
+	if err == nil {
+		r.budgets.succeeded(time.Now(), pool.Name)
+	}
+	return finish, err
 }
 
 // recovery returns how to go on with the request after failures.
@@ -124,7 +131,8 @@
 		Choose:        r.config.Choose,
 		Retry:         func() bool { return r.config.Retry(pool.Name) },
 		Request:       chain.Request{Pool: pool.Name, Layers: pool.Layers, Zone: r.config.Zone, Prefix: engine.Prefix(request.Prompt)},
-		Rand:          rand.New(rand.NewPCG(digest.Sum64(), 0)),
+		Rand:          rand.New(rand.NewSource(int64(digest.Sum64()))),
+		Allow:         func(now time.Time) bool { return r.budgets.allow(now, pool.Name) },
 		MaxFruitless:  maxFruitless,
 		Backoff:       minBackoff,
 		MaxBackoff:    maxBackoff,
@@ -140,7 +148,7 @@
 	servers := make([]chain.Server, 0, len(pool.Servers))
 	for _, row := range pool.Servers {
 		if server, ok := snapshot.Servers[row.Name]; ok {
-			servers = append(servers, server)
+			servers = append(servers, *server)
 		}
 	}
 	return servers
--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -216,8 +216,7 @@
 	w.Header().Set(outcome.Header, string(failure.Outcome))
 	w.Header().Set(outcome.RequestHeader, id)
 	if failure.RetryAfter > 0 {
-		seconds := math.Ceil(failure.RetryAfter.Seconds())
-		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(failure.Status())
 	_ = json.NewEncoder(w).Encode(failureBody{Error: failure})
--- a/rail/engine/engine.go
+++ b/rail/engine/engine.go
@@ -118,9 +118,9 @@
 	Position int `json:"position"`
 	// Context is the hash of the prompt and all earlier tokens.
 	Context uint64 `json:"context"`
-	// Start is the Context before the first layer, which no stage changes.
-	Start uint64 `json:"start"`
-	// Previous is the Start of the position before, zero at the first position.
+	// State is the state after the last layer that was run.
+	State uint64 `json:"state"`
+	// Previous is the Context of the position before, zero at the first position.
 	Previous uint64 `json:"previous,omitempty"`
 	// Length is the number of tokens, prompt included, before this one.
 	Length int `json:"length"`
@@ -156,7 +156,9 @@
 	Position int `json:"position"`
 	// Token is the text of the token.
 	Token string `json:"token,omitempty"`
-	// Receipts lists the stages that the token passed, in order.
+	// Trace is the TraceOf the receipts of the token.
+	Trace Trace `json:"trace,omitempty"`
+	// Receipts lists the stages that the token passed, in order; they may be left out if Trace is that of the token before.
 	Receipts []Receipt `json:"receipts,omitempty"`
 	// End marks the frame after the last token of a complete answer; its one receipt is that of the last stage.
 	End bool `json:"end,omitempty"`
--- a/rail/stream/budget_test.go
+++ b/rail/stream/budget_test.go
@@ -1,7 +1,7 @@
 package stream
 
 import (
-	"math/rand/v2"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -25,7 +25,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			recovery := NewRecovery(RecoveryConfig{
-				Choose: chain.Choose, Request: chain.Request{Layers: 4}, Rand: rand.New(rand.NewPCG(1, 1)),
+				Choose: chain.Choose, Request: chain.Request{Layers: 4}, Rand: rand.New(rand.NewSource(1)),
 				MaxFruitless: 9, Backoff: time.Millisecond, MaxBackoff: time.Second, Avoid: time.Second, Patience: time.Second,
 				Retry: func() bool { return false },
 			})
--- a/rail/stream/prove_test.go
+++ b/rail/stream/prove_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -77,14 +77,18 @@
 	if rapid.Bool().Draw(rt, "stops") {
 		c.prompt += fmt.Sprintf(" [stop %d]", rapid.IntRange(0, 24).Draw(rt, "stop"))
 	}
+	choose := chain.Choose
+	if rapid.Bool().Draw(rt, "picker") {
+		choose = chain.New(chain.Config{Random: rand.New(rand.NewSource(int64(number))), Checker: checker}).ChooseFrom
+	}
 	c.session = stream.NewSession(stream.SessionConfig{
 		Answer: stream.AnswerConfig{Stream: c.id, Layers: layers, MaxTokens: c.maxTokens, Checker: checker},
 		Recovery: stream.RecoveryConfig{
-			Choose: chain.Choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewPCG(1, uint64(number))),
+			Choose: choose, Request: chain.Request{Layers: layers}, Rand: rand.New(rand.NewSource(int64(number))),
 			MaxFruitless: 10, Backoff: 20 * time.Millisecond, MaxBackoff: time.Second, Avoid: 5 * time.Second, Patience: 5 * time.Second,
 		},
 		Silence: silence.DefaultConfig(), Servers: func() []chain.Server { return m.view },
-		OpenTimeout: 500 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond, Deadline: m.now.Add(answerTime),
+		OpenTimeout: 500 * time.Millisecond, ProbeTimeout: 250 * time.Millisecond, ProbeFloor: 100 * time.Millisecond, Deadline: m.now.Add(answerTime),
 	})
 	return c
 }
@@ -179,7 +183,7 @@
 			return nil
 		case "end":
 			end := frame
-			end.Token, end.End, end.Finish, end.Receipts = "", true, engine.FinishStop, frame.Receipts[len(frame.Receipts)-1:]
+			end.Token, end.End, end.Finish, end.Receipts = "", true, engine.FinishStop, []engine.Receipt{c.lastReceipt()}
 			return []engine.Frame{end, frame}
 		case "text":
 			frame.Token += "x"
