--- a/railload/internal/experiment/command.go
+++ b/railload/internal/experiment/command.go
@@ -19,6 +19,7 @@
 	{name: "chain", run: chains},
 	{name: "admission", run: admission},
 	{name: "retry", run: retries},
+	{name: "affinity", run: affinity},
 }
 
 // defaultRuns is the number of seeds.
