--- a/rail/admit/gate.go
+++ b/rail/admit/gate.go
@@ -290,11 +290,11 @@
 
 // refuse adds the refusal of a request.
 func (g *Gate) refuse(actions []Action, id string, verdict Verdict) []Action {
-	return append(actions, Action{ID: id, Verdict: verdict, RetryAfter: g.retryAfter()})
+	return append(actions, Action{ID: id, Verdict: verdict, RetryAfter: g.RetryAfter()})
 }
 
-// retryAfter returns the time in which the waiting requests will have run, with jitter.
-func (g *Gate) retryAfter() time.Duration {
+// RetryAfter returns the time in which the waiting requests will have run, with jitter.
+func (g *Gate) RetryAfter() time.Duration {
 	drain := g.limiter.expected(1) * time.Duration(len(g.waiting)) / time.Duration(g.limiter.allow())
 	base := min(max(drain, leastRetryAfter), maxRetryAfter)
 	return base + time.Duration(g.config.Random.Int63n(int64(base)))
