Let a new instance get the tables while the platform's service is out

Cause: an instance that starts during an outage cannot register, so that no peer knew it, none told it the tables, and it stayed not ready however long the outage lasted; instances are replaced at any time. Ruled out: records in the settings (addresses and keys change with every replacement); membership by an epoch of the peers' making (it would have to be reconciled with the service's numbers afterwards). Change: peer.secret and peer.seeds. A certificate carries a keyed hash of its own public key; it admits its owner as a guest, who may ask for tables alone, and lets the guest check the instances that it asks. It registers when the service answers again.

--- a/comfreyrail/internal/control/link/config.go
+++ b/comfreyrail/internal/control/link/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -26,6 +27,8 @@
 	watchersPerZone = 2
 	// askedPeers is the number of peers that a new instance asks for the generation in force.
 	askedPeers = 5
+	// askTimeout is the longest wait for the generation in force at another instance.
+	askTimeout = 2 * time.Second
 )
 
 // ContentRequest asks for content of the tables.
@@ -50,14 +53,19 @@
 	Membership *membership.Membership
 	// Transport carries the calls.
 	Transport *peer.Transport
+	// Seeds are addresses of instances that this one asks for tables while it has no record of its own.
+	Seeds []string
 }
 
-// Linked shows that the calls between instances are joined.
-type Linked struct{}
+// seedInterval is the time between questions to the seeds while this incarnation has no record of its own.
+const seedInterval = 2 * time.Second
+
+// Link makes and serves the calls about configuration.
+type Link struct{ Config }
 
 // New joins the configuration, the membership and the transport; it must be called before they serve.
-func New(config Config) Linked {
-	c := &calls{config}
+func New(config Config) *Link {
+	c := &Link{config}
 	config.Sync.Duty = c.watches
 	config.Sync.Members = func() int { return len(config.Control.Snapshot().Members()) }
 	config.Sync.Announce = config.Membership.Announce
@@ -69,50 +77,87 @@
 	}
 	config.Transport.Handle(membership.KindHeartbeat, config.Membership.ServeHeartbeat)
 	config.Transport.Handle(membership.KindStatus, config.Membership.ServeStatus)
-	config.Transport.Handle(KindContent, c.serveContent)
-	config.Transport.Handle(KindHead, c.serveHead)
-	return Linked{}
+	config.Transport.HandleGuests(KindContent, c.serveContent)
+	config.Transport.HandleGuests(KindHead, c.serveHead)
+	return c
 }
 
-// calls makes and serves the calls.
-type calls struct{ Config }
+// Serve asks the seeds for tables until this incarnation is registered, so that an outage of the service does not
+// keep a new instance from taking requests.
+func (c *Link) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(seedInterval)
+	defer ticker.Stop()
+	for len(c.Seeds) > 0 && c.Control.Snapshot().Self.Epoch == 0 {
+		for _, head := range c.ask(ctx, c.seeds()) {
+			c.Sync.Offer(ctx, head.Peer, head.Generation, head.Hash)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// seeds returns the records of the seeds, without what only the platform's service knows.
+func (c *Link) seeds() []member.Member {
+	seeds := make([]member.Member, 0, len(c.Seeds))
+	for _, address := range c.Seeds {
+		seeds = append(seeds, member.Member{Name: address, Address: address})
+	}
+	return seeds
+}
 
 // watches reports whether this instance holds a waiting watch on the tables.
 //
 // An instance that sees no others watches by itself.
-func (c *calls) watches() bool {
+func (c *Link) watches() bool {
 	snapshot := c.Control.Snapshot()
 	members := snapshot.Members()
 	return len(members) <= 1 || member.Holds(snapshot.Self.Name, member.DutyWatch, watchersPerZone, members)
 }
 
-// fetch returns content from a peer.
-func (c *calls) fetch(ctx context.Context, name, hash string) (content []byte, err error) {
+// fetch returns content from a peer or a seed.
+func (c *Link) fetch(ctx context.Context, name, hash string) (content []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "fetch from %q", name)
-	for _, known := range c.Control.Snapshot().Fleet {
-		if known.Member.Name != name {
+	for _, known := range append(c.Control.Snapshot().Members(), c.seeds()...) {
+		if known.Name != name {
 			continue
 		}
 		var answer Content
-		err = c.Transport.Call(ctx, known.Member, KindContent, ContentRequest{Hash: hash}, &answer)
+		err = c.Transport.Call(ctx, known, KindContent, ContentRequest{Hash: hash}, &answer)
 		return answer.Bytes, err
 	}
 	return nil, errors.New("the instance is not known")
 }
 
 // heads asks a few peers for the generation that they have in force.
-func (c *calls) heads(ctx context.Context) (heads []configsync.Head, err error) {
+func (c *Link) heads(ctx context.Context) (heads []configsync.Head, err error) {
+	snapshot := c.Control.Snapshot()
+	var asked []member.Member
+	for _, other := range snapshot.Members() {
+		if other.Name != snapshot.Self.Name && len(asked) < askedPeers {
+			asked = append(asked, other)
+		}
+	}
+	heads = c.ask(ctx, asked)
+	if len(asked) > 0 && len(heads) == 0 {
+		return nil, errors.Errorf("none of %d peers answered", len(asked))
+	}
+	return heads, nil
+}
+
+// ask returns the generations that those of the instances that answer have in force.
+func (c *Link) ask(ctx context.Context, asked []member.Member) (heads []configsync.Head) {
 	var (
 		mu     sync.Mutex
 		asking sync.WaitGroup
 	)
-	snapshot := c.Control.Snapshot()
-	asked := 0
-	for _, other := range snapshot.Members() {
-		if other.Name == snapshot.Self.Name || asked == askedPeers {
-			continue
-		}
-		asked++
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, other := range asked {
 		asking.Go(func() {
 			var head spread.Head
 			if c.Transport.Call(ctx, other, KindHead, struct{}{}, &head) != nil {
@@ -124,13 +169,10 @@
 		})
 	}
 	asking.Wait()
-	if asked > 0 && len(heads) == 0 {
-		return nil, errors.Errorf("none of %d peers answered", asked)
-	}
-	return heads, nil
+	return heads
 }
 
-func (c *calls) serveContent(_ context.Context, from member.Member, body []byte) (answer any, err error) {
+func (c *Link) serveContent(_ context.Context, from member.Member, body []byte) (answer any, err error) {
 	defer errors.DeferredAnnotatef(&err, "content for %q", from.Name)
 	var request ContentRequest
 	if err = peer.Decode(body, &request); err != nil {
@@ -143,6 +185,6 @@
 	return Content{Bytes: content}, nil
 }
 
-func (c *calls) serveHead(context.Context, member.Member, []byte) (answer any, err error) {
+func (c *Link) serveHead(context.Context, member.Member, []byte) (answer any, err error) {
 	return c.Sync.Head(), nil
 }
--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -57,7 +57,7 @@
 
 func startInstance(t *testing.T, name string, store *kv.Client) *instance {
 	t.Helper()
-	identity, err := peer.NewIdentity(name)
+	identity, err := peer.NewIdentity(name, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,7 +146,7 @@
 	_, store := startPlatform(t)
 	first := startInstance(t, "rail-1", store)
 	waitFor(t, "registration", first.sees(1))
-	intruder, err := peer.NewIdentity("rail-1")
+	intruder, err := peer.NewIdentity("rail-1", "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/comfreyrail/internal/peer/bench_test.go
+++ b/comfreyrail/internal/peer/bench_test.go
@@ -63,7 +63,7 @@
 	logger.SetOutput(io.Discard)
 	identities := make([]Identity, 2)
 	for i, name := range []string{"client", "server"} {
-		identity, err := NewIdentity(name)
+		identity, err := NewIdentity(name, "")
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -80,7 +80,7 @@
 	server := New(Config{
 		Listen: address, Identity: identities[1], Log: logrus.NewEntry(logger),
 		Resolve: func(context.Context, string, string) (member.Member, error) {
-			return member.Member{Name: "client"}, nil
+			return member.Member{Name: "client", Epoch: 1}, nil
 		},
 	})
 	server.Handle("echo", func(_ context.Context, _ member.Member, body []byte) (any, error) {
--- a/comfreyrail/internal/peer/identity.go
+++ b/comfreyrail/internal/peer/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/ed25519"
+	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
@@ -27,17 +28,21 @@
 	certificate tls.Certificate
 }
 
-// NewIdentity makes a key pair for the named instance.
-func NewIdentity(name string) (identity Identity, err error) {
+// NewIdentity makes a key pair for the named instance; its certificate proves that the maker knows the secret, if there is one.
+func NewIdentity(name, secret string) (identity Identity, err error) {
 	defer errors.DeferredAnnotatef(&err, "make identity of %q", name)
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return Identity{}, err
 	}
+	key, err := x509.MarshalPKIXPublicKey(public)
+	if err != nil {
+		return Identity{}, err
+	}
 	now := time.Now()
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(now.UnixNano()),
-		Subject:      pkix.Name{CommonName: name},
+		Subject:      pkix.Name{CommonName: name, SerialNumber: proveSecret(key, secret)},
 		NotBefore:    now.Add(-time.Hour),
 		NotAfter:     now.Add(certificateLife),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
@@ -58,6 +63,22 @@
 	}, nil
 }
 
+// proveSecret returns what shows that the owner of the public key knows the secret, empty if there is no secret.
+func proveSecret(key []byte, secret string) string {
+	if secret == "" {
+		return ""
+	}
+	code := hmac.New(sha256.New, []byte(secret))
+	_, _ = code.Write(key)
+	return base64.RawURLEncoding.EncodeToString(code.Sum(nil))
+}
+
+// knowsSecret reports whether the certificate proves that its owner knows the secret.
+func knowsSecret(certificate *x509.Certificate, secret string) bool {
+	want := proveSecret(certificate.RawSubjectPublicKeyInfo, secret)
+	return secret != "" && hmac.Equal([]byte(certificate.Subject.SerialNumber), []byte(want))
+}
+
 // fingerprint returns the hash of the public key of a certificate.
 func fingerprint(certificate *x509.Certificate) string {
 	sum := sha256.Sum256(certificate.RawSubjectPublicKeyInfo)
--- a/comfreyrail/internal/peer/transport.go
+++ b/comfreyrail/internal/peer/transport.go
@@ -46,6 +46,8 @@
 	Identity Identity
 	// Resolve returns the record of the instance with the name and fingerprint.
 	Resolve func(ctx context.Context, name, fingerprint string) (member.Member, error)
+	// Secret is known to every instance; it admits one that has no record yet as a guest, if it is not empty.
+	Secret string
 	// Log receives the log.
 	Log *logrus.Entry
 }
@@ -54,6 +56,7 @@
 type Transport struct {
 	config   Config
 	handlers map[Kind]Handler
+	guests   map[Kind]bool
 
 	mu          sync.Mutex
 	connections map[connectionKey]*quic.Conn
@@ -71,6 +74,7 @@
 	return &Transport{
 		config:      config,
 		handlers:    make(map[Kind]Handler),
+		guests:      make(map[Kind]bool),
 		connections: make(map[connectionKey]*quic.Conn),
 	}
 }
@@ -78,6 +82,12 @@
 // Handle sets the handler for a kind; it must be called before Serve.
 func (t *Transport) Handle(kind Kind, handler Handler) { t.handlers[kind] = handler }
 
+// HandleGuests sets the handler for a kind that guests may ask for too; it must be called before Serve.
+func (t *Transport) HandleGuests(kind Kind, handler Handler) {
+	t.Handle(kind, handler)
+	t.guests[kind] = true
+}
+
 // settings are the settings of all connections; the library's own datagrams and migration stay unused.
 func settings() *quic.Config {
 	return &quic.Config{
@@ -124,6 +134,8 @@
 }
 
 // clientTLS accepts only the key whose fingerprint the member's record bears.
+//
+// A member without a fingerprint is one whose record could not be read; its key must be proved by the secret.
 func (t *Transport) clientTLS(to member.Member) *tls.Config {
 	return &tls.Config{
 		Certificates:       []tls.Certificate{t.config.Identity.certificate},
@@ -131,15 +143,21 @@
 		NextProtos:         []string{protocol},
 		InsecureSkipVerify: true, //nolint:gosec // VerifyConnection checks the fingerprint; there is no authority.
 		VerifyConnection: func(state tls.ConnectionState) error {
-			return checkFingerprint(state.PeerCertificates, to.Fingerprint)
+			return t.checkServer(state.PeerCertificates, to.Fingerprint)
 		},
 	}
 }
 
-func checkFingerprint(certificates []*x509.Certificate, want string) error {
+func (t *Transport) checkServer(certificates []*x509.Certificate, want string) error {
 	if len(certificates) != 1 {
 		return fmt.Errorf("%d certificates instead of 1", len(certificates))
 	}
+	if want == "" {
+		if !knowsSecret(certificates[0], t.config.Secret) {
+			return errors.New("the instance does not prove that it knows the secret")
+		}
+		return nil
+	}
 	if got := fingerprint(certificates[0]); got != want {
 		return fmt.Errorf("fingerprint %q differs from the recorded %q", got, want)
 	}
@@ -185,7 +203,7 @@
 	t.served--
 }
 
-// identify returns the record of the instance at the other end.
+// identify returns the record of the instance at the other end; a guest has no epoch.
 func (t *Transport) identify(ctx context.Context, connection *quic.Conn) (from member.Member, err error) {
 	certificates := connection.ConnectionState().TLS.PeerCertificates
 	if len(certificates) != 1 {
@@ -193,7 +211,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
-	return t.config.Resolve(ctx, certificates[0].Subject.CommonName, fingerprint(certificates[0]))
+	name := certificates[0].Subject.CommonName
+	from, err = t.config.Resolve(ctx, name, fingerprint(certificates[0]))
+	if err != nil && knowsSecret(certificates[0], t.config.Secret) {
+		return member.Member{Name: name}, nil
+	}
+	return from, err
 }
 
 // serveStream answers one call.
@@ -223,6 +246,9 @@
 	if !ok {
 		return nil, fmt.Errorf("unknown kind %q", received.Kind)
 	}
+	if from.Epoch == 0 && !t.guests[received.Kind] {
+		return nil, fmt.Errorf("kind %q is not for guests", received.Kind)
+	}
 	return handler(ctx, from, received.Body)
 }
 
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -41,8 +41,8 @@
 	Membership *membership.Membership
 	// Peers carries calls between instances.
 	Peers *peer.Transport
-	// Linked shows that the calls between instances are joined.
-	Linked link.Linked
+	// Link joins the calls between instances.
+	Link *link.Link
 	// Prober asks the backend servers for their status.
 	Prober *probe.Prober
 	// Claims commits the claims of idempotency keys.
@@ -65,6 +65,7 @@
 	state.Add(branches.Control)
 	state.Add(branches.Sync)
 	state.Add(branches.Membership)
+	state.Add(branches.Link)
 	state.Add(branches.Prober)
 	state.Add(branches.Lister)
 	traffic := suture.New("traffic", spec)
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -75,7 +75,7 @@
 }
 
 func provideIdentity(loaded settings.Settings) (peer.Identity, error) {
-	return peer.NewIdentity(loaded.Name)
+	return peer.NewIdentity(loaded.Name, loaded.Peer.Secret)
 }
 
 // provideSelf returns the record of this incarnation.
@@ -91,11 +91,11 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Secret: loaded.Peer.Secret, Log: log})
 }
 
-func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
-	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
+func provideLinks(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) *link.Link {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport, Seeds: loaded.Peer.Seeds})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -30,7 +30,7 @@
 	member := provideSelf(loaded, identity)
 	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
-	linked := provideLinks(control, sync, membership, transport)
+	link := provideLinks(loaded, control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	claims := provideClaims(member, client, control, transport, checker, entry)
@@ -48,7 +48,7 @@
 		Sync:       sync,
 		Membership: membership,
 		Peers:      transport,
-		Linked:     linked,
+		Link:       link,
 		Prober:     prober,
 		Claims:     claims,
 		Lister:     lister,
--- /dev/null
+++ b/comfreyrail/internal/settings/peer.go
@@ -0,0 +1,25 @@
+package settings
+
+import "net/netip"
+
+// minSecretBytes is the least length of the secret of the instances.
+const minSecretBytes = 16
+
+// problems reports what is wrong with the settings for other instances.
+func (p Peer) problems(report func(field string, value any, fix string)) {
+	address, err := netip.ParseAddrPort(p.Listen)
+	if err != nil || address.Addr().IsUnspecified() {
+		report("peer.listen", p.Listen, "write the IP number and port at which the other instances reach this one")
+	}
+	for _, seed := range p.Seeds {
+		if _, err = netip.ParseAddrPort(seed); err != nil {
+			report("peer.seeds", seed, "write the IP number and port of another instance's peer.listen")
+		}
+	}
+	if p.Secret != "" && len(p.Secret) < minSecretBytes {
+		report("peer.secret", "(hidden)", "use at least 16 characters")
+	}
+	if len(p.Seeds) > 0 && p.Secret == "" {
+		report("peer.secret", "", "set the secret that all instances share, or remove peer.seeds")
+	}
+}
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -63,6 +63,10 @@
 type Peer struct {
 	// Listen is the UDP host and port to listen on, at which the other instances reach this one.
 	Listen string `toml:"listen"`
+	// Secret is known to every instance; with it a new one gets the tables from Seeds while the platform's service is out.
+	Secret string `toml:"secret"`
+	// Seeds are UDP addresses of some instances, asked only before this one is registered.
+	Seeds []string `toml:"seeds"`
 }
 
 // Platform configures the calls to the platform's service.
@@ -144,7 +148,6 @@
 	addresses := []struct{ field, value string }{
 		{"caller.listen", s.Caller.Listen},
 		{"admin.listen", s.Admin.Listen},
-		{"peer.listen", s.Peer.Listen},
 		{"platform.address", s.Platform.Address},
 	}
 	for _, address := range addresses {
@@ -153,6 +156,7 @@
 		}
 	}
 	s.Admin.check(report)
+	s.Peer.problems(report)
 	if s.Caller.MaxBodyBytes <= 0 {
 		report("caller.max_body_bytes", s.Caller.MaxBodyBytes, "use a positive number of bytes")
 	}
