--- a/railload/internal/load/report.go
+++ b/railload/internal/load/report.go
@@ -92,7 +92,7 @@
 	Tokens int `json:"tokens"`
 	// Runs is the number of plain calls whose runs were counted at the services.
 	Runs int `json:"runs"`
-	// Misruns is the number of plain calls that ran more often than their verdict allows.
+	// Misruns is the number of plain calls whose count of runs contradicts what the caller was told.
 	Misruns int `json:"misruns"`
 }
 
@@ -244,7 +244,7 @@
 			}
 		}
 	}
-	printf("\n%d tokens; the runs of %d plain calls were counted, %d ran more often than the caller was told\n", r.Tokens, r.Runs, r.Misruns)
+	printf("\n%d tokens; the runs of %d plain calls were counted, %d contradict what the caller was told\n", r.Tokens, r.Runs, r.Misruns)
 	for _, reason := range r.Reasons {
 		printf("%d %s %s: %s\n", reason.Count, reason.Verdict, reason.Code, reason.Example)
 	}
