--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -13,7 +13,6 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/health"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // reasonLeaving is the reason by which a backend server refuses work because it is leaving.
@@ -159,11 +158,17 @@
 		judged := *server
 		judged.Usable = usable
 		changed = append(changed, &judged)
-		c.logUsable(name, usable)
+		c.tellUsable(name, usable)
 	}
 	next.replace(changed...)
 }
 
+// Usable reports whether the backend server is listed and takes new work.
+func (s *Snapshot) Usable(name string) bool {
+	server, ok := s.Servers[name]
+	return ok && server.Usable
+}
+
 // replace puts other records of backend servers into the snapshot; readers keep the map that they have.
 func (s *Snapshot) replace(servers ...*chain.Server) {
 	if len(servers) == 0 {
@@ -193,13 +198,15 @@
 	return true
 }
 
-func (c *Control) logUsable(name string, usable bool) {
+// tellUsable logs a change, and hurries the news that a backend server is leaving.
+func (c *Control) tellUsable(name string, usable bool) {
 	source, leaving := c.servers.drains.Leaving(name)
 	entry := c.log.WithField("server", name)
 	switch {
 	case usable:
 		entry.Info("backend server takes new work")
 	case leaving:
+		c.hurry()
 		entry.WithField("sign", source).Info("backend server is leaving and gets no new work")
 	default:
 		entry.Warn("backend server does not answer and gets no new work")
@@ -216,7 +223,7 @@
 	reported := *server
 	reported.Status, reported.ReportedAt, reported.Usable = e.Status, e.At, c.usable(e.Name)
 	if reported.Usable != server.Usable {
-		c.logUsable(e.Name, reported.Usable)
+		c.tellUsable(e.Name, reported.Usable)
 	}
 	next.replace(&reported)
 	c.markProbed(next, e.At)
@@ -245,20 +252,3 @@
 		c.judge(next, instance.Name)
 	}
 }
-
-// withMarks adds the marks to heartbeats.
-func (c *Control) withMarks(beats []spread.Beat, now time.Time) []spread.Beat {
-	marks := c.servers.drains.Marks(now)
-	for i := range beats {
-		beats[i].Message.Marks = marks
-	}
-	return beats
-}
-
-// mergeMarks takes the marks of a peer.
-func (c *Control) mergeMarks(next *Snapshot, marks []drain.Mark, now time.Time) {
-	c.servers.drains.Merge(marks, now)
-	for _, mark := range marks {
-		c.judge(next, mark.Server)
-	}
-}
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
+	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
@@ -42,8 +43,10 @@
 	Dispatcher *dispatch.Dispatcher
 	// Claims runs requests that bear an idempotency key; nil relays them like any other.
 	Claims *claims.Claims
-	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
-	Retry func() bool
+	// Forward passes a request to another instance; nil means that no other instance can be reached.
+	Forward func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	// Retry takes one retry on the pool from a budget for requests that may have run and are idempotent; nil allows none.
+	Retry func(pool string) bool
 }
 
 // Relay passes plain requests on.
@@ -51,12 +54,15 @@
 	control    *control.Control
 	dispatcher *dispatch.Dispatcher
 	claims     *claims.Claims
-	retry      func() bool
+	forward    func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	retry      func(pool string) bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
-	return &Relay{control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, retry: config.Retry}
+	return &Relay{
+		control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, forward: config.Forward, retry: config.Retry,
+	}
 }
 
 // maxDispatches is the greatest number of backend servers that one request is sent to.
@@ -77,7 +83,7 @@
 //
 // Another backend server is tried only while the request provably has not run, or if it is idempotent.
 func (r *Relay) dispatch(ctx context.Context, request Request) (answer Answer, err error) {
-	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
+	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.budget(request.Route.Pool)}
 	tried := make(map[string]bool)
 	ran := false
 	for {
@@ -105,6 +111,14 @@
 	}
 }
 
+// budget returns the function that takes one retry on the pool from the budget, nil if there is none.
+func (r *Relay) budget(pool string) func() bool {
+	if r.retry == nil {
+		return nil
+	}
+	return func() bool { return r.retry(pool) }
+}
+
 // firstFailure returns the failure of the last dispatch, or why none was possible.
 func firstFailure(dispatched, chosen error) error {
 	if dispatched != nil {
--- a/rail/spread/message.go
+++ b/rail/spread/message.go
@@ -77,10 +77,10 @@
 	Digest uint64 `cbor:"4,keyasint"`
 	// Updates is news about members.
 	Updates []Update `cbor:"5,keyasint,omitempty"`
+	// Marks are signs that backend servers are leaving.
+	Marks []drain.Mark `cbor:"7,keyasint,omitempty"`
 	// Full asks for all that the receiver knows about the members.
 	Full bool `cbor:"6,keyasint,omitempty"`
-	// Marks are the signs that backend servers are leaving.
-	Marks []drain.Mark `cbor:"7,keyasint,omitempty"`
 }
 
 // Beat is a heartbeat to send.
