--- a/comfreyrail/e2e/fleet_test.go
+++ b/comfreyrail/e2e/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -45,10 +46,10 @@
 
 // process is one comfreyrail process.
 type process struct {
-	name, caller, admin, settings string
-	gate                          *gate
-	command                       *exec.Cmd
-	log                           bytes.Buffer
+	name, caller, admin, peer, settings string
+	gate                                *gate
+	command                             *exec.Cmd
+	log                                 bytes.Buffer
 }
 
 // fleet is a set of processes before stand-ins in the test's own process.
@@ -60,6 +61,8 @@
 	services  []*fakeservice.Server
 	addresses []string
 	processes []*process
+	// out tells that the platform's service is out for processes added from now on.
+	out bool
 }
 
 func newFleet(t *testing.T, programs ...string) *fleet {
@@ -130,9 +133,10 @@
 func (f *fleet) add(zone string) *process {
 	f.t.Helper()
 	p := &process{
-		name: fmt.Sprintf("instance%d", len(f.processes)), caller: f.address("tcp"), admin: f.address("tcp"),
+		name: fmt.Sprintf("instance%d", len(f.processes)), caller: f.address("tcp"), admin: f.address("tcp"), peer: f.address("udp"),
 		gate: &gate{handler: f.platform},
 	}
+	p.gate.shut.Store(f.out)
 	p.settings = filepath.Join(f.bin, p.name+".toml")
 	content := fmt.Sprintf(`name = %q
 zone = %q
@@ -142,6 +146,8 @@
 listen = %q
 [peer]
 listen = %q
+secret = "a secret of the whole fleet"
+seeds = [%s]
 [platform]
 address = %q
 [list]
@@ -149,7 +155,7 @@
 [stop]
 lag = "2s"
 idle = "500ms"
-`, p.name, zone, p.caller, p.admin, f.address("udp"), f.serve(p.gate))
+`, p.name, zone, p.caller, p.admin, p.peer, f.seeds(), f.serve(p.gate))
 	if err := os.WriteFile(p.settings, []byte(content), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -165,6 +171,15 @@
 	return p
 }
 
+// seeds returns the peer addresses of the processes added so far, as a settings file lists them.
+func (f *fleet) seeds() string {
+	quoted := make([]string, 0, len(f.processes))
+	for _, p := range f.processes {
+		quoted = append(quoted, strconv.Quote(p.peer))
+	}
+	return strings.Join(quoted, ", ")
+}
+
 func (f *fleet) start(p *process) {
 	f.t.Helper()
 	p.command = exec.Command(filepath.Join(f.bin, "comfreyrail"), "run", "--settings", p.settings)
