--- a/comfreyrail/internal/admin/admin_test.go
+++ b/comfreyrail/internal/admin/admin_test.go
@@ -44,14 +44,15 @@
 	log := logrus.NewEntry(logger)
 	state := control.New(control.Config{Log: log, Checker: new(invariant.Checker)})
 	store := &kv.Client{Address: strings.TrimPrefix(server.URL, "http://")}
-	sync := configsync.New(configsync.Config{Store: store, Control: state, Log: log})
+	registry := metrics.NewRegistry()
+	sync := configsync.New(configsync.Config{Store: store, Control: state, Log: log, Metrics: registry})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = state.Serve(ctx) }()
 	go func() { _ = sync.Serve(ctx) }()
 	return New(Config{
 		Settings: settings.Admin{TokenSHA256: digest(writeToken), ReadTokenSHA256: digest(readToken)},
-		Control:  state, Sync: sync, Metrics: metrics.NewRegistry(),
+		Control:  state, Sync: sync, Metrics: registry,
 	}), platform
 }
 
@@ -92,6 +93,7 @@
 		{"history without end", "GET", "/history?limit=0", "", readToken, 400, "use 1 to"},
 		{"status", "GET", "/status", "", readToken, 200, `"generation": 3`},
 		{"dump", "GET", "/dump", "", readToken, 200, `"goroutines"`},
+		{"metrics", "GET", "/metrics", "", readToken, 200, `"config.edit.accepted":{"count":3}`},
 		{"delete", "DELETE", "/pools/mill?version=3", "", writeToken, 200, `"accepted"`},
 	}
 	for _, test := range tests {
--- a/comfreyrail/internal/control/configsync/configsync.go
+++ b/comfreyrail/internal/control/configsync/configsync.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
@@ -46,6 +47,8 @@
 	Control *control.Control
 	// Log receives the log.
 	Log *logrus.Entry
+	// Metrics receives the counts of edits and failures.
+	Metrics metrics.Registry
 }
 
 // Head names the generation in force at a peer.
@@ -71,6 +74,7 @@
 	store   *kv.Client
 	control *control.Control
 	log     *logrus.Entry
+	metrics metrics.Registry
 	again   chan struct{}
 	sweeper *edit.Sweeper
 
@@ -81,7 +85,7 @@
 // New returns a Sync.
 func New(config Config) *Sync {
 	return &Sync{
-		store: config.Store, control: config.Control, log: config.Log,
+		store: config.Store, control: config.Control, log: config.Log, metrics: config.Metrics,
 		again: make(chan struct{}, 1), sweeper: edit.NewSweeper(),
 	}
 }
@@ -146,6 +150,7 @@
 		default:
 		}
 	case install.Install:
+		metrics.GetOrRegisterGauge("config.generation", s.metrics).Update(int64(action.InForce.Manifest.Generation))
 		if s.Announce != nil {
 			go s.Announce(context.WithoutCancel(ctx), s.Head())
 		}
@@ -211,6 +216,7 @@
 		head, err = table.DecodeHead(record.Value)
 	}
 	if err != nil {
+		s.count("config.read.failed")
 		s.log.WithError(err).Warn("cannot read the head of the tables")
 		pause(ctx, jitter(retryPause))
 		return
@@ -240,6 +246,9 @@
 	s.hear(ctx, install.PeersAsked{})
 }
 
+// count counts one event.
+func (s *Sync) count(name string) { metrics.GetOrRegisterCounter(name, s.metrics).Inc(1) }
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/comfreyrail/internal/control/configsync/configsync_test.go
+++ b/comfreyrail/internal/control/configsync/configsync_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
@@ -69,7 +70,7 @@
 	state := control.New(control.Config{Log: logrus.NewEntry(log), Checker: f.checker})
 	earlier := f.list()
 	name := len(earlier)
-	s := New(Config{Store: &kv.Client{Address: f.address}, Control: state, Log: logrus.NewEntry(log)})
+	s := New(Config{Store: &kv.Client{Address: f.address}, Control: state, Log: logrus.NewEntry(log), Metrics: metrics.NewRegistry()})
 	s.Duty = func() bool { return name == 0 }
 	s.Members = func() int { return 10000 }
 	s.Announce = func(ctx context.Context, head spread.Head) {
--- a/comfreyrail/internal/control/configsync/edit.go
+++ b/comfreyrail/internal/control/configsync/edit.go
@@ -49,6 +49,9 @@
 	for {
 		step := attempt.Next(answer, time.Now())
 		if finish, ok := step.(edit.Finish); ok {
+			if purpose == edit.Commit {
+				s.count("config.edit." + string(finish.Result.State))
+			}
 			s.finish(ctx, attempt, finish.Result)
 			return finish.Result
 		}
--- a/comfreyrail/internal/control/configsync/fetch.go
+++ b/comfreyrail/internal/control/configsync/fetch.go
@@ -21,6 +21,7 @@
 func (s *Sync) fetch(ctx context.Context, action install.Fetch) {
 	contents, err := s.fetchAll(ctx, action)
 	if err != nil {
+		s.count("config.fetch.failed")
 		s.log.WithError(err).WithField("generation", action.Generation).Warn("cannot fetch tables")
 	}
 	s.hear(ctx, install.Fetched{Generation: action.Generation, From: action.From, Contents: contents, Failed: err != nil})
--- a/comfreyrail/internal/peer/bench_test.go
+++ b/comfreyrail/internal/peer/bench_test.go
@@ -79,7 +79,9 @@
 	}
 	server := New(Config{
 		Listen: address, Identity: identities[1], Log: logrus.NewEntry(logger),
-		Resolve: func(context.Context, string, string) (member.Member, error) { return member.Member{Name: "client"}, nil },
+		Resolve: func(context.Context, string, string) (member.Member, error) {
+			return member.Member{Name: "client"}, nil
+		},
 	})
 	server.Handle("echo", func(_ context.Context, _ member.Member, body []byte) (any, error) {
 		var received payload
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -70,8 +70,8 @@
 	})
 }
 
-func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry) *configsync.Sync {
-	return configsync.New(configsync.Config{Store: store, Control: state, Log: log})
+func provideSync(store *kv.Client, state *control.Control, log *logrus.Entry, registry metrics.Registry) *configsync.Sync {
+	return configsync.New(configsync.Config{Store: store, Control: state, Log: log, Metrics: registry})
 }
 
 func provideIdentity(loaded settings.Settings) (peer.Identity, error) {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -22,7 +22,7 @@
 	checker := provideChecker(entry, registry)
 	control := provideControl(loaded, entry, checker)
 	client := provideStore(loaded)
-	sync := provideSync(client, control, entry)
+	sync := provideSync(client, control, entry, registry)
 	identity, err := provideIdentity(loaded)
 	if err != nil {
 		return nil, err
