Refuse to bring back rows that were deleted after a file was exported

Cause: apply of an exported file put a row again that another operator had deleted meanwhile: with the row gone there is no version to compare. Ruled out: reading the deletions out of the record of edits (its summaries are cut short). Change: export writes the version of each row and backend server; a row with a version that is not in force any more is a conflict.

--- a/comfreyctl/internal/command/apply.go
+++ b/comfreyctl/internal/command/apply.go
@@ -20,15 +20,15 @@
 		Use:   "apply FILE",
 		Short: "Change the rows that differ from those in a TOML file, all at once",
 		Long: "Change the rows that differ from those in a TOML file, all at once.\n\n" +
-			"Rows that the file lacks are deleted. A file written by comfreyctl export tells the generation that it was\n" +
-			"made from; a row that others changed since then is a conflict, not overwritten.",
+			"Rows that the file lacks are deleted. A file written by comfreyctl export tells the versions of its\n" +
+			"rows; a row that others changed or deleted since then is a conflict, not overwritten.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
-			operations, base, err := s.difference(files[0])
+			operations, wanted, err := s.difference(files[0])
 			if err != nil {
 				return err
 			}
-			if err = changedSince(operations, base); err != nil {
+			if err = changedSince(operations, wanted); err != nil {
 				return err
 			}
 			if len(operations) == 0 {
@@ -64,37 +64,43 @@
 	}
 }
 
-// difference returns the operations that turn the tables in force into those of the file, and the file's generation.
-func (s *session) difference(path string) (operations []table.Operation, base uint64, err error) {
-	wanted, err := readTables(path)
+// difference returns the operations that turn the tables in force into those of the file, and these.
+func (s *session) difference(path string) (operations []table.Operation, wanted *table.Tables, err error) {
+	wanted, err = readTables(path)
 	if err != nil {
-		return nil, 0, err
+		return nil, nil, err
 	}
 	received, err := s.client.call(http.MethodPost, "/diff", nil, wanted)
 	if err != nil {
-		return nil, 0, unsent(err)
+		return nil, nil, unsent(err)
 	}
 	if received.status != http.StatusOK {
-		return nil, 0, s.client.refused(received)
+		return nil, nil, s.client.refused(received)
 	}
 	var difference struct {
 		Operations []table.Operation `json:"operations"`
 	}
-	return difference.Operations, wanted.Generation, received.decode(&difference)
+	return difference.Operations, wanted, received.decode(&difference)
 }
 
-// changedSince returns a conflict if others changed rows of the edit after the generation; zero stands for no generation.
-func changedSince(operations []table.Operation, base uint64) error {
+// changedSince returns a conflict if others changed rows of the edit after the file was exported.
+//
+// A file without generation and versions was not exported, and is applied as it is.
+func changedSince(operations []table.Operation, wanted *table.Tables) error {
+	file := wanted.Sorted()
 	lines := ""
 	for _, operation := range operations {
-		if base > 0 && operation.Version > base {
+		switch exported := file.Find(operation.Row).Version(); {
+		case file.Generation > 0 && operation.Version > file.Generation:
 			lines += fmt.Sprintf("  %s: changed at generation %d, and your file wants to %s it\n", operation.Row, operation.Version, operation.Action)
+		case exported > 0 && operation.Version == 0:
+			lines += fmt.Sprintf("  %s: deleted since, and your file still has it\n", operation.Row)
 		}
 	}
 	if lines == "" {
 		return nil
 	}
-	return failf(ExitConflict, "conflict, nothing was changed: your file was made from generation %d\n%snext: export the tables again and repeat your edit", base, lines)
+	return failf(ExitConflict, "conflict, nothing was changed: your file was made from generation %d\n%snext: export the tables again and repeat your edit", file.Generation, lines)
 }
 
 func (s *session) exportCommand() *cobra.Command {
--- a/rail/table/table.go
+++ b/rail/table/table.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -34,7 +36,7 @@
 	// DeadlineMS is the longest time a request may take, in milliseconds; zero means DefaultDeadline.
 	DeadlineMS int `cbor:"8,keyasint,omitempty" toml:"deadline_ms,omitempty" json:"deadline_ms,omitempty"`
 	// Version is the generation at which the row last changed.
-	Version uint64 `cbor:"9,keyasint,omitempty" toml:"-" json:"version,omitempty"`
+	Version uint64 `cbor:"9,keyasint,omitempty" toml:"version,omitempty" json:"version,omitempty"`
 }
 
 // MaxPriority is the highest priority of a route.
@@ -62,7 +64,7 @@
 	// Leaving keeps new work away from the backend server.
 	Leaving bool `cbor:"4,keyasint,omitempty" toml:"leaving,omitempty" json:"leaving,omitempty"`
 	// Version is the generation at which the entry last changed.
-	Version uint64 `cbor:"5,keyasint,omitempty" toml:"-" json:"version,omitempty"`
+	Version uint64 `cbor:"5,keyasint,omitempty" toml:"version,omitempty" json:"version,omitempty"`
 }
 
 // Pool names a group of backend servers.
@@ -76,7 +78,7 @@
 	// Servers lists the backend servers.
 	Servers []Server `cbor:"4,keyasint,omitempty" toml:"servers" json:"servers"`
 	// Version is the generation at which the row or one of its backend servers last changed.
-	Version uint64 `cbor:"5,keyasint,omitempty" toml:"-" json:"version,omitempty"`
+	Version uint64 `cbor:"5,keyasint,omitempty" toml:"version,omitempty" json:"version,omitempty"`
 }
 
 // Tables is one generation of both tables.
@@ -89,6 +91,17 @@
 	Pools []Pool `toml:"pools" json:"pools"`
 }
 
+// Sorted returns a copy whose rows and backend servers are in the order in which Find expects them.
+func (t *Tables) Sorted() *Tables {
+	sorted := t.clone()
+	for i := range sorted.Pools {
+		pool := &sorted.Pools[i]
+		pool.Servers = slices.Clone(pool.Servers)
+		slices.SortStableFunc(pool.Servers, func(a, b Server) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return sorted
+}
+
 // FindPool returns the pool of that name.
 func (t *Tables) FindPool(name string) (Pool, bool) {
 	for _, pool := range t.Pools {
