Bound the answers kept for repeats

Cause: an instance kept up to 65536 answers of 64 KiB each. The bound added to the window had no test that failed without it. The client of the platform's service left connections unread that could be used again. Change: at most 8 MiB of answers are kept; above that a repeat is told that the request ran and its answer was not kept. Conclusion: memory for answers is bounded; both bounds of the window are tested.

--- a/comfreyrail/internal/traffic/claims/claims.go
+++ b/comfreyrail/internal/traffic/claims/claims.go
@@ -34,6 +34,7 @@
 	maxEntries      = 8192
 	maxRecordAnswer = 512
 	maxKeptAnswer   = 64 << 10
+	maxKeptAnswers  = 8 << 20
 	eventBuffer     = 256
 	// fleetWrites is the rate of writes of the whole fleet at the platform's service, in calls per second.
 	fleetWrites = 300
@@ -89,7 +90,7 @@
 	}
 	book := claim.Config{
 		Owner: config.Owner, Started: time.Now(), Shards: config.Shards, Window: window, Bound: bound, Pause: callPause, Rate: fleetWrites,
-		MaxClaims: maxClaims, MaxEntries: maxEntries, MaxAnswer: maxRecordAnswer, Single: config.Single, Checker: config.Checker,
+		MaxClaims: maxClaims, MaxEntries: maxEntries, MaxAnswer: maxRecordAnswer, MaxKept: maxKeptAnswers, Single: config.Single, Checker: config.Checker,
 	}
 	return &Claims{
 		config: config, book: claim.New(book),
--- a/rail/claim/book.go
+++ b/rail/claim/book.go
@@ -31,6 +31,8 @@
 	MaxEntries int
 	// MaxAnswer is the greatest size in bytes of an answer that goes into a record.
 	MaxAnswer int
+	// MaxKept is the greatest size in bytes of all answers that the instance keeps for repeats.
+	MaxKept int
 	// Checker counts violated invariants.
 	Checker *invariant.Checker
 }
@@ -136,6 +138,8 @@
 type Book struct {
 	config   Config
 	sequence uint64
+	// kept is the size in bytes of all answers that are kept.
+	kept int
 	// minted is the number of keys that were minted.
 	minted uint64
 	shards []*shard
@@ -218,7 +222,11 @@
 	if state == NotRun {
 		b.release(claimed)
 	} else {
-		claimed.state, claimed.answer = state, answer
+		claimed.state = state
+		if b.kept+len(answer) <= b.config.MaxKept {
+			claimed.answer = answer
+			b.kept += len(answer)
+		}
 		b.mark(claimed)
 	}
 	b.pump(now, b.shardOf(claimed))
@@ -316,6 +324,9 @@
 }
 
 func (b *Book) forget(sequence uint64, claimed *held) {
+	if _, ok := b.claims[sequence]; ok {
+		b.kept -= len(claimed.answer)
+	}
 	delete(b.claims, sequence)
 	if b.latest[claimed.want.Key] == claimed {
 		delete(b.latest, claimed.want.Key)
--- a/rail/claim/book_test.go
+++ b/rail/claim/book_test.go
@@ -37,7 +37,7 @@
 func newBook(owner string) *Book {
 	return New(Config{
 		Owner: owner, Shards: 1, Window: testWindow, Bound: testBound, Pause: time.Second,
-		MaxClaims: 100, MaxEntries: 100, MaxAnswer: 16, Checker: new(invariant.Checker),
+		MaxClaims: 100, MaxEntries: 100, MaxAnswer: 16, MaxKept: 1000, Checker: new(invariant.Checker),
 	})
 }
 
@@ -69,6 +69,59 @@
 	}
 }
 
+// TestRotationWaitsForBound covers a repeat at the end of the window whose claim is committed a little later.
+func TestRotationWaitsForBound(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, owner, late, rotator := new(service), newBook("owner"), newBook("late"), newBook("rotator")
+	rotate := func(key string) {
+		_, actions := rotator.Claim(now, want(now, key, ""))
+		s.run(now, rotator, actions)
+	}
+	rotate("x")
+	now = now.Add(testWindow + testBound)
+	_, actions := owner.Claim(now, want(now, "k", ""))
+	s.run(now, owner, actions)
+	now = now.Add(time.Millisecond)
+	rotate("y")
+	now = now.Add(testWindow - time.Millisecond)
+	_, waiting := late.Claim(now, want(now, "k", ""))
+	now = now.Add(2 * time.Millisecond)
+	rotate("z")
+	verdicts := s.run(now, late, waiting)
+	if len(verdicts) != 1 || verdicts[0].Decision != Held {
+		t.Errorf("got verdicts %v, want that another holds the key", verdicts)
+	}
+	if got, want := s.record.Epoch, uint64(1); got != want {
+		t.Errorf("got epoch %d, want %d", got, want)
+	}
+}
+
+// TestKeptAnswers covers the bound on the answers that an instance keeps.
+func TestKeptAnswers(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, b := new(service), newBook("a")
+	finish := func(key string, size int) Answer {
+		ticket, actions := b.Claim(now, want(now, key, ""))
+		s.run(now, b, actions)
+		if !b.Start(now, ticket) {
+			t.Fatalf("got no start of %q, want one", key)
+		}
+		s.run(now, b, b.Finish(now, ticket, Done, make([]byte, size)))
+		return b.Ask(ticket)
+	}
+	if got, want := len(finish("1", 900).Answer), 900; got != want {
+		t.Errorf("got %d bytes kept, want %d", got, want)
+	}
+	if got := finish("2", 200); len(got.Answer) != 0 || got.State != Done {
+		t.Errorf("got %v above the bound, want done without an answer", got)
+	}
+	now = now.Add(forgetWindows*testWindow + time.Second)
+	s.run(now, b, b.Tick(now))
+	if got, want := len(finish("3", 900).Answer), 900; got != want {
+		t.Errorf("got %d bytes kept after the first was forgotten, want %d", got, want)
+	}
+}
+
 // TestClaimsInOneWrite covers the group commit.
 func TestClaimsInOneWrite(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/rail/claim/model_test.go
+++ b/rail/claim/model_test.go
@@ -118,7 +118,7 @@
 		waiting: make(map[uint64]*attempt),
 		book: New(Config{
 			Owner: owner, Started: time.Unix(0, 0).Add(w.now + offset), Shards: 2, Window: testWindow, Bound: testBound, Pause: time.Second,
-			MaxClaims: 1000, MaxEntries: 1000, MaxAnswer: 16, Checker: checker,
+			MaxClaims: 1000, MaxEntries: 1000, MaxAnswer: 16, MaxKept: 1000, Checker: checker,
 		}),
 	}
 }
--- a/rail/kv/kv.go
+++ b/rail/kv/kv.go
@@ -178,13 +178,20 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer func() {
+		// A connection is used again only if the answer has been read to its end.
+		_, _ = io.CopyN(io.Discard, response.Body, maxRest)
+		_ = response.Body.Close()
+	}()
 	if err = statusError(response.StatusCode); err != nil || result == nil {
 		return err
 	}
 	return json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(result)
 }
 
+// maxRest is the greatest number of bytes that are read after an answer.
+const maxRest = 4 << 10
+
 // maxAnswer is the greatest size of an answer in bytes: a list of records in base64.
 const maxAnswer = 64 * MaxValue
 
