--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -27,6 +27,7 @@
 		provideLister,
 		provideChooser,
 		provideAdmission,
+		provideRetries,
 		provideRunner,
 		provideDispatcher,
 		provideClaims,
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -90,7 +90,7 @@
 	running.Go(func() { _ = kept.Serve(ctx) })
 	state.Send(ctx, control.TablesRead{Tables: f.tables})
 	state.Send(ctx, control.ServerReported{Name: "s", Status: engine.Status{Server: "s"}, At: time.Now()})
-	for server := state.Snapshot().Servers["s"]; server == nil || !server.Usable; server = state.Snapshot().Servers["s"] {
+	for !state.Snapshot().Usable("s") {
 		time.Sleep(time.Millisecond)
 	}
 	stop := func() {
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -45,8 +45,8 @@
 	Claims *claims.Claims
 	// Forward passes a request to another instance; nil means that no other instance can be reached.
 	Forward func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
-	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
-	Retry func() bool
+	// Retry takes one retry on the pool from a budget for requests that may have run and are idempotent; nil allows none.
+	Retry func(pool string) bool
 }
 
 // Relay passes plain requests on.
@@ -55,7 +55,7 @@
 	dispatcher *dispatch.Dispatcher
 	claims     *claims.Claims
 	forward    func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
-	retry      func() bool
+	retry      func(pool string) bool
 }
 
 // New returns a Relay.
@@ -83,7 +83,7 @@
 //
 // Another backend server is tried only while the request provably has not run, or if it is idempotent.
 func (r *Relay) dispatch(ctx context.Context, request Request) (answer Answer, err error) {
-	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
+	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.budget(request.Route.Pool)}
 	tried := make(map[string]bool)
 	ran := false
 	for {
@@ -111,6 +111,14 @@
 	}
 }
 
+// budget returns the function that takes one retry on the pool from the budget, nil if there is none.
+func (r *Relay) budget(pool string) func() bool {
+	if r.retry == nil {
+		return nil
+	}
+	return func() bool { return r.retry(pool) }
+}
+
 // firstFailure returns the failure of the last dispatch, or why none was possible.
 func firstFailure(dispatched, chosen error) error {
 	if dispatched != nil {
