--- a/comfreyrail/internal/traffic/admission/admission_test.go
+++ b/comfreyrail/internal/traffic/admission/admission_test.go
@@ -73,7 +73,7 @@
 	}{
 		{name: "queue is full", deadline: time.Hour, waiting: 20, want: outcome.CodeOverload, retry: true},
 		{name: "deadline passes", deadline: 3 * time.Second, want: outcome.CodeOverload, retry: true},
-		{name: "caller leaves", deadline: time.Hour, cancel: time.Second, want: outcome.CodeDeadline},
+		{name: "caller leaves", deadline: time.Hour, cancel: time.Second, want: outcome.CodeCaller},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
