Fail closed when a record of claims goes back

Cause: a record that was deleted in the service, or read at an older version, made the instance read it again without pause (trial: the test runs into its timeout without the check). A HEAD answer without a length counted as unknown. Change: the versions of a record must grow, which is an invariant; otherwise the read counts as failed and is tried again after the pause. HEAD answers have no body to wait for. Conclusion: claims of such a record are refused as not run.

--- a/comfreyrail/internal/traffic/dispatch/dispatch.go
+++ b/comfreyrail/internal/traffic/dispatch/dispatch.go
@@ -170,6 +170,9 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errors.New("backend server switched protocols unasked")
 	}
+	if response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, errNoLength
 	}
--- a/comfreyrail/internal/traffic/dispatch/dispatch_test.go
+++ b/comfreyrail/internal/traffic/dispatch/dispatch_test.go
@@ -131,3 +131,15 @@
 		t.Errorf("got outcome %q, want %q", got, want)
 	}
 }
+
+// TestSendHead covers an answer that has no body by definition.
+func TestSendHead(t *testing.T) {
+	address := newRawBackend(t, func(_ *closingBackend, opened net.Conn) {
+		defer func() { _ = opened.Close() }()
+		_, _ = opened.Read(make([]byte, 4096))
+		_, _ = io.WriteString(opened, "HTTP/1.1 200 OK\r\n\r\n")
+	}).address
+	if _, err := New(Config{}).Send(t.Context(), Request{Address: address, Method: http.MethodHead, Path: "/"}); err != nil {
+		t.Errorf("got error %v, want an answer", err)
+	}
+}
--- a/rail/claim/book_test.go
+++ b/rail/claim/book_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// TestDeletedRecord covers a record that vanishes: claims fail closed and the service is not read without pause.
+func TestDeletedRecord(t *testing.T) {
+	now := time.Unix(0, 0)
+	s, b := new(service), newBook("a")
+	_, actions := b.Claim(now, want(now, "1", ""))
+	s.run(now, b, actions)
+	s.version, s.record = 0, Record{}
+	now = now.Add(time.Second)
+	_, actions = b.Claim(now, want(now, "2", ""))
+	if verdicts := s.run(now, b, actions); len(verdicts) != 0 {
+		t.Errorf("got verdicts %v on a record that vanished, want none yet", verdicts)
+	}
+	if got, want := b.config.Checker.Violations(), uint64(1); got != want {
+		t.Errorf("got %d violations, want %d", got, want)
+	}
+	now = now.Add(2 * time.Hour)
+	verdicts := b.Tick(now).Verdicts
+	if len(verdicts) != 1 || verdicts[0].Decision != Unavailable {
+		t.Errorf("got verdicts %v after the deadline, want one that the claim is unavailable", verdicts)
+	}
+}
+
 // TestKeptAnswers covers the bound on the answers that an instance keeps.
 func TestKeptAnswers(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/rail/claim/shard.go
+++ b/rail/claim/shard.go
@@ -192,7 +192,9 @@
 func (b *Book) Read(now time.Time, number int, version uint64, record Record, failed bool) Actions {
 	s := b.shards[number]
 	s.calling = false
-	if failed {
+	// Versions only grow; a record that was deleted or an old one is not written upon.
+	older := b.config.Checker.Check(failed || version >= s.version, "claim.version", "record %d went from version %d to %d", number, s.version, version)
+	if failed || older != nil {
 		s.pauseUntil = now.Add(b.config.Pause)
 		return b.take()
 	}
