Keep the connection that won when two are opened at once

Cause: TestSameKeyAtOnce and TestMintedAtOnce now run over the peers' QUIC transport, and calls that were made at once got "Application error 0x0 (local)". Transport.connect closed the connection it returned: the goroutine closed the named result, which the return had set to the other connection. The relay's tests connect their instances over QUIC instead of direct calls. Conclusion: a fault of the transport that only showed under concurrent calls.

--- a/comfreyrail/internal/peer/transport.go
+++ b/comfreyrail/internal/peer/transport.go
@@ -291,7 +291,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if raced := t.connections[key]; raced != nil && raced.Context().Err() == nil {
-		go func() { _ = connection.CloseWithError(closeNormal, "") }()
+		// The goroutine needs a variable of its own, since the return sets connection.
+		extra := connection
+		go func() { _ = extra.CloseWithError(closeNormal, "") }()
 		return raced, nil
 	}
 	t.sweep()
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,10 +13,10 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
 	"github.com/comfreyrail/comfreyrail/rail/claim"
@@ -41,8 +42,6 @@
 
 	mu      sync.Mutex
 	members []member.Member
-	owners  map[string]*claims.Claims
-	relays  map[string]*Relay
 	born    int
 }
 
@@ -58,7 +57,7 @@
 	log.SetOutput(io.Discard)
 	f := &fleet{
 		t: t, platform: fakeplatform.New(fakeplatform.Config{}), service: fakeservice.New(fakeservice.Config{Name: "s"}),
-		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log), owners: make(map[string]*claims.Claims), relays: make(map[string]*Relay),
+		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log),
 	}
 	platform, service := httptest.NewServer(f.platform), httptest.NewServer(f.service)
 	t.Cleanup(platform.Close)
@@ -78,19 +77,33 @@
 	state := control.New(control.Config{Log: f.log, Checker: checker})
 	f.mu.Lock()
 	f.born++
-	self := member.Member{Name: "n", Incarnation: fmt.Sprintf("n%d", f.born)}
+	born := f.born
+	f.mu.Unlock()
+	transport, self := f.connect(fmt.Sprintf("n%d", born))
 	kept := claims.New(claims.Config{
-		Owner: self.Incarnation, Store: f.store, Checker: checker, Log: f.log, Members: f.list, AskOwner: f.ask, Shards: 2,
+		Owner: self.Incarnation, Store: f.store, Checker: checker, Log: f.log, Members: f.list, Shards: 2,
+		AskOwner: func(ctx context.Context, owner member.Member, question claims.Question) (answer claim.Answer, err error) {
+			err = transport.Call(ctx, owner, claims.KindQuestion, question, &answer)
+			return answer, err
+		},
 	})
-	f.members = append(f.members, self)
-	f.owners[self.Incarnation] = kept
-	f.mu.Unlock()
+	relayed := New(Config{
+		Control: state, Dispatcher: dispatch.New(dispatch.Config{Checker: checker}), Claims: kept,
+		Forward: func(ctx context.Context, to member.Member, forwarded Forwarded) (reply Reply, err error) {
+			err = transport.Call(ctx, to, KindForward, forwarded, &reply)
+			return reply, err
+		},
+	})
+	transport.Handle(claims.KindQuestion, kept.ServePeer)
+	transport.Handle(KindForward, relayed.ServePeer)
 	var running sync.WaitGroup
 	running.Go(func() { _ = state.Serve(ctx) })
 	running.Go(func() { _ = kept.Serve(ctx) })
+	running.Go(func() { _ = transport.Serve(ctx) })
+	f.join(self, transport)
 	state.Send(ctx, control.TablesRead{Tables: f.tables})
 	state.Send(ctx, control.ServerReported{Name: "s", Status: engine.Status{Server: "s"}, At: time.Now()})
-	for !state.Snapshot().Usable("s") {
+	for server := state.Snapshot().Servers["s"]; server == nil || !server.Usable; server = state.Snapshot().Servers["s"] {
 		time.Sleep(time.Millisecond)
 	}
 	stop := func() {
@@ -99,10 +112,6 @@
 		f.remove(self.Incarnation)
 	}
 	f.t.Cleanup(stop)
-	relayed := New(Config{Control: state, Dispatcher: dispatch.New(dispatch.Config{Checker: checker}), Claims: kept, Forward: f.forward})
-	f.mu.Lock()
-	f.relays[self.Incarnation] = relayed
-	f.mu.Unlock()
 	return &node{Relay: relayed, stop: stop}
 }
 
@@ -123,31 +132,52 @@
 	}
 }
 
-// ask stands for the call to another instance.
-func (f *fleet) ask(ctx context.Context, owner member.Member, question claims.Question) (claim.Answer, error) {
-	f.mu.Lock()
-	asked := f.owners[owner.Incarnation]
-	f.mu.Unlock()
-	return asked.ServeQuestion(ctx, owner, question), nil
+// connect returns the transport of a new instance, and its record.
+func (f *fleet) connect(name string) (*peer.Transport, member.Member) {
+	f.t.Helper()
+	identity, err := peer.NewIdentity(name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	address := socket.LocalAddr().String()
+	_ = socket.Close()
+	transport := peer.New(peer.Config{Listen: address, Identity: identity, Resolve: f.resolve, Log: f.log})
+	transport.Handle(kindPing, func(context.Context, member.Member, []byte) (any, error) { return true, nil })
+	return transport, member.Member{Name: name, Incarnation: name, Address: address, Fingerprint: identity.Fingerprint}
 }
 
-// forward stands for the call to another instance, encoded as it travels.
-func (f *fleet) forward(ctx context.Context, to member.Member, forwarded Forwarded) (reply Reply, err error) {
+// kindPing is the kind of a call that shows that an instance listens.
+const kindPing peer.Kind = "ping"
+
+// join adds an instance to the fleet once it listens.
+func (f *fleet) join(self member.Member, transport *peer.Transport) {
+	f.t.Helper()
 	f.mu.Lock()
-	asked := f.relays[to.Incarnation]
+	f.members = append(f.members, self)
 	f.mu.Unlock()
-	body, err := cbor.Marshal(forwarded)
-	if err != nil {
-		return reply, err
-	}
-	answer, err := asked.ServePeer(ctx, to, body)
-	if err != nil {
-		return reply, err
+	var pong bool
+	for !pong {
+		ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+		err := transport.Call(ctx, self, kindPing, struct{}{}, &pong)
+		cancel()
+		if f.t.Context().Err() != nil {
+			f.t.Fatal(err)
+		}
 	}
-	if body, err = cbor.Marshal(answer); err != nil {
-		return reply, err
+}
+
+// resolve stands for the records of the instances.
+func (f *fleet) resolve(_ context.Context, name, fingerprint string) (member.Member, error) {
+	for _, one := range f.list() {
+		if one.Name == name && one.Fingerprint == fingerprint {
+			return one, nil
+		}
 	}
-	return reply, cbor.Unmarshal(body, &reply)
+	return member.Member{}, fmt.Errorf("no instance %q", name)
 }
 
 // call is one call of a caller and what it was told.
@@ -156,6 +186,7 @@
 	key     string
 	outcome outcome.Outcome
 	code    outcome.Code
+	message string
 	server  fakeservice.Result
 }
 
@@ -174,7 +205,7 @@
 	made := call{id: id, key: key, outcome: outcome.Done}
 	if err != nil {
 		failure := outcome.From(err)
-		made.outcome, made.code = failure.Outcome, failure.Code
+		made.outcome, made.code, made.message = failure.Outcome, failure.Code, failure.Message
 		return made
 	}
 	if err = json.Unmarshal(answer.Body, &made.server); err != nil {
--- a/comfreyrail/internal/traffic/relay/keyed_test.go
+++ b/comfreyrail/internal/traffic/relay/keyed_test.go
@@ -28,7 +28,7 @@
 	}
 	for _, made := range calls {
 		if made.outcome != outcome.Done {
-			t.Errorf("got call %s told %q (%s), want %q from the owner", made.id, made.outcome, made.code, outcome.Done)
+			t.Errorf("got call %s told %q (%s), want %q from the owner", made.id, made.outcome, made.message, outcome.Done)
 		}
 	}
 }
@@ -100,7 +100,7 @@
 	}
 	for _, made := range calls {
 		if made.outcome != outcome.Done {
-			t.Errorf("got call %s told %q (%s), want %q", made.id, made.outcome, made.code, outcome.Done)
+			t.Errorf("got call %s told %q (%s), want %q", made.id, made.outcome, made.message, outcome.Done)
 		}
 	}
 	if got, want := f.check(calls), len(calls); got != want {
--- a/comfreyrail/internal/traffic/relay/minted_test.go
+++ b/comfreyrail/internal/traffic/relay/minted_test.go
@@ -84,7 +84,7 @@
 	}
 	for _, made := range calls {
 		if made.outcome != outcome.Done {
-			t.Errorf("got call %s told %q (%s), want %q", made.id, made.outcome, made.code, outcome.Done)
+			t.Errorf("got call %s told %q (%s), want %q", made.id, made.outcome, made.message, outcome.Done)
 		}
 	}
 }
