--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -38,7 +38,7 @@
 	// Tables is the generation in force.
 	Tables *table.Tables `json:"tables"`
 	// Servers holds what is known about each backend server.
-	Servers map[string]chain.Server `json:"servers"`
+	Servers map[string]*chain.Server `json:"servers"`
 	// Self is the record of this incarnation.
 	Self member.Member `json:"self"`
 	// Superseded tells that a later incarnation of this instance is known.
@@ -63,6 +63,10 @@
 		_ = w.WriteErrorString(http.StatusServiceUnavailable, obstacle+"\n")
 		return
 	}
+	if !snapshot.Probed {
+		_ = w.WriteErrorString(http.StatusServiceUnavailable, "the backend servers are being asked for their status\n")
+		return
+	}
 	_, _ = w.Write([]byte("ready\n"))
 }
 
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -7,7 +7,9 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
+	"github.com/comfreyrail/comfreyrail/rail/member"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
@@ -39,20 +41,28 @@
 	Control *control.Control
 	// Dispatcher sends requests to the services.
 	Dispatcher *dispatch.Dispatcher
-	// Retry takes one retry from a budget for requests that may have run and are idempotent; nil allows none.
-	Retry func() bool
+	// Claims runs requests that bear an idempotency key; nil relays them like any other.
+	Claims *claims.Claims
+	// Forward passes a request to another instance; nil means that no other instance can be reached.
+	Forward func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	// Retry takes one retry on the pool from a budget for requests that may have run and are idempotent; nil allows none.
+	Retry func(pool string) bool
 }
 
 // Relay passes plain requests on.
 type Relay struct {
 	control    *control.Control
 	dispatcher *dispatch.Dispatcher
-	retry      func() bool
+	claims     *claims.Claims
+	forward    func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	retry      func(pool string) bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
-	return &Relay{control: config.Control, dispatcher: config.Dispatcher, retry: config.Retry}
+	return &Relay{
+		control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, forward: config.Forward, retry: config.Retry,
+	}
 }
 
 // maxDispatches is the greatest number of backend servers that one request is sent to.
@@ -60,9 +70,20 @@
 
 // Run passes the request on; the error holds an outcome.Failure.
 //
-// Another backend server is tried only while the request provably has not run, or if it is idempotent.
+// A request that bears an idempotency key and may not be repeated runs under the claim of the key.
 func (r *Relay) Run(ctx context.Context, request Request) (answer Answer, err error) {
-	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.retry}
+	key := request.Header.Get(KeyHeader)
+	if key == "" || request.Route.Idempotent || r.claims == nil {
+		return r.dispatch(ctx, request)
+	}
+	return r.runKeyed(ctx, key, request)
+}
+
+// dispatch sends the request to backend servers of its pool.
+//
+// Another backend server is tried only while the request provably has not run, or if it is idempotent.
+func (r *Relay) dispatch(ctx context.Context, request Request) (answer Answer, err error) {
+	attempts := outcome.Attempts{Idempotent: request.Route.Idempotent, Limit: maxDispatches, Retry: r.budget(request.Route.Pool)}
 	tried := make(map[string]bool)
 	ran := false
 	for {
@@ -90,6 +111,14 @@
 	}
 }
 
+// budget returns the function that takes one retry on the pool from the budget, nil if there is none.
+func (r *Relay) budget(pool string) func() bool {
+	if r.retry == nil {
+		return nil
+	}
+	return func() bool { return r.retry(pool) }
+}
+
 // firstFailure returns the failure of the last dispatch, or why none was possible.
 func firstFailure(dispatched, chosen error) error {
 	if dispatched != nil {
@@ -106,7 +135,7 @@
 	least := -1
 	for _, row := range pool.Servers {
 		server := snapshot.Servers[row.Name]
-		if server.Usable && !tried[server.Address] && (least < 0 || server.Status.Queue < least) {
+		if server != nil && server.Usable && !tried[server.Address] && (least < 0 || server.Status.Queue < least) {
 			address, least = server.Address, server.Status.Queue
 		}
 	}
