--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -57,7 +57,7 @@
 
 func startInstance(t *testing.T, name string, store *kv.Client) *instance {
 	t.Helper()
-	identity, err := peer.NewIdentity(name)
+	identity, err := peer.NewIdentity(name, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,7 +146,7 @@
 	_, store := startPlatform(t)
 	first := startInstance(t, "rail-1", store)
 	waitFor(t, "registration", first.sees(1))
-	intruder, err := peer.NewIdentity("rail-1")
+	intruder, err := peer.NewIdentity("rail-1", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -186,6 +186,6 @@
 		waitFor(t, "usable server", func() bool { return one.control.Snapshot().Usable("plain-1") })
 	}
 	platform.SetFaults(fakeplatform.Faults{Outage: true})
-	first.control.Refused(t.Context(), "plain-1", "leaving", time.Now())
+	first.control.Refused(t.Context(), "127.0.0.1:1", "leaving", time.Now())
 	waitFor(t, "news of the leaving server at the other instance", func() bool { return !second.control.Snapshot().Usable("plain-1") })
 }
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -75,7 +75,7 @@
 }
 
 func provideIdentity(loaded settings.Settings) (peer.Identity, error) {
-	return peer.NewIdentity(loaded.Name)
+	return peer.NewIdentity(loaded.Name, loaded.Peer.Secret)
 }
 
 // provideSelf returns the record of this incarnation.
@@ -91,11 +91,11 @@
 }
 
 func providePeers(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
-	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Log: log})
+	return peer.New(peer.Config{Listen: loaded.Peer.Listen, Identity: identity, Resolve: members.Resolve, Secret: loaded.Peer.Secret, Log: log})
 }
 
-func provideLinks(state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) link.Linked {
-	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport})
+func provideLinks(loaded settings.Settings, state *control.Control, sync *configsync.Sync, members *membership.Membership, transport *peer.Transport) *link.Link {
+	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport, Seeds: loaded.Peer.Seeds})
 }
 
 func provideProber(state *control.Control, client *http.Client) *probe.Prober {
@@ -113,8 +113,8 @@
 	})
 }
 
-func provideDispatcher(checker *invariant.Checker) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Checker: checker})
+func provideDispatcher(state *control.Control, checker *invariant.Checker) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Checker: checker, Refused: state.Refused, Served: state.Served})
 }
 
 func provideClaims(self member.Member, store *kv.Client, state *control.Control, transport *peer.Transport, checker *invariant.Checker, log *logrus.Entry) *claims.Claims {
@@ -130,8 +130,16 @@
 	return kept
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, budgets *retries.Retries) *relay.Relay {
-	return relay.New(relay.Config{Control: state, Dispatcher: dispatcher, Claims: kept, Retry: budgets.Allow})
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, budgets *retries.Retries, transport *peer.Transport) *relay.Relay {
+	passer := relay.New(relay.Config{
+		Control: state, Dispatcher: dispatcher, Claims: kept, Retry: budgets.Allow,
+		Forward: func(ctx context.Context, to member.Member, forwarded relay.Forwarded) (reply relay.Reply, err error) {
+			err = transport.Call(ctx, to, relay.KindForward, forwarded, &reply)
+			return reply, err
+		},
+	})
+	transport.Handle(relay.KindForward, passer.ServePeer)
+	return passer
 }
 
 func provideEntry(loaded settings.Settings, state *control.Control, runner *completion.Runner, passer *relay.Relay, gates *admission.Admission, budgets *retries.Retries, members *membership.Membership, checker *invariant.Checker, log *logrus.Entry, registry metrics.Registry) *entry.Entry {
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -30,7 +30,7 @@
 	member := provideSelf(loaded, identity)
 	membership := provideMembership(member, client, control, entry)
 	transport := providePeers(loaded, identity, membership, entry)
-	linked := provideLinks(control, sync, membership, transport)
+	link := provideLinks(loaded, control, sync, membership, transport)
 	httpClient := provideHTTP()
 	prober := provideProber(control, httpClient)
 	claims := provideClaims(member, client, control, transport, checker, entry)
@@ -38,8 +38,8 @@
 	chooser := provideChooser(loaded, control, checker)
 	retries := provideRetries(control, registry)
 	runner := provideRunner(loaded, control, httpClient, chooser, retries, checker, registry, entry)
-	dispatcher := provideDispatcher(checker)
-	relay := provideRelay(control, dispatcher, claims, retries)
+	dispatcher := provideDispatcher(control, checker)
+	relay := provideRelay(control, dispatcher, claims, retries, transport)
 	admission := provideAdmission(loaded, control, checker, registry)
 	entryEntry := provideEntry(loaded, control, runner, relay, admission, retries, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
@@ -48,7 +48,7 @@
 		Sync:       sync,
 		Membership: membership,
 		Peers:      transport,
-		Linked:     linked,
+		Link:       link,
 		Prober:     prober,
 		Claims:     claims,
 		Lister:     lister,
--- a/comfreyrail/internal/traffic/completion/carrier.go
+++ b/comfreyrail/internal/traffic/completion/carrier.go
@@ -200,18 +200,19 @@
 	return err
 }
 
-// probe asks a stage over a new connection how far it has come.
+// probe asks a stage over a new connection how far it has come; a server that refuses is reported at once.
 func (c *carrier) probe(ctx context.Context, probe, index int, hop engine.Hop) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	asked := time.Now()
 	reply := stream.StageProbed{Probe: probe, Index: index}
 	response, err := c.runner.post(call, hop.Address, engine.PathProbe, engine.Probe{Stream: c.request.ID}, true)
 	if err == nil {
 		defer response.Body.Close()
 		reply.Answered = json.NewDecoder(response.Body).Decode(&reply.Progress) == nil
 	}
-	if !reply.Answered {
-		c.runner.config.Control.Send(ctx, control.ServerFailed{Name: hop.Server})
+	if !reply.Answered && call.Err() == nil {
+		c.runner.config.Control.Send(ctx, control.ServerFailed{Name: hop.Server, Asked: asked, At: time.Now()})
 	}
 	c.send(ctx, reply)
 }
