Send marks of leaving servers only to partners that lack them

Cause: 128 marks make a heartbeat of 9 kB; they went with every heartbeat and reply for as long as the servers were leaving, over the budget for control. Change: each message carries a hash of its sender's marks, and the marks only if the receiver has not shown the same hash. Before: every heartbeat carried the marks. After: the new test sees none once the partner shows the same hash, and all again after a failure.

--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -62,7 +62,9 @@
 	published uint64
 	servers   *servers
 	urgent    chan struct{}
-	snapshot  atomic.Pointer[Snapshot]
+	// shown holds the hash of the marks that each partner has shown last.
+	shown    map[string]uint64
+	snapshot atomic.Pointer[Snapshot]
 }
 
 // Config configures a Control.
@@ -87,6 +89,7 @@
 		installer: install.New(install.Config{Checker: config.Checker}),
 		servers:   newServers(config),
 		urgent:    make(chan struct{}, 1),
+		shown:     make(map[string]uint64),
 	}
 	c.snapshot.Store(&Snapshot{
 		Tables: &table.Tables{}, Config: c.installer.InForce(), Obstacle: "starting", Servers: map[string]*chain.Server{},
--- a/comfreyrail/internal/control/peers.go
+++ b/comfreyrail/internal/control/peers.go
@@ -119,18 +119,31 @@
 	e.Beats <- c.marked(c.peers.Announce(), e.At)
 }
 
-// marked adds the signs of leaving backend servers to heartbeats.
+// marked adds the signs of leaving backend servers to heartbeats, for partners that may not have the same ones.
 func (c *Control) marked(beats []spread.Beat, now time.Time) []spread.Beat {
 	if len(beats) == 0 {
 		return nil
 	}
 	marks := c.servers.drains.Marks(now)
+	signs := drain.Hash(marks)
 	for i := range beats {
-		beats[i].Message.Marks = marks
+		beats[i].Message.Signs = signs
+		if c.shown[beats[i].To.Name] != signs {
+			beats[i].Message.Marks = marks
+		}
 	}
 	return beats
 }
 
+// replied adds the signs to a reply, if the asker does not have the same ones.
+func (c *Control) replied(reply spread.Message, asker uint64, now time.Time) spread.Message {
+	marks := c.servers.drains.Marks(now)
+	if reply.Signs = drain.Hash(marks); reply.Signs != asker {
+		reply.Marks = marks
+	}
+	return reply
+}
+
 // mergeMarks takes the signs of leaving backend servers that a peer passed on.
 func (c *Control) mergeMarks(next *Snapshot, marks []drain.Mark, now time.Time) {
 	c.servers.drains.Merge(marks, now)
@@ -167,8 +180,7 @@
 	}
 	reply := c.peers.Receive(e.At, e.Message)
 	c.mergeMarks(next, e.Message.Marks, e.At)
-	reply.Marks = c.servers.drains.Marks(e.At)
-	e.Reply <- reply
+	e.Reply <- c.replied(reply, e.Message.Signs, e.At)
 	c.publishPeers(next)
 }
 
@@ -185,6 +197,7 @@
 func (e HeartbeatAnswered) apply(c *Control, next *Snapshot) {
 	c.peers.Answered(e.At, e.Name, e.Reply)
 	c.mergeMarks(next, e.Reply.Marks, e.At)
+	c.shown[e.Name] = e.Reply.Signs
 	c.publishPeers(next)
 }
 
@@ -200,6 +213,7 @@
 
 func (e HeartbeatFailed) apply(c *Control, next *Snapshot) {
 	c.peers.Failed(e.At, e.Name, e.Epoch)
+	delete(c.shown, e.Name)
 	c.publishPeers(next)
 }
 
--- /dev/null
+++ b/comfreyrail/internal/control/peers_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// TestHeartbeatsCarryMarksUntilShown asks for heartbeats before and after the partner shows the same marks.
+func TestHeartbeatsCarryMarksUntilShown(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	c := New(Config{Log: logrus.NewEntry(logger), Checker: new(invariant.Checker), Observer: "self"})
+	go func() { _ = c.Serve(t.Context()) }()
+	now := time.Now()
+	other := member.Member{Name: "other", Zone: "a", Epoch: 2}
+	c.Send(t.Context(), Registered{Self: member.Member{Name: "self", Zone: "a", Epoch: 1}})
+	c.Send(t.Context(), MembersListed{At: now, Members: []member.Member{other}})
+	c.Send(t.Context(), TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{
+		{Name: "bookings", Kind: table.Plain, Servers: []table.Server{{Name: "plain", Address: "127.0.0.1:1", Zone: "a"}}},
+	}}})
+	beat := func() spread.Message {
+		now = now.Add(spread.DefaultInterval)
+		beats := make(chan []spread.Beat, 1)
+		c.Send(t.Context(), HeartbeatsDue{At: now, Beats: beats})
+		due := <-beats
+		if got, want := len(due), 1; got != want {
+			t.Fatalf("heartbeats = %d, want %d", got, want)
+		}
+		return due[0].Message
+	}
+	answer := func(signs uint64) {
+		c.Send(t.Context(), HeartbeatAnswered{At: now, Name: "other", Reply: spread.Message{From: "other", Epoch: 2, Signs: signs}})
+	}
+	leaving := engine.Status{Server: "plain", Leaving: true}
+	steps := []struct {
+		name   string
+		before func(last spread.Message)
+		want   int
+	}{
+		{"nothing leaves", func(spread.Message) {}, 0},
+		{"a server leaves", func(spread.Message) {
+			answer(0)
+			c.Send(t.Context(), ServerReported{Name: "plain", Status: leaving, Asked: now, At: now})
+		}, 1},
+		{"the partner shows nothing", func(spread.Message) { answer(0) }, 1},
+		{"the partner shows the same", func(last spread.Message) { answer(last.Signs) }, 0},
+		{"the partner fails", func(spread.Message) { c.Send(t.Context(), HeartbeatFailed{At: now, Name: "other", Epoch: 2}) }, 1},
+	}
+	var last spread.Message
+	for _, step := range steps {
+		step.before(last)
+		last = beat()
+		if got := len(last.Marks); got != step.want {
+			t.Errorf("%s: marks = %d, want %d", step.name, got, step.want)
+		}
+	}
+}
--- a/rail/drain/mark.go
+++ b/rail/drain/mark.go
@@ -1,5 +1,11 @@
 package drain
 
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Source tells the sources of signs apart.
 type Source string
 
@@ -33,3 +39,20 @@
 }
 
 func (m Mark) identity() identity { return identity{m.Observer, m.Sequence} }
+
+// Hash returns a hash of the marks in their order, zero for none.
+func Hash(marks []Mark) uint64 {
+	if len(marks) == 0 {
+		return 0
+	}
+	digest := xxhash.New()
+	for _, mark := range marks {
+		number := binary.LittleEndian.AppendUint64(nil, mark.Sequence)
+		if mark.Ended {
+			number = append(number, 1)
+		}
+		_, _ = digest.WriteString(mark.Server + "\x00" + mark.Observer + "\x00")
+		_, _ = digest.Write(number)
+	}
+	return digest.Sum64()
+}
--- a/rail/spread/message.go
+++ b/rail/spread/message.go
@@ -77,7 +77,9 @@
 	Digest uint64 `cbor:"4,keyasint"`
 	// Updates is news about members.
 	Updates []Update `cbor:"5,keyasint,omitempty"`
-	// Marks are signs that backend servers are leaving.
+	// Signs is the hash of all marks that the sender would pass on, zero for none.
+	Signs uint64 `cbor:"8,keyasint,omitempty"`
+	// Marks are signs that backend servers are leaving; a sender leaves them out if the receiver has shown the same hash.
 	Marks []drain.Mark `cbor:"7,keyasint,omitempty"`
 	// Full asks for all that the receiver knows about the members.
 	Full bool `cbor:"6,keyasint,omitempty"`
