Ask the owner of a claim again instead of waiting on one call

Cause: a repeat of a key whose owner had stopped waited for the caller's whole deadline (a run of TestFaults took 14 s), and a caller that went away ended a call between instances, after which the transport closes the connection with all other calls on it. Change: an owner answers a question within 1 s, also "running"; the asker asks again while the owner is a member. Questions and forwarded requests do not end with their caller. An instance that has stopped tells "unknown".

--- a/comfreyrail/internal/traffic/claims/minted.go
+++ b/comfreyrail/internal/traffic/claims/minted.go
@@ -48,15 +48,8 @@
 	if minted.Owner == c.config.Owner {
 		return member.Member{}, true, true
 	}
-	if c.config.Members == nil {
-		return member.Member{}, false, false
-	}
-	for _, other := range c.config.Members() {
-		if other.Incarnation == minted.Owner {
-			return other, false, true
-		}
-	}
-	return member.Member{}, false, false
+	minter, ok = c.member(minted.Owner)
+	return minter, false, ok
 }
 
 // RunMinted runs the request of a key that this incarnation minted, at most once, and returns the answer of the run.
--- a/comfreyrail/internal/traffic/claims/run.go
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -128,31 +128,67 @@
 	case answer := <-reply:
 		return answer
 	case <-c.stopped:
+		return claim.Answer{State: claim.Unknown}
 	case <-ctx.Done():
+		return claim.Answer{State: claim.Running}
 	}
-	return claim.Answer{State: claim.Running}
 }
 
+// Times of questions to owners.
+const (
+	// questionWait is the longest time for which an owner keeps a question while the request runs.
+	questionWait = time.Second
+	// questionTimeout is the time after which an owner counts as silent.
+	questionTimeout = 3 * time.Second
+)
+
 // ask returns what the record, or else the owner, tells about a claim of another incarnation.
+//
+// The question is repeated while the request runs and the owner is a member of the fleet.
 func (c *Claims) ask(ctx context.Context, entry claim.Entry) claim.Answer {
 	recorded := claim.Answer{State: entry.State, Answer: entry.Answer}
 	if entry.State == claim.Running {
 		recorded.State = claim.Unknown
 	}
-	if len(recorded.Answer) > 0 || c.config.AskOwner == nil || c.config.Members == nil {
+	if len(recorded.Answer) > 0 || c.config.AskOwner == nil {
 		return recorded
 	}
-	for _, other := range c.config.Members() {
-		if other.Incarnation != entry.Owner {
-			continue
+	question := Question{Owner: entry.Owner, Sequence: entry.Sequence}
+	for ctx.Err() == nil {
+		owner, ok := c.member(entry.Owner)
+		if !ok {
+			return recorded
 		}
-		answer, err := c.config.AskOwner(ctx, other, Question{Owner: entry.Owner, Sequence: entry.Sequence})
-		if err == nil {
+		answer, err := c.askOnce(ctx, owner, question)
+		if err != nil {
+			c.config.Log.WithError(err).Warn("cannot ask the owner of a claim")
+			return recorded
+		}
+		if answer.State != claim.Running {
 			return answer
 		}
-		c.config.Log.WithError(err).Warn("cannot ask the owner of a claim")
 	}
-	return recorded
+	return claim.Answer{State: claim.Running}
+}
+
+// askOnce asks the owner; a caller that goes away does not end the question, which would close the connection.
+func (c *Claims) askOnce(ctx context.Context, owner member.Member, question Question) (answer claim.Answer, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), questionTimeout)
+	defer cancel()
+	return c.config.AskOwner(ctx, owner, question)
+}
+
+// member returns the instance that runs the incarnation.
+func (c *Claims) member(incarnation string) (found member.Member, ok bool) {
+	if c.config.Members == nil {
+		return member.Member{}, false
+	}
+	for _, other := range c.config.Members() {
+		if other.Incarnation == incarnation {
+			return other, true
+		}
+	}
+	return member.Member{}, false
 }
 
 // KindQuestion is the kind of a Question to another instance, which is answered by a claim.Answer.
@@ -172,6 +208,8 @@
 	if question.Owner != c.config.Owner {
 		return claim.Answer{State: claim.Unknown}
 	}
+	ctx, cancel := context.WithTimeout(ctx, questionWait)
+	defer cancel()
 	return c.await(ctx, question.Sequence)
 }
 
--- a/comfreyrail/internal/traffic/relay/keyed_test.go
+++ b/comfreyrail/internal/traffic/relay/keyed_test.go
@@ -15,7 +15,8 @@
 func TestSameKeyAtOnce(t *testing.T) {
 	f := newFleet(t)
 	nodes := []*node{f.start(), f.start()}
-	f.service.SetFaults(fakeservice.Faults{Delay: 50 * time.Millisecond})
+	// The owner is asked more than once meanwhile.
+	f.service.SetFaults(fakeservice.Faults{Delay: 1200 * time.Millisecond})
 	const callers = 16
 	calls := make([]call, callers)
 	var group sync.WaitGroup
--- a/comfreyrail/internal/traffic/relay/minted.go
+++ b/comfreyrail/internal/traffic/relay/minted.go
@@ -59,7 +59,7 @@
 	case !ok || r.forward == nil:
 		return Answer{}, outcome.Unknownf(outcome.CodeClaimed, "the instance that minted the idempotency key is gone; the request may have run")
 	}
-	reply, err := r.forward(ctx, minter, Forwarded{
+	reply, err := r.forwardTo(ctx, minter, Forwarded{
 		ID: request.ID, Workspace: request.Workspace, Route: request.Route.Name,
 		Method: request.Method, Path: request.Path, Header: request.Header, Body: request.Body,
 	})
@@ -73,6 +73,30 @@
 	}
 }
 
+// forwardTimeout is the time after which the instance that runs a forwarded request counts as silent.
+const forwardTimeout = 15 * time.Second
+
+// forwardTo passes the request on; a caller that goes away does not end the call, which would close the connection.
+func (r *Relay) forwardTo(ctx context.Context, to member.Member, forwarded Forwarded) (reply Reply, err error) {
+	type result struct {
+		reply Reply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
+		defer cancel()
+		reply, err := r.forward(call, to, forwarded)
+		done <- result{reply, err}
+	}()
+	select {
+	case got := <-done:
+		return got.reply, got.err
+	case <-ctx.Done():
+		return Reply{}, ctx.Err()
+	}
+}
+
 // ServePeer runs a Forwarded request that came from another instance.
 func (r *Relay) ServePeer(ctx context.Context, _ member.Member, body []byte) (answer any, err error) {
 	var forwarded Forwarded
