--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -79,7 +79,7 @@
 	f.born++
 	born := f.born
 	f.mu.Unlock()
-	transport, self := f.connect(fmt.Sprintf("n%d", born))
+	transport, self := f.connect(born)
 	kept := claims.New(claims.Config{
 		Owner: self.Incarnation, Store: f.store, Checker: checker, Log: f.log, Members: f.list, Shards: 2,
 		AskOwner: func(ctx context.Context, owner member.Member, question claims.Question) (answer claim.Answer, err error) {
@@ -133,8 +133,9 @@
 }
 
 // connect returns the transport of a new instance, and its record.
-func (f *fleet) connect(name string) (*peer.Transport, member.Member) {
+func (f *fleet) connect(born int) (*peer.Transport, member.Member) {
 	f.t.Helper()
+	name := fmt.Sprintf("n%d", born)
 	identity, err := peer.NewIdentity(name, "")
 	if err != nil {
 		f.t.Fatal(err)
@@ -147,7 +148,7 @@
 	_ = socket.Close()
 	transport := peer.New(peer.Config{Listen: address, Identity: identity, Resolve: f.resolve, Log: f.log})
 	transport.Handle(kindPing, func(context.Context, member.Member, []byte) (any, error) { return true, nil })
-	return transport, member.Member{Name: name, Incarnation: name, Address: address, Fingerprint: identity.Fingerprint}
+	return transport, member.Member{Name: name, Incarnation: name, Epoch: uint64(born), Address: address, Fingerprint: identity.Fingerprint}
 }
 
 // kindPing is the kind of a call that shows that an instance listens.
@@ -159,12 +160,10 @@
 	f.mu.Lock()
 	f.members = append(f.members, self)
 	f.mu.Unlock()
-	var pong bool
-	for !pong {
-		ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
-		err := transport.Call(ctx, self, kindPing, struct{}{}, &pong)
-		cancel()
-		if f.t.Context().Err() != nil {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+	defer cancel()
+	for pong := false; !pong; {
+		if err := transport.Call(ctx, self, kindPing, struct{}{}, &pong); ctx.Err() != nil {
 			f.t.Fatal(err)
 		}
 	}
