Drop the loads that come with receipts

Cause: Picker.Observe took loads without a lag from the receipts of tokens but was not wired in; it was to be measured first.

--- a/rail/chain/picker.go
+++ b/rail/chain/picker.go
@@ -159,13 +159,6 @@
 	}
 }
 
-// Observe takes in the number of requests at a backend server that came without a lag, such as in a receipt.
-func (p *Picker) Observe(server string, queue int, at time.Time) {
-	if held, ok := p.byName[server]; ok {
-		held.observe(queue, at)
-	}
-}
-
 func (p *Picker) loadOf(name string) *load {
 	held, ok := p.loads[name]
 	if !ok {
