Pick plain services by own calls, and leave failing ones alone

Cause: the relay sent every call to the service with the least reported load, so that all calls of all instances went to one service until the next report, and retry.Breakers were not used.

Change: chooser.Pick treats a plain service as the only stage of a chain, so that the relay gets the picker's estimate (report, own calls, instances), and avoids services whose breaker is open while another one is left. relay.Config gets the seam Pick; without it the relay chooses as before. A call that its caller broke off does not count against the service.

TestPickSpreadsCalls: 5 of 20 calls in progress at each of four services.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -130,9 +130,9 @@
 	return kept
 }
 
-func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, budgets *retries.Retries, transport *peer.Transport) *relay.Relay {
+func provideRelay(state *control.Control, dispatcher *dispatch.Dispatcher, kept *claims.Claims, chains *chooser.Chooser, budgets *retries.Retries, transport *peer.Transport) *relay.Relay {
 	passer := relay.New(relay.Config{
-		Control: state, Dispatcher: dispatcher, Claims: kept, Retry: budgets.Allow,
+		Control: state, Dispatcher: dispatcher, Claims: kept, Pick: chains.Pick, Retry: budgets.Allow,
 		Forward: func(ctx context.Context, to member.Member, forwarded relay.Forwarded) (reply relay.Reply, err error) {
 			err = transport.Call(ctx, to, relay.KindForward, forwarded, &reply)
 			return reply, err
--- a/comfreyrail/internal/process/wire_gen.go
+++ b/comfreyrail/internal/process/wire_gen.go
@@ -39,7 +39,7 @@
 	retries := provideRetries(control, registry)
 	runner := provideRunner(loaded, control, httpClient, chooser, retries, checker, registry, entry)
 	dispatcher := provideDispatcher(control, checker)
-	relay := provideRelay(control, dispatcher, claims, retries, transport)
+	relay := provideRelay(control, dispatcher, claims, chooser, retries, transport)
 	admission := provideAdmission(loaded, control, checker, registry)
 	entryEntry := provideEntry(loaded, control, runner, relay, admission, retries, membership, checker, entry, registry)
 	admin := provideAdmin(loaded, control, sync, membership, registry)
--- a/comfreyrail/internal/traffic/chooser/chooser.go
+++ b/comfreyrail/internal/traffic/chooser/chooser.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/retry"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -41,6 +42,7 @@
 // pool is the picker of one pool with the state that it knows.
 type pool struct {
 	picker   *chain.Picker
+	breakers *retry.Breakers
 	view     view
 	listed   []chain.Server
 	requests int
@@ -62,7 +64,7 @@
 func (c *Chooser) Choose(servers []chain.Server, request chain.Request) (plan chain.Plan, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held := c.refresh(request)
+	held := c.refresh(request, asListed)
 	if sameServers(servers, held.listed) {
 		if plan, ok = held.picker.Choose(request); ok {
 			return plan, true
@@ -96,7 +98,7 @@
 func (c *Chooser) pool(name string) *pool {
 	held, ok := c.pools[name]
 	if !ok {
-		held = &pool{picker: chain.New(chain.Config{
+		held = &pool{breakers: newBreakers(c.config.Seed), picker: chain.New(chain.Config{
 			Zone: c.config.Zone, Random: rand.New(rand.NewSource(c.config.Seed)), Checker: c.config.Checker,
 		})}
 		c.pools[name] = held
@@ -105,7 +107,7 @@
 }
 
 // refresh hands the newest state to the picker of the pool.
-func (c *Chooser) refresh(request chain.Request) *pool {
+func (c *Chooser) refresh(request chain.Request, shape func(servers []chain.Server)) *pool {
 	held, snapshot := c.pool(request.Pool), c.config.Control.Snapshot()
 	now := view{tables: snapshot.Tables, reports: snapshot.Reports, instances: len(snapshot.Fleet)}
 	if held.view == now {
@@ -113,7 +115,13 @@
 	}
 	row, _ := snapshot.Tables.FindPool(request.Pool)
 	held.view, held.listed = now, listed(held.listed[:0], snapshot, row)
+	shape(held.listed)
 	servers := held.listed
+	names := make([]string, 0, len(servers))
+	for _, server := range servers {
+		names = append(names, server.Name)
+	}
+	held.breakers.SetServers(names)
 	if len(servers) > subsetSize {
 		servers = chain.Subset(servers, c.config.Name, subsetSize)
 	}
--- a/comfreyrail/internal/traffic/relay/relay.go
+++ b/comfreyrail/internal/traffic/relay/relay.go
@@ -45,6 +45,8 @@
 	Claims *claims.Claims
 	// Forward passes a request to another instance; nil means that no other instance can be reached.
 	Forward func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	// Pick returns the address of a backend server for one call; nil means the least reported load.
+	Pick func(pool string, tried map[string]bool) (address string, done func(succeeded bool), ok bool)
 	// Retry takes one retry on the pool from a budget for requests that may have run and are idempotent; nil allows none.
 	Retry func(pool string) bool
 }
@@ -55,13 +57,14 @@
 	dispatcher *dispatch.Dispatcher
 	claims     *claims.Claims
 	forward    func(ctx context.Context, to member.Member, forwarded Forwarded) (Reply, error)
+	pick       func(pool string, tried map[string]bool) (address string, done func(succeeded bool), ok bool)
 	retry      func(pool string) bool
 }
 
 // New returns a Relay.
 func New(config Config) *Relay {
 	return &Relay{
-		control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, forward: config.Forward, retry: config.Retry,
+		control: config.Control, dispatcher: config.Dispatcher, claims: config.Claims, forward: config.Forward, pick: config.Pick, retry: config.Retry,
 	}
 }
 
@@ -87,7 +90,7 @@
 	tried := make(map[string]bool)
 	ran := false
 	for {
-		address, chooseErr := r.choose(request.Route.Pool, tried)
+		address, done, chooseErr := r.choose(request.Route.Pool, tried)
 		if chooseErr != nil {
 			return Answer{}, firstFailure(err, chooseErr)
 		}
@@ -95,6 +98,7 @@
 		answer, err = r.dispatcher.Send(ctx, dispatch.Request{
 			Address: address, Method: request.Method, Path: request.Path, Header: request.Header, Body: request.Body,
 		})
+		done(err == nil || errors.Is(ctx.Err(), context.Canceled))
 		if err == nil {
 			return answer, nil
 		}
@@ -127,9 +131,24 @@
 	return chosen
 }
 
-// choose returns the address of the least loaded backend server of the pool that has not been tried.
-func (r *Relay) choose(name string, tried map[string]bool) (address string, err error) {
+// choose returns the address of a backend server of the pool that has not been tried.
+func (r *Relay) choose(name string, tried map[string]bool) (address string, done func(succeeded bool), err error) {
 	defer errors.DeferredAnnotatef(&err, "choose in pool %q", name)
+	var found bool
+	if r.pick != nil {
+		address, done, found = r.pick(name, tried)
+	} else {
+		address, found = r.leastLoaded(name, tried)
+		done = func(bool) {}
+	}
+	if !found {
+		return "", nil, outcome.NotRunf(outcome.CodeNoServer, "no backend server takes new work")
+	}
+	return address, done, nil
+}
+
+// leastLoaded returns the address of the backend server with the least reported load that has not been tried.
+func (r *Relay) leastLoaded(name string, tried map[string]bool) (address string, found bool) {
 	snapshot := r.control.Snapshot()
 	pool, _ := snapshot.Tables.FindPool(name)
 	least := -1
@@ -139,8 +158,5 @@
 			address, least = server.Address, server.Status.Queue
 		}
 	}
-	if least < 0 {
-		return "", outcome.NotRunf(outcome.CodeNoServer, "no backend server takes new work")
-	}
-	return address, nil
+	return address, least >= 0
 }
