Keep the end of a freeze when another disturbance follows, in the proof

It was frozen for 11.96 s and then healed of its isolation, which overwrote the end of the freeze with the time of healing; so the model gave it milliseconds instead of the 12 s. Ruled out: the installer; by the trace it fetched within 30 ms of thawing. Change: the model keeps the latest end of a disturbance. The bound of 12 s and what is asserted are unchanged.

--- a/rail/edit/prove_test.go
+++ b/rail/edit/prove_test.go
@@ -136,7 +136,8 @@
 func (w *world) finish() {
 	w.outage, w.slow, w.lose, w.late = false, false, 0, 0
 	for _, n := range w.nodes {
-		n.cut, n.alone, n.disturbed = false, false, w.now
+		n.cut, n.alone = false, false
+		n.disturb(w.now)
 	}
 	w.run(longestFreeze + inForceIn)
 	for _, result := range w.results {
@@ -217,14 +218,14 @@
 		n.cut, n.alone, all = !n.alone, !n.alone, []*node{n}
 	case "freeze":
 		n.frozen = w.now.Add(time.Duration(rapid.Int64Range(1, int64(longestFreeze)).Draw(rt, "freeze")))
-		n.disturbed = n.frozen
+		n.disturb(n.frozen)
 		return
 	case "restart":
 		w.start(n)
 		return
 	}
 	for _, n := range all {
-		n.disturbed = w.now
+		n.disturb(w.now)
 	}
 }
 
--- a/rail/edit/world_test.go
+++ b/rail/edit/world_test.go
@@ -70,6 +70,13 @@
 	contact     time.Time
 }
 
+// disturb remembers the latest end of a disturbance, which may lie ahead.
+func (n *node) disturb(until time.Time) {
+	if until.After(n.disturbed) {
+		n.disturbed = until
+	}
+}
+
 // world is the service, the instances and the operators in virtual time.
 type world struct {
 	now     time.Time
@@ -138,8 +145,12 @@
 
 // cutFor cuts the instance from the service for a time.
 func (w *world) cutFor(n *node, d time.Duration) {
-	n.cut, n.disturbed = true, w.now
-	w.after(d, func() { n.cut, n.disturbed = false, w.now })
+	n.cut = true
+	n.disturb(w.now)
+	w.after(d, func() {
+		n.cut = false
+		n.disturb(w.now)
+	})
 }
 
 // call makes one call of the service; the answer is lost on outage, partition or by chance.
