--- a/comfreyrail/internal/traffic/admission/admission.go
+++ b/comfreyrail/internal/traffic/admission/admission.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
@@ -111,15 +112,17 @@
 		case <-ticker.C:
 			a.update(request.Pool, func(p *pool, now time.Time) []admit.Action { return p.gate.Tick(now) })
 		case <-ctx.Done():
-			return a.withdraw(ctx, request, verdict)
+			return a.withdraw(ctx, request, verdict, begun)
 		}
 	}
 }
 
 // withdraw takes back a request whose caller has left or whose deadline has passed.
-func (a *Admission) withdraw(ctx context.Context, request Request, verdict chan admit.Action) error {
+func (a *Admission) withdraw(ctx context.Context, request Request, verdict chan admit.Action, begun time.Time) error {
+	late := admit.Action{Verdict: admit.Late}
 	a.update(request.Pool, func(p *pool, now time.Time) []admit.Action {
 		delete(p.waiting, request.ID)
+		late.RetryAfter = p.gate.RetryAfter()
 		if p.gate.Withdraw(request.ID) {
 			return nil
 		}
@@ -128,7 +131,11 @@
 		}
 		return p.gate.Finish(now, request.ID, false)
 	})
-	return outcome.NotRunf(outcome.CodeDeadline, "the request ended while it waited to run: %v", context.Cause(ctx))
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		a.count(request.Pool, late.Verdict, time.Since(begun))
+		return failure(request, late)
+	}
+	return outcome.NotRunf(outcome.CodeCaller, "the caller left while the request waited to run")
 }
 
 // failure returns what the caller of a refused request is told, nil if the request may run.
