Register the instances of the relay's test fleet with an epoch

A registered incarnation always has one. Change: the fixture sets the epoch; no assertion changes. One field in the file of another area. Shown: go test ./internal/traffic/relay passes in 7.3 s.

--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -147,7 +147,7 @@
 	_ = socket.Close()
 	transport := peer.New(peer.Config{Listen: address, Identity: identity, Resolve: f.resolve, Log: f.log})
 	transport.Handle(kindPing, func(context.Context, member.Member, []byte) (any, error) { return true, nil })
-	return transport, member.Member{Name: name, Incarnation: name, Address: address, Fingerprint: identity.Fingerprint}
+	return transport, member.Member{Name: name, Incarnation: name, Epoch: 1, Address: address, Fingerprint: identity.Fingerprint}
 }
 
 // kindPing is the kind of a call that shows that an instance listens.
