Test the rate, the pile-up and the detection time of status calls

In virtual time: 8 servers that refuse or hang, 1900 that hang. Failing (scratch copy, a call is taken as answered when it is sent): 2 calls to one server at once.

--- /dev/null
+++ b/comfreyrail/internal/control/probe/probe_test.go
@@ -0,0 +1,140 @@
+package probe
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// servers answers status calls for all backend servers.
+type servers struct {
+	mu      sync.Mutex
+	state   string
+	calls   int
+	running map[string]int
+	most    int
+}
+
+// RoundTrip answers, refuses or hangs as the state says.
+func (s *servers) RoundTrip(r *http.Request) (*http.Response, error) {
+	name, _, _ := strings.Cut(r.URL.Host, ":")
+	s.mu.Lock()
+	state := s.state
+	s.calls++
+	s.running[name]++
+	s.most = max(s.most, s.running[name])
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running[name]--
+		s.mu.Unlock()
+	}()
+	switch state {
+	case "hang":
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	case "refuse":
+		return nil, errors.New("connection refused")
+	default:
+		body := io.NopCloser(strings.NewReader(fmt.Sprintf(`{"server":%q}`, name)))
+		return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+	}
+}
+
+func (s *servers) set(state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
+// count returns the number of calls, and the greatest number at one server at once.
+func (s *servers) count() (calls, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.most
+}
+
+func TestProber(t *testing.T) {
+	tests := []struct {
+		name, failure string
+		servers       int
+		detected      time.Duration
+	}{
+		{"killed", "refuse", 8, 1200 * time.Millisecond},
+		{"frozen", "hang", 8, 3 * time.Second},
+		{"many hang", "hang", 1900, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				state := control.New(control.Config{Log: logrus.NewEntry(log), Checker: new(invariant.Checker), Observer: "self", ListLag: time.Second})
+				go func() { _ = state.Serve(ctx) }()
+				pool := table.Pool{Name: "p", Kind: table.Plain}
+				for n := range test.servers {
+					name := fmt.Sprintf("s%d", n)
+					pool.Servers = append(pool.Servers, table.Server{Name: name, Address: name + ":1", Zone: "a"})
+				}
+				state.Send(ctx, control.TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{pool}}})
+				all := &servers{running: make(map[string]int)}
+				go func() { _ = New(Config{Control: state, HTTP: &http.Client{Transport: all}}).Serve(ctx) }()
+				time.Sleep(5 * time.Second)
+				if got := usable(state); got < min(test.servers, 4*50) {
+					t.Fatalf("%d servers are usable at first, want all, or those that 4 s allow to ask", got)
+				}
+				all.set(test.failure)
+				failed := time.Now()
+				if test.detected > 0 {
+					for usable(state) > 0 {
+						time.Sleep(10 * time.Millisecond)
+					}
+					t.Logf("detected after %s", time.Since(failed))
+					if got := time.Since(failed); got > test.detected {
+						t.Errorf("failure was detected after %s, want %s at most", got, test.detected)
+					}
+				}
+				time.Sleep(20*time.Second - time.Since(failed))
+				calls, at := all.count()
+				if most := 25*50 + 1; calls > most {
+					t.Errorf("%d calls in 25 s, want %d at most", calls, most)
+				}
+				if at > 1 {
+					t.Errorf("%d calls to one server at once, want 1", at)
+				}
+				all.set("answer")
+				if test.detected > 0 {
+					time.Sleep(7 * time.Second)
+					if got := usable(state); got != test.servers {
+						t.Errorf("%d servers are usable after their return, want %d", got, test.servers)
+					}
+				}
+			})
+		})
+	}
+}
+
+func usable(state *control.Control) int {
+	count := 0
+	for _, server := range state.Snapshot().Servers {
+		if server.Usable {
+			count++
+		}
+	}
+	return count
+}
