--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -246,7 +246,18 @@
 	}
 }
 
+// audit checks that traffic sees no leaving backend server as usable, and takes it away if it does.
+func (c *Control) audit(next *Snapshot) {
+	for name, server := range next.Servers {
+		source, leaving := c.servers.drains.Leaving(name)
+		if c.checker.Check(!leaving || !server.Usable, "leaving", "server %q is usable against the sign by its %s", name, source) != nil {
+			c.judge(next, name)
+		}
+	}
+}
+
 func (e InstancesListed) apply(c *Control, next *Snapshot) {
+	c.audit(next)
 	c.servers.drains.Listed(e.Instances, e.Asked, e.At)
 	for _, instance := range e.Instances {
 		c.judge(next, instance.Name)
