Name streams after their test, and log why an attempt failed

Ruled out: silence (its least deadline is 100 ms) and a refused run (that resumes on the same chain). Left as the likely cause, not shown: a late cancel of TestRunFails for the same stream name at a port that the new fleet was given again, which makes a stage refuse the attempt as ended. Streams now bear the name of their test, the log gives the reason of each recovery and shows with a failing test.

--- a/comfreyrail/internal/traffic/completion/carrier.go
+++ b/comfreyrail/internal/traffic/completion/carrier.go
@@ -136,6 +136,7 @@
 	if action.Way != stream.Begin {
 		c.runner.config.Log.WithFields(logrus.Fields{
 			"request": c.request.ID, "attempt": action.Attempt, "way": action.Way.String(), "tokens": len(c.session.Answer().Tokens()),
+			"reason": action.Reason,
 		}).Warn("attempt failed; going on")
 	}
 	if action.Way == stream.Same {
--- a/comfreyrail/internal/traffic/completion/fleet_test.go
+++ b/comfreyrail/internal/traffic/completion/fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -45,7 +44,7 @@
 	f := &fleet{engines: map[string]*fakeengine.Server{}, proxies: map[string]*proxy{}, servers: map[string]*httptest.Server{}}
 	f.checker.Report = func(violation *invariant.Violation) { tb.Errorf("%v", violation) }
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(tb.Output())
 	state := control.New(control.Config{Log: logrus.NewEntry(log), Checker: &f.checker})
 	ctx, cancel := context.WithCancel(tb.Context())
 	tb.Cleanup(cancel)
--- a/comfreyrail/internal/traffic/completion/recovery_test.go
+++ b/comfreyrail/internal/traffic/completion/recovery_test.go
@@ -80,7 +80,7 @@
 			if test.after == 0 {
 				test.fault(f)
 			}
-			tokens, _, err := f.ask(t, "id", "prompt", 12, test.after, func() { test.fault(f) })
+			tokens, _, err := f.ask(t, t.Name(), "prompt", 12, test.after, func() { test.fault(f) })
 			var failure *outcome.Failure
 			if !errors.As(err, &failure) || failure.Outcome != test.outcome {
 				t.Errorf("got %v after %d tokens, want outcome %q", err, len(tokens), test.outcome)
@@ -125,7 +125,7 @@
 		f.runner.config.RechainAlways = rechain
 		b.StartTimer()
 		prompt := longPrompt(i, length)
-		tokens, at, err := f.ask(b, "id", prompt, 16, 8, func() { fault(f) })
+		tokens, at, err := f.ask(b, b.Name(), prompt, 16, 8, func() { fault(f) })
 		if want := fakemodel.Answer(prompt, layers, 16); err != nil || !slices.Equal(tokens, want) {
 			b.Fatalf("got %q and error %v, want %q", tokens, err, want)
 		}
@@ -146,7 +146,7 @@
 	f := newFleet(t, 200*time.Microsecond, 0)
 	registry := metrics.NewRegistry()
 	f.runner.config.Metrics = registry
-	request := Request{ID: "id", Route: table.Route{Name: "r", Pool: "model"}, Prompt: "prompt", MaxTokens: 1000}
+	request := Request{ID: t.Name(), Route: table.Route{Name: "r", Pool: "model"}, Prompt: "prompt", MaxTokens: 1000}
 	_, err := f.runner.Run(t.Context(), request, func(string) error { return io.ErrClosedPipe })
 	var failure *outcome.Failure
 	if !errors.As(err, &failure) || failure.Code != outcome.CodeCaller || failure.Outcome != outcome.Unknown {
@@ -161,7 +161,7 @@
 		}
 	})
 	for _, name := range []string{"0a", "1a", "2a"} {
-		if !f.forgets(name, "id") {
+		if !f.forgets(name, t.Name()) {
 			t.Errorf("engine %s still holds the stream", name)
 		}
 	}
--- a/rail/stream/event.go
+++ b/rail/stream/event.go
@@ -81,6 +81,8 @@
 	Fresh bool
 	// Way is the way that led to the attempt.
 	Way Way
+	// Reason says why the attempt before failed, empty for the first.
+	Reason string
 }
 
 // StartRun asks to start the attempt at its last stage.
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -155,7 +155,7 @@
 	s.phase, s.until = opening, now.Add(s.config.OpenTimeout)
 	s.opened = make([]bool, len(s.next.Plan.Hops))
 	s.broken = false
-	s.do(OpenStages{Attempt: attempt, Plan: s.next.Plan, Imports: s.next.Imports, Fresh: attempt > 1, Way: s.next.Way})
+	s.do(OpenStages{Attempt: attempt, Plan: s.next.Plan, Imports: s.next.Imports, Fresh: attempt > 1, Way: s.next.Way, Reason: s.failure.Reason})
 }
 
 func (e StageOpened) handle(s *Session, now time.Time) {
