Give tests ports that outgoing connections never take

Cause: TestRollingRestart failed once with 'address already in use': its ports came from the range for outgoing connections, and one of those took the port of an instance between its stop and its start. Change: rail/fake/freeport gives loopback ports below that range, and serves four test packages that had their own code.

--- a/comfreyrail/e2e/fleet_test.go
+++ b/comfreyrail/e2e/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,6 +20,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeservice"
+	"github.com/comfreyrail/comfreyrail/rail/fake/freeport"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -111,29 +111,11 @@
 	}
 }
 
-func (f *fleet) address(network string) string {
-	f.t.Helper()
-	if network == "udp" {
-		packets, err := net.ListenPacket(network, "127.0.0.1:0")
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		defer func() { _ = packets.Close() }()
-		return packets.LocalAddr().String()
-	}
-	listener, err := net.Listen(network, "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // add starts a process in an availability zone.
 func (f *fleet) add(zone string) *process {
 	f.t.Helper()
 	p := &process{
-		name: fmt.Sprintf("instance%d", len(f.processes)), caller: f.address("tcp"), admin: f.address("tcp"), peer: f.address("udp"),
+		name: fmt.Sprintf("instance%d", len(f.processes)), caller: freeport.TCP(), admin: freeport.TCP(), peer: freeport.UDP(),
 		gate: &gate{handler: f.platform},
 	}
 	p.gate.shut.Store(f.out)
--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+	"github.com/comfreyrail/comfreyrail/rail/fake/freeport"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -36,17 +36,6 @@
 	return logrus.NewEntry(logger)
 }
 
-// freePort returns a loopback UDP address that was free a moment ago.
-func freePort(t *testing.T) string {
-	t.Helper()
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
-	return socket.LocalAddr().String()
-}
-
 func startPlatform(t *testing.T) (*fakeplatform.Server, *kv.Client) {
 	t.Helper()
 	platform := fakeplatform.New(fakeplatform.Config{})
@@ -61,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := freePort(t)
+	address := freeport.UDP()
 	state := control.New(control.Config{Log: quiet(), Checker: new(invariant.Checker), Observer: name})
 	members := New(Config{
 		Self:  member.Member{Name: name, Zone: "a", Incarnation: name, Address: address, Fingerprint: identity.Fingerprint},
--- a/comfreyrail/internal/peer/bench_test.go
+++ b/comfreyrail/internal/peer/bench_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyrail/comfreyrail/rail/fake/freeport"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 )
 
@@ -69,14 +69,7 @@
 		}
 		identities[i] = identity
 	}
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	address := socket.LocalAddr().String()
-	if err = socket.Close(); err != nil {
-		b.Fatal(err)
-	}
+	address := freeport.UDP()
 	server := New(Config{
 		Listen: address, Identity: identities[1], Log: logrus.NewEntry(logger),
 		Resolve: func(context.Context, string, string) (member.Member, error) {
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +22,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeservice"
+	"github.com/comfreyrail/comfreyrail/rail/fake/freeport"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -140,12 +140,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	address := socket.LocalAddr().String()
-	_ = socket.Close()
+	address := freeport.UDP()
 	transport := peer.New(peer.Config{Listen: address, Identity: identity, Resolve: f.resolve, Log: f.log})
 	transport.Handle(kindPing, func(context.Context, member.Member, []byte) (any, error) { return true, nil })
 	return transport, member.Member{Name: name, Incarnation: name, Epoch: uint64(born), Address: address, Fingerprint: identity.Fingerprint}
