Let other calls go on when one call to a peer times out

Cause: a call that timed out closed the connection that other calls to the same instance were using; a request that was passed on under a minted key became unknown through another call's deadline. Change: the connection is only forgotten, so that the next call opens another; it ends by its own idle timeout. Before: the new test saw the other call fail with application error 0x1. After: it gets its answer, and no connection is kept for new calls.

--- a/comfreyrail/internal/peer/transport.go
+++ b/comfreyrail/internal/peer/transport.go
@@ -30,7 +30,6 @@
 // Codes with which a connection is closed.
 const (
 	closeNormal  quic.ApplicationErrorCode = 0
-	closeSilent  quic.ApplicationErrorCode = 1
 	closeUnknown quic.ApplicationErrorCode = 2
 	closeFull    quic.ApplicationErrorCode = 3
 )
@@ -254,7 +253,7 @@
 
 // Call sends a request to an instance and decodes its answer into result.
 //
-// After a call that timed out the connection is closed, so that the next call does not wait on a silent one.
+// After a call that timed out the next one opens a new connection, so that it does not wait on a silent one.
 func (t *Transport) Call(ctx context.Context, to member.Member, kind Kind, message, result any) (err error) {
 	defer errors.DeferredAnnotatef(&err, "call %s of %q", kind, to.Name)
 	connection, err := t.connect(ctx, to)
@@ -336,13 +335,12 @@
 	}
 }
 
-// drop closes a connection, so that the next call opens a new one.
+// drop lets the next call open a new connection; other calls on this one go on, and it ends when it is idle.
 func (t *Transport) drop(to member.Member, connection *quic.Conn) {
 	key := connectionKey{to.Name, to.Epoch}
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.connections[key] == connection {
 		delete(t.connections, key)
 	}
-	t.mu.Unlock()
-	_ = connection.CloseWithError(closeSilent, "")
 }
