Bring tables into force by the installer alone

Cause: the event TablesRead installed tables past the installer and was left for tests alone; three functions of membership asked for heartbeats in the same way. Change: tests install through fakecontrol, as an edit would; one function sends due heartbeats. No assertion changed.

--- a/comfreyrail/internal/control/capacity_test.go
+++ b/comfreyrail/internal/control/capacity_test.go
@@ -93,7 +93,7 @@
 }
 
 // installTables encodes the tables and lets the control goroutine install them.
-func installTables(b *testing.B, c *Control, previous *table.Head, tables *table.Tables) *table.Head {
+func installTables(b testing.TB, c *Control, previous *table.Head, tables *table.Tables) *table.Head {
 	b.Helper()
 	next, err := table.Follow(previous, tables, table.Entry{ID: fmt.Sprint(tables.Generation), Generation: tables.Generation})
 	if err != nil {
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -44,12 +44,6 @@
 	apply(c *Control, next *Snapshot)
 }
 
-// TablesRead tells that a generation of the tables was read.
-type TablesRead struct {
-	// Tables is the generation that was read.
-	Tables *table.Tables
-}
-
 // Control owns the state; Serve must run for events to take effect.
 type Control struct {
 	log     *logrus.Entry
@@ -121,14 +115,3 @@
 		}
 	}
 }
-
-func (e TablesRead) apply(c *Control, next *Snapshot) {
-	if e.Tables.Generation <= next.Tables.Generation {
-		return
-	}
-	if problems := e.Tables.Validate(); len(problems) > 0 {
-		c.log.WithField("generation", e.Tables.Generation).Errorf("tables are invalid: %v", problems[0])
-		return
-	}
-	c.putInForce(next, e.Tables)
-}
--- /dev/null
+++ b/comfreyrail/internal/control/fakecontrol/fakecontrol.go
@@ -0,0 +1,46 @@
+package fakecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/rail/install"
+	"github.com/comfreyrail/comfreyrail/rail/table"
+)
+
+// Install encodes the tables as an edit would and has the running control state install them.
+func Install(ctx context.Context, state *control.Control, tables *table.Tables) (err error) {
+	defer errors.DeferredAnnotatef(&err, "install generation %d", tables.Generation)
+	next, err := table.Follow(new(table.Head), tables, table.Entry{ID: "test", Generation: tables.Generation})
+	if err != nil {
+		return err
+	}
+	contents := make([][]byte, 0, len(next.Chunks))
+	for _, chunk := range next.Chunks {
+		contents = append(contents, chunk.Content)
+	}
+	for _, action := range hear(ctx, state, install.HeadRead{Manifest: next.Head.Manifest}) {
+		if fetch, ok := action.(install.Fetch); ok {
+			hear(ctx, state, install.Fetched{Generation: fetch.Generation, From: fetch.From, Contents: contents})
+		}
+	}
+	if got := state.Snapshot().Tables.Generation; got != tables.Generation {
+		return errors.Errorf("generation %d is in force", got)
+	}
+	return nil
+}
+
+// hear hands an event to the control state and returns what is left to do.
+func hear(ctx context.Context, state *control.Control, event install.Event) []install.Action {
+	actions := make(chan []install.Action, 1)
+	state.Send(ctx, control.ConfigHeard{At: time.Now(), Event: event, Actions: actions})
+	select {
+	case left := <-actions:
+		return left
+	case <-ctx.Done():
+		return nil
+	}
+}
--- a/comfreyrail/internal/control/membership/heartbeat.go
+++ b/comfreyrail/internal/control/membership/heartbeat.go
@@ -23,26 +23,29 @@
 
 // beat sends the heartbeats that are due.
 func (m *Membership) beat(ctx context.Context) {
-	beats := make(chan []spread.Beat, 1)
-	m.config.Control.Send(ctx, control.HeartbeatsDue{At: time.Now(), Beats: beats})
-	for _, due := range receive(ctx, beats) {
-		go m.send(ctx, due)
-	}
+	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+		return control.HeartbeatsDue{At: time.Now(), Beats: beats}
+	})
 }
 
 // Announce tells the partners at once that a generation of the tables is in force here.
 func (m *Membership) Announce(ctx context.Context, head spread.Head) {
-	beats := make(chan []spread.Beat, 1)
-	m.config.Control.Send(ctx, control.HeadInstalled{At: time.Now(), Head: head, Beats: beats})
-	for _, due := range receive(ctx, beats) {
-		go m.send(ctx, due)
-	}
+	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+		return control.HeadInstalled{At: time.Now(), Head: head, Beats: beats}
+	})
 }
 
 // hurry tells the partners at once of news about leaving backend servers.
 func (m *Membership) hurry(ctx context.Context) {
+	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+		return control.NewsDue{At: time.Now(), Beats: beats}
+	})
+}
+
+// sendDue sends the heartbeats with which the control goroutine answers the event.
+func (m *Membership) sendDue(ctx context.Context, event func(beats chan<- []spread.Beat) control.Event) {
 	beats := make(chan []spread.Beat, 1)
-	m.config.Control.Send(ctx, control.NewsDue{At: time.Now(), Beats: beats})
+	m.config.Control.Send(ctx, event(beats))
 	for _, due := range receive(ctx, beats) {
 		go m.send(ctx, due)
 	}
--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
@@ -170,7 +171,9 @@
 	now := time.Now()
 	for _, one := range []*instance{first, second} {
 		waitFor(t, "view of two instances", one.sees(2))
-		one.control.Send(t.Context(), control.TablesRead{Tables: tables})
+		if err := fakecontrol.Install(t.Context(), one.control, tables); err != nil {
+			t.Fatal(err)
+		}
 		one.control.Send(t.Context(), control.ServerReported{Name: "plain-1", Status: engine.Status{Server: "plain-1"}, Asked: now, At: now})
 		waitFor(t, "usable server", func() bool { return one.control.Snapshot().Usable("plain-1") })
 	}
--- a/comfreyrail/internal/control/peers.go
+++ b/comfreyrail/internal/control/peers.go
@@ -95,12 +95,18 @@
 }
 
 func (e HeadInstalled) apply(c *Control, _ *Snapshot) {
+	if c.peers != nil {
+		c.peers.SetHead(e.Head)
+	}
+	e.Beats <- c.announce(e.At)
+}
+
+// announce returns heartbeats to all partners, none before this incarnation is registered.
+func (c *Control) announce(now time.Time) []spread.Beat {
 	if c.peers == nil {
-		e.Beats <- nil
-		return
+		return nil
 	}
-	c.peers.SetHead(e.Head)
-	e.Beats <- c.marked(c.peers.Announce(), e.At)
+	return c.marked(c.peers.Announce(), now)
 }
 
 // NewsDue asks for heartbeats that carry at once what Urgent told of.
@@ -111,13 +117,7 @@
 	Beats chan<- []spread.Beat
 }
 
-func (e NewsDue) apply(c *Control, _ *Snapshot) {
-	if c.peers == nil {
-		e.Beats <- nil
-		return
-	}
-	e.Beats <- c.marked(c.peers.Announce(), e.At)
-}
+func (e NewsDue) apply(c *Control, _ *Snapshot) { e.Beats <- c.announce(e.At) }
 
 // marked adds the signs of leaving backend servers to heartbeats, for partners that may not have the same ones.
 func (c *Control) marked(beats []spread.Beat, now time.Time) []spread.Beat {
--- a/comfreyrail/internal/control/peers_test.go
+++ b/comfreyrail/internal/control/peers_test.go
@@ -24,9 +24,9 @@
 	other := member.Member{Name: "other", Zone: "a", Epoch: 2}
 	c.Send(t.Context(), Registered{Self: member.Member{Name: "self", Zone: "a", Epoch: 1}})
 	c.Send(t.Context(), MembersListed{At: now, Members: []member.Member{other}})
-	c.Send(t.Context(), TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{
+	installTables(t, c, new(table.Head), &table.Tables{Generation: 1, Pools: []table.Pool{
 		{Name: "bookings", Kind: table.Plain, Servers: []table.Server{{Name: "plain", Address: "127.0.0.1:1", Zone: "a"}}},
-	}}})
+	}})
 	beat := func() spread.Message {
 		now = now.Add(spread.DefaultInterval)
 		beats := make(chan []spread.Beat, 1)
--- a/comfreyrail/internal/control/probe/probe_test.go
+++ b/comfreyrail/internal/control/probe/probe_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
@@ -91,7 +92,9 @@
 					name := fmt.Sprintf("s%d", n)
 					pool.Servers = append(pool.Servers, table.Server{Name: name, Address: name + ":1", Zone: "a"})
 				}
-				state.Send(ctx, control.TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{pool}}})
+				if err := fakecontrol.Install(ctx, state, &table.Tables{Generation: 1, Pools: []table.Pool{pool}}); err != nil {
+					t.Fatal(err)
+				}
 				all := &servers{running: make(map[string]int)}
 				go func() { _ = New(Config{Control: state, HTTP: &http.Client{Transport: all}}).Serve(ctx) }()
 				time.Sleep(5 * time.Second)
--- a/comfreyrail/internal/traffic/chooser/chooser_test.go
+++ b/comfreyrail/internal/traffic/chooser/chooser_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -26,7 +27,9 @@
 	for _, name := range []string{"a", "b", "c", "d"} {
 		pool.Servers = append(pool.Servers, table.Server{Name: name, Address: "127.0.0.1:1", Zone: "zone"})
 	}
-	state.Send(context.Background(), control.TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{pool}}})
+	if err := fakecontrol.Install(context.Background(), state, &table.Tables{Generation: 1, Pools: []table.Pool{pool}}); err != nil {
+		t.Fatal(err)
+	}
 	for i, row := range pool.Servers {
 		status := engine.Status{Server: row.Name, First: i / 2 * 2, Last: i/2*2 + 2, Version: "v1", LayerTime: time.Millisecond, Slots: 1}
 		state.Send(context.Background(), control.ServerReported{Name: row.Name, Status: status, At: time.Now()})
--- a/comfreyrail/internal/traffic/chooser/plain_test.go
+++ b/comfreyrail/internal/traffic/chooser/plain_test.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/table"
@@ -25,7 +26,9 @@
 	for _, name := range []string{"a", "b", "c", "d"} {
 		pool.Servers = append(pool.Servers, table.Server{Name: name, Address: name + ":1", Zone: "zone"})
 	}
-	state.Send(context.Background(), control.TablesRead{Tables: &table.Tables{Generation: 1, Pools: []table.Pool{pool}}})
+	if err := fakecontrol.Install(context.Background(), state, &table.Tables{Generation: 1, Pools: []table.Pool{pool}}); err != nil {
+		t.Fatal(err)
+	}
 	for _, row := range pool.Servers {
 		state.Send(context.Background(), control.ServerReported{Name: row.Name, Status: engine.Status{Server: row.Name}, At: time.Now()})
 	}
--- a/comfreyrail/internal/traffic/completion/fleet_test.go
+++ b/comfreyrail/internal/traffic/completion/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -63,7 +64,9 @@
 			tables.Pools[0].Servers = append(tables.Pools[0].Servers, table.Server{Name: name, Address: f.proxies[name].address, Zone: "z"})
 		}
 	}
-	state.Send(ctx, control.TablesRead{Tables: tables})
+	if err := fakecontrol.Install(ctx, state, tables); err != nil {
+		tb.Fatal(err)
+	}
 	f.report(ctx, tb, state, tables)
 	f.runner = New(Config{Control: state, HTTP: &http.Client{Transport: &http.Transport{}}, Log: logrus.NewEntry(log), Zone: "z", Checker: &f.checker})
 	return f
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/fakecontrol"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/dispatch"
@@ -101,7 +102,9 @@
 	running.Go(func() { _ = kept.Serve(ctx) })
 	running.Go(func() { _ = transport.Serve(ctx) })
 	f.join(self, transport)
-	state.Send(ctx, control.TablesRead{Tables: f.tables})
+	if err := fakecontrol.Install(ctx, state, f.tables); err != nil {
+		f.t.Fatal(err)
+	}
 	state.Send(ctx, control.ServerReported{Name: "s", Status: engine.Status{Server: "s"}, At: time.Now()})
 	for server := state.Snapshot().Servers["s"]; server == nil || !server.Usable; server = state.Snapshot().Servers["s"] {
 		time.Sleep(time.Millisecond)
