Keep an instance unready once a later incarnation is known

Cause: two processes with one name both took requests, although the view told the older one that it was superseded; the reasons for not being ready stood in three places. Measured: the tests of the order of reasons and of the news of epochs 0, 1 and 2 pass; only epoch 2 supersedes epoch 1.

--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -54,17 +54,8 @@
 }
 
 func (a *Admin) ready(_ *restful.Request, w *restful.Response) {
-	snapshot := a.config.Control.Snapshot()
-	if snapshot.Stopping {
-		_ = w.WriteErrorString(http.StatusServiceUnavailable, "the instance is stopping\n")
-		return
-	}
-	if obstacle := snapshot.Obstacle; obstacle != "" {
-		_ = w.WriteErrorString(http.StatusServiceUnavailable, obstacle+"\n")
-		return
-	}
-	if !snapshot.Probed {
-		_ = w.WriteErrorString(http.StatusServiceUnavailable, "the backend servers are being asked for their status\n")
+	if reason := a.config.Control.Snapshot().Unready(); reason != "" {
+		_ = w.WriteErrorString(http.StatusServiceUnavailable, reason+"\n")
 		return
 	}
 	_, _ = w.Write([]byte("ready\n"))
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -39,6 +39,21 @@
 	Superseded bool
 }
 
+// Unready returns why the instance takes no requests, empty if it does.
+func (s *Snapshot) Unready() string {
+	switch {
+	case s.Stopping:
+		return "the instance is stopping"
+	case s.Superseded:
+		return "a later incarnation of this instance is registered; stop one of them or give it another name"
+	case s.Obstacle != "":
+		return s.Obstacle
+	case !s.Probed:
+		return "the backend servers are being asked for their status"
+	}
+	return ""
+}
+
 // Event is a change to the state.
 type Event interface {
 	apply(c *Control, next *Snapshot)
--- /dev/null
+++ b/comfreyrail/internal/control/control_test.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+)
+
+func TestUnready(t *testing.T) {
+	tests := []struct {
+		name     string
+		snapshot Snapshot
+		want     string
+	}{
+		{"ready", Snapshot{Probed: true}, ""},
+		{"stopping goes first", Snapshot{Stopping: true, Superseded: true}, "stopping"},
+		{"superseded", Snapshot{Superseded: true, Probed: true}, "later incarnation"},
+		{"obstacle", Snapshot{Obstacle: "no tables", Probed: true}, "no tables"},
+		{"not probed", Snapshot{}, "being asked"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := test.snapshot.Unready()
+			if !strings.Contains(got, test.want) || (got == "") != (test.want == "") {
+				t.Errorf("Unready() = %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestLaterIncarnationSupersedes lets a peer tell of a later incarnation of this instance.
+func TestLaterIncarnationSupersedes(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	c := New(Config{Log: logrus.NewEntry(logger), Checker: new(invariant.Checker)})
+	go func() { _ = c.Serve(t.Context()) }()
+	c.Send(t.Context(), Registered{Self: member.Member{Name: "self", Epoch: 1}})
+	for epoch, want := range []bool{false, false, true} {
+		replies := make(chan spread.Message, 1)
+		news := spread.Update{Member: member.Member{Name: "self", Epoch: uint64(epoch)}}
+		c.Send(t.Context(), HeartbeatReceived{At: time.Now(), Message: spread.Message{From: "other", Updates: []spread.Update{news}}, Reply: replies})
+		<-replies
+		settle(t.Context(), c)
+		if got := c.Snapshot().Superseded; got != want {
+			t.Errorf("superseded after news of epoch %d = %v, want %v", epoch, got, want)
+		}
+	}
+}
