Fuzz what other instances send

Cause: the decoders of peers' messages had limits but no fuzz test. Change: FuzzReadFrame reads frames back as they were written; FuzzHeartbeat gives messages to a view of the fleet, which must keep its own record and its bound on partners.

--- a/comfreyrail/internal/peer/frame.go
+++ b/comfreyrail/internal/peer/frame.go
@@ -24,7 +24,7 @@
 // request is one call as it is sent.
 type request struct {
 	Kind Kind            `cbor:"1,keyasint"`
-	Body cbor.RawMessage `cbor:"2,keyasint"`
+	Body cbor.RawMessage `cbor:"2,keyasint,omitempty"`
 }
 
 // answer is the answer to a call as it is sent.
--- /dev/null
+++ b/comfreyrail/internal/peer/fuzz_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyrail/comfreyrail/rail/drain"
+	"github.com/comfreyrail/comfreyrail/rail/member"
+	"github.com/comfreyrail/comfreyrail/rail/spread"
+)
+
+// FuzzReadFrame reads what may arrive on a stream.
+func FuzzReadFrame(f *testing.F) {
+	var whole bytes.Buffer
+	if err := writeFrame(&whole, request{Kind: "heartbeat", Body: cbor.RawMessage{0xa0}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole.Bytes())
+	f.Add(whole.Bytes()[:whole.Len()-1])
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var got request
+		if readFrame(bytes.NewReader(content), &got) != nil {
+			return
+		}
+		var again bytes.Buffer
+		if err := writeFrame(&again, got); err != nil {
+			t.Fatal(err)
+		}
+		var want request
+		if err := readFrame(&again, &want); err != nil || got.Kind != want.Kind || !bytes.Equal(got.Body, want.Body) {
+			t.Errorf("frame %v is read again as %v, error %v", got, want, err)
+		}
+	})
+}
+
+// FuzzHeartbeat gives what may arrive as a heartbeat to a view of the fleet.
+func FuzzHeartbeat(f *testing.F) {
+	seeds := []spread.Message{
+		{From: "rail-2", Epoch: 2, Head: spread.Head{Generation: 1, Hash: "00"}},
+		{From: "rail-2", Epoch: 2, Full: true, Updates: []spread.Update{{Member: member.Member{Name: "rail-1", Epoch: 1}, State: spread.Dead}}},
+		{From: "rail-3", Updates: []spread.Update{{Member: member.Member{Name: "rail-2", Epoch: 9}, State: 200, Beat: 1 << 63}}},
+		{Marks: []drain.Mark{{Server: "e1", Source: drain.List, Observer: "o", Sequence: 1}}},
+	}
+	for _, seed := range seeds {
+		content, err := cbor.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(content)
+	}
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var message spread.Message
+		if Decode(content, &message) != nil {
+			return
+		}
+		now := time.Unix(0, 0)
+		self := member.Member{Name: "rail-1", Zone: "a", Epoch: 1}
+		node := spread.New(spread.Config{Self: self})
+		node.Learn(now, []member.Member{{Name: "rail-2", Zone: "b", Epoch: 2}})
+		node.Receive(now, message)
+		node.Tick(now.Add(time.Second))
+		node.Receive(now.Add(time.Minute), message)
+		if got, want := node.Self(), self; got != want {
+			t.Errorf("own record = %+v, want %+v", got, want)
+		}
+		if got, most := len(node.Partners()), spread.DefaultNear+spread.DefaultFar; got > most {
+			t.Errorf("partners = %d, want at most %d", got, most)
+		}
+	})
+}
