Tell the outcome of every refusal, and of a handler that panics

Cause: tried by hand, HEAD, OPTIONS, unknown methods and the path / were refused by the container without the outcome, and a panic cut the connection; a caller could not tell done, not run and unknown apart. Change: HEAD and OPTIONS are relayed by route, the container's refusals say 'not run' with a code, and a panic is answered 'unknown' and logged.

--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 
 	"github.com/emicklei/go-restful/v3"
@@ -71,15 +72,42 @@
 		container: restful.NewContainer(),
 		slots:     make(chan struct{}, config.Settings.MaxConcurrent+config.Settings.MaxQueued),
 	}
+	e.container.Add(e.service())
+	e.container.ServiceErrorHandler(e.unrouted)
+	e.container.DoNotRecover(false)
+	e.container.RecoverHandler(e.recovered)
+	e.server = graceful.New(e.serving())
+	return e
+}
+
+// service returns the paths that callers may ask for.
+func (e *Entry) service() *restful.WebService {
 	service := new(restful.WebService)
 	service.Route(service.POST("/v1/completions").To(e.complete))
 	service.Route(service.POST("/v1/idempotency-keys").To(e.mint))
-	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+	methods := []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	}
+	for _, method := range methods {
+		service.Route(service.Method(method).Path("/").To(e.pass))
 		service.Route(service.Method(method).Path("/{path:*}").To(e.pass))
 	}
-	e.container.Add(service)
-	e.server = graceful.New(e.serving())
-	return e
+	return service
+}
+
+// unrouted answers a request that the container turned away before any of it ran.
+func (e *Entry) unrouted(refused restful.ServiceError, r *restful.Request, w *restful.Response) {
+	code := outcome.CodeInvalid
+	if refused.Code == http.StatusNotFound {
+		code = outcome.CodeNoRoute
+	}
+	e.fail(w, graceful.RequestID(r.Request.Context()), outcome.NotRunf(code, "%s %s: %s", r.Request.Method, r.Request.URL.Path, refused.Message))
+}
+
+// recovered answers a request whose handler panicked; what ran of it is not known.
+func (e *Entry) recovered(reason any, w http.ResponseWriter) {
+	e.config.Log.WithField("stack", string(debug.Stack())).Errorf("a handler panicked: %v", reason)
+	e.fail(w, "", outcome.Unknownf(outcome.CodeInternal, "the request broke an instance's handler"))
 }
 
 // ServeHTTP answers one request.
@@ -215,7 +243,9 @@
 	failure := outcome.From(err)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(outcome.Header, string(failure.Outcome))
-	w.Header().Set(outcome.RequestHeader, id)
+	if id != "" {
+		w.Header().Set(outcome.RequestHeader, id)
+	}
 	if failure.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
 	}
--- a/rail/outcome/outcome.go
+++ b/rail/outcome/outcome.go
@@ -51,6 +51,8 @@
 	CodeDeadline Code = "deadline"
 	// CodeCaller marks a request whose caller left.
 	CodeCaller Code = "caller"
+	// CodeInternal marks a request that a fault of the router stopped.
+	CodeInternal Code = "internal"
 	// CodeInvariant marks a request that was stopped because an invariant did not hold.
 	CodeInvariant Code = "invariant"
 )
@@ -108,7 +110,7 @@
 		return http.StatusUnprocessableEntity
 	case CodeDeadline:
 		return http.StatusGatewayTimeout
-	case CodeInvariant:
+	case CodeInvariant, CodeInternal:
 		return http.StatusInternalServerError
 	default:
 		return http.StatusBadGateway
