--- /dev/null
+++ b/comfreyctl/doc.go
@@ -0,0 +1,2 @@
+// Comfreyctl edits the routes and pools of comfreyrail and shows its state.
+package main
--- a/comfreyctl/main.go
+++ b/comfreyctl/main.go
@@ -1,4 +1,3 @@
-// Comfreyctl edits the routes and pools of comfreyrail and shows its state.
 package main
 
 import (
--- a/comfreyrail/internal/traffic/chooser/plain.go
+++ b/comfreyrail/internal/traffic/chooser/plain.go
@@ -39,19 +39,19 @@
 	}
 	held.requests++
 	held.picker.Started(now, plan)
-	ticket := held.breakers.Started(now, plan.Hops[0].Server)
+	handle := held.breakers.Started(now, plan.Hops[0].Server)
 	var once sync.Once
 	return plan.Hops[0].Address, func(succeeded bool) {
-		once.Do(func() { c.end(poolName, held, plan, ticket, succeeded) })
+		once.Do(func() { c.end(poolName, held, plan, handle, succeeded) })
 	}, true
 }
 
 // end takes back what Pick counted.
-func (c *Chooser) end(poolName string, held *pool, plan chain.Plan, ticket retry.Ticket, succeeded bool) {
+func (c *Chooser) end(poolName string, held *pool, plan chain.Plan, handle retry.Handle, succeeded bool) {
 	c.finish(poolName, held, plan)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held.breakers.Ended(c.config.Now(), ticket, succeeded)
+	held.breakers.Ended(c.config.Now(), handle, succeeded)
 }
 
 // asStage turns plain services into servers of the single stage of a chain, named by their addresses.
--- a/comfreyrail/internal/traffic/claims/claims.go
+++ b/comfreyrail/internal/traffic/claims/claims.go
@@ -156,9 +156,9 @@
 		go c.write(ctx, write)
 	}
 	for _, verdict := range actions.Verdicts {
-		if reply, ok := c.verdicts[verdict.Ticket]; ok {
+		if reply, ok := c.verdicts[verdict.Handle]; ok {
 			reply <- verdict
-			delete(c.verdicts, verdict.Ticket)
+			delete(c.verdicts, verdict.Handle)
 		}
 	}
 	for sequence, replies := range c.waiters {
--- a/comfreyrail/internal/traffic/claims/events.go
+++ b/comfreyrail/internal/traffic/claims/events.go
@@ -20,31 +20,31 @@
 }
 
 func (e wanted) apply(c *Claims, now time.Time) claim.Actions {
-	ticket, actions := c.book.Claim(now, e.want)
-	c.verdicts[ticket] = e.reply
+	handle, actions := c.book.Claim(now, e.want)
+	c.verdicts[handle] = e.reply
 	return actions
 }
 
 // starting asks whether a won claim may be dispatched.
 type starting struct {
-	ticket uint64
+	handle uint64
 	reply  chan<- bool
 }
 
 func (e starting) apply(c *Claims, now time.Time) claim.Actions {
-	e.reply <- c.book.Start(now, e.ticket)
+	e.reply <- c.book.Start(now, e.handle)
 	return claim.Actions{}
 }
 
 // finished tells what became of a request.
 type finished struct {
-	ticket uint64
+	handle uint64
 	state  claim.State
 	answer []byte
 }
 
 func (e finished) apply(c *Claims, now time.Time) claim.Actions {
-	return c.book.Finish(now, e.ticket, e.state, e.answer)
+	return c.book.Finish(now, e.handle, e.state, e.answer)
 }
 
 // awaited asks for what is known about a claim of this instance once its request has ended.
--- a/comfreyrail/internal/traffic/claims/minted.go
+++ b/comfreyrail/internal/traffic/claims/minted.go
@@ -25,8 +25,8 @@
 }
 
 func (e wantedMinted) apply(c *Claims, now time.Time) claim.Actions {
-	ticket, actions := c.book.ClaimMinted(now, e.want, e.minted)
-	c.verdicts[ticket] = e.reply
+	handle, actions := c.book.ClaimMinted(now, e.want, e.minted)
+	c.verdicts[handle] = e.reply
 	return actions
 }
 
--- a/comfreyrail/internal/traffic/claims/run.go
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -43,7 +43,7 @@
 func (c *Claims) obey(ctx context.Context, verdict claim.Verdict, request Request) (answer []byte, err error) {
 	switch verdict.Decision {
 	case claim.Won:
-		return c.runWon(ctx, verdict.Ticket, request)
+		return c.runWon(ctx, verdict.Handle, request)
 	case claim.Mine:
 		return told(c.await(ctx, verdict.Sequence))
 	case claim.Held:
@@ -91,10 +91,10 @@
 }
 
 // runWon runs a request whose claim this instance has won.
-func (c *Claims) runWon(ctx context.Context, ticket uint64, request Request) (answer []byte, err error) {
+func (c *Claims) runWon(ctx context.Context, handle uint64, request Request) (answer []byte, err error) {
 	reply := make(chan bool, 1)
 	started := false
-	if c.send(starting{ticket: ticket, reply: reply}) {
+	if c.send(starting{handle: handle, reply: reply}) {
 		select {
 		case started = <-reply:
 		case <-c.stopped:
@@ -104,7 +104,7 @@
 		return nil, refused(outcome.CodeDeadline, "the claim of the idempotency key came too late; this call was not run")
 	}
 	// A panic leaves the outcome unknown to everyone who asks later.
-	ended := finished{ticket: ticket, state: claim.Unknown}
+	ended := finished{handle: handle, state: claim.Unknown}
 	defer func() { c.send(ended) }()
 	answer, err = request.Run(ctx)
 	switch {
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -58,14 +58,14 @@
 	log.SetOutput(io.Discard)
 	f := &fleet{
 		t: t, platform: fakeplatform.New(fakeplatform.Config{}), service: fakeservice.New(fakeservice.Config{Name: "s"}),
-		route: table.Route{Name: "tickets", Prefix: "/tickets", Pool: "tickets"}, log: logrus.NewEntry(log),
+		route: table.Route{Name: "handles", Prefix: "/handles", Pool: "handles"}, log: logrus.NewEntry(log),
 	}
 	platform, service := httptest.NewServer(f.platform), httptest.NewServer(f.service)
 	t.Cleanup(platform.Close)
 	t.Cleanup(service.Close)
 	f.store = &kv.Client{Address: strings.TrimPrefix(platform.URL, "http://")}
 	f.tables = &table.Tables{Generation: 1, Routes: []table.Route{f.route}, Pools: []table.Pool{{
-		Name: "tickets", Kind: table.Plain, Servers: []table.Server{{Name: "s", Address: strings.TrimPrefix(service.URL, "http://"), Zone: "z"}},
+		Name: "handles", Kind: table.Plain, Servers: []table.Server{{Name: "s", Address: strings.TrimPrefix(service.URL, "http://"), Zone: "z"}},
 	}}}
 	return f
 }
@@ -197,7 +197,7 @@
 		header.Set(KeyHeader, key)
 	}
 	answer, err := at.Run(ctx, Request{
-		ID: id, Workspace: "w", Route: f.route, Method: http.MethodPost, Path: "/tickets", Header: header, Body: []byte(body),
+		ID: id, Workspace: "w", Route: f.route, Method: http.MethodPost, Path: "/handles", Header: header, Body: []byte(body),
 	})
 	made := call{id: id, key: key, outcome: outcome.Done}
 	if err != nil {
--- a/rail/claim/book.go
+++ b/rail/claim/book.go
@@ -69,8 +69,8 @@
 
 // Verdict answers one Want.
 type Verdict struct {
-	// Ticket is the number that Claim returned.
-	Ticket uint64
+	// Handle is the number that Claim returned.
+	Handle uint64
 	// Decision says what the request gets.
 	Decision Decision
 	// Sequence is the claim of this instance that holds the key, for Mine.
@@ -130,7 +130,7 @@
 	started bool
 	state   State
 	answer  []byte
-	// followers are the tickets of the same request that get the verdict of this one.
+	// followers are the handles of the same request that get the verdict of this one.
 	followers []uint64
 }
 
@@ -164,8 +164,8 @@
 	return b
 }
 
-// Claim asks for the claim of a key; a verdict with the returned ticket follows, at once or from a later call.
-func (b *Book) Claim(now time.Time, want Want) (ticket uint64, actions Actions) {
+// Claim asks for the claim of a key; a verdict with the returned handle follows, at once or from a later call.
+func (b *Book) Claim(now time.Time, want Want) (handle uint64, actions Actions) {
 	b.sequence++
 	claimed := &held{sequence: b.sequence, want: want, asked: now}
 	if earlier, ok := b.latest[want.Key]; ok && earlier.state != NotRun {
@@ -199,10 +199,10 @@
 // Start reports whether the request of a won claim may be dispatched now; it does so at most once for a claim.
 //
 // After a false report the request is not run.
-func (b *Book) Start(now time.Time, ticket uint64) bool {
-	claimed, ok := b.claims[ticket]
+func (b *Book) Start(now time.Time, handle uint64) bool {
+	claimed, ok := b.claims[handle]
 	usable := ok && claimed.committed && claimed.decided && claimed.state == Running
-	if err := b.config.Checker.Check(usable && !claimed.started, "claim.once", "claim %d started twice or without being won", ticket); err != nil {
+	if err := b.config.Checker.Check(usable && !claimed.started, "claim.once", "claim %d started twice or without being won", handle); err != nil {
 		return false
 	}
 	if now.Sub(claimed.asked) >= b.config.Bound {
@@ -214,8 +214,8 @@
 }
 
 // Finish tells what became of the request of a started claim.
-func (b *Book) Finish(now time.Time, ticket uint64, state State, answer []byte) Actions {
-	claimed, ok := b.claims[ticket]
+func (b *Book) Finish(now time.Time, handle uint64, state State, answer []byte) Actions {
+	claimed, ok := b.claims[handle]
 	if !ok || claimed.state != Running {
 		return Actions{}
 	}
@@ -359,13 +359,13 @@
 		return
 	}
 	claimed.decided = true
-	verdict.Ticket = claimed.sequence
+	verdict.Handle = claimed.sequence
 	b.out.Verdicts = append(b.out.Verdicts, verdict)
 	if verdict.Decision == Won {
 		verdict.Decision, verdict.Sequence = Mine, claimed.sequence
 	}
-	for _, ticket := range claimed.followers {
-		verdict.Ticket = ticket
+	for _, handle := range claimed.followers {
+		verdict.Handle = handle
 		b.out.Verdicts = append(b.out.Verdicts, verdict)
 	}
 	claimed.followers = nil
--- a/rail/claim/book_test.go
+++ b/rail/claim/book_test.go
@@ -49,10 +49,10 @@
 func TestStartAfterFreeze(t *testing.T) {
 	now := time.Unix(0, 0)
 	s, frozen, other := new(service), newBook("frozen"), newBook("other")
-	ticket, waiting := frozen.Claim(now, want(now, "k", ""))
-	otherTicket, actions := other.Claim(now, want(now, "k", ""))
+	handle, waiting := frozen.Claim(now, want(now, "k", ""))
+	otherHandle, actions := other.Claim(now, want(now, "k", ""))
 	s.run(now, other, actions)
-	if !other.Start(now, otherTicket) {
+	if !other.Start(now, otherHandle) {
 		t.Fatal("got no start at the other instance, want one")
 	}
 	for _, key := range []string{"x", "y"} {
@@ -64,7 +64,7 @@
 	if len(verdicts) != 1 || verdicts[0].Decision != Won {
 		t.Fatalf("got verdicts %v, want a claim that is won too late", verdicts)
 	}
-	if frozen.Start(now, ticket) {
+	if frozen.Start(now, handle) {
 		t.Error("got a start after the bound, want none")
 	}
 }
@@ -123,13 +123,13 @@
 	now := time.Unix(0, 0)
 	s, b := new(service), newBook("a")
 	finish := func(key string, size int) Answer {
-		ticket, actions := b.Claim(now, want(now, key, ""))
+		handle, actions := b.Claim(now, want(now, key, ""))
 		s.run(now, b, actions)
-		if !b.Start(now, ticket) {
+		if !b.Start(now, handle) {
 			t.Fatalf("got no start of %q, want one", key)
 		}
-		s.run(now, b, b.Finish(now, ticket, Done, make([]byte, size)))
-		return b.Ask(ticket)
+		s.run(now, b, b.Finish(now, handle, Done, make([]byte, size)))
+		return b.Ask(handle)
 	}
 	if got, want := len(finish("1", 900).Answer), 900; got != want {
 		t.Errorf("got %d bytes kept, want %d", got, want)
@@ -186,16 +186,16 @@
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Unix(0, 0)
 			s, owner, at := new(service), newBook("owner"), newBook("elsewhere")
-			ticket, actions := owner.Claim(now, want(now, "k", ""))
+			handle, actions := owner.Claim(now, want(now, "k", ""))
 			s.run(now, owner, actions)
-			if !owner.Start(now, ticket) {
+			if !owner.Start(now, handle) {
 				t.Fatal("got no start, want one")
 			}
-			if owner.Start(now, ticket) {
+			if owner.Start(now, handle) {
 				t.Fatal("got a second start, want none")
 			}
 			if test.state != Running {
-				s.run(now, owner, owner.Finish(now, ticket, test.state, []byte("answer")))
+				s.run(now, owner, owner.Finish(now, handle, test.state, []byte("answer")))
 				now = now.Add(markLinger)
 				s.run(now, owner, owner.Tick(now))
 			}
--- a/rail/claim/model_test.go
+++ b/rail/claim/model_test.go
@@ -42,7 +42,7 @@
 	frozen time.Duration
 	dead   bool
 	book   *Book
-	// waiting holds the attempts whose verdict is due, by ticket.
+	// waiting holds the attempts whose verdict is due, by handle.
 	waiting map[uint64]*attempt
 }
 
@@ -55,7 +55,7 @@
 	told  bool
 	state State
 	// steps left: a won attempt has to start, then to send, then to finish.
-	ticket  uint64
+	handle  uint64
 	won     bool
 	started bool
 	sent    bool
@@ -149,13 +149,13 @@
 	}
 	w.attempts = append(w.attempts, a)
 	now := w.local(i)
-	ticket, actions := i.book.Claim(now, Want{
+	handle, actions := i.book.Claim(now, Want{
 		Key:      NewKey("w", "r", fmt.Sprint(key)),
 		Request:  NewDigest("POST", "/", []byte{byte(a.body)}),
 		Deadline: now.Add(time.Duration(w.between(1, 20)) * time.Second),
 	})
-	a.ticket = ticket
-	i.waiting[ticket] = a
+	a.handle = handle
+	i.waiting[handle] = a
 	w.act(i, actions)
 }
 
@@ -178,9 +178,9 @@
 		a.at = owner
 		now := w.local(owner)
 		want := Want{Key: NewKey("w", "r", fmt.Sprint(a.key)), Request: NewDigest("POST", "/", []byte{byte(a.body)})}
-		ticket, actions := owner.book.ClaimMinted(now, want, w.mints[number])
-		a.ticket = ticket
-		owner.waiting[ticket] = a
+		handle, actions := owner.book.ClaimMinted(now, want, w.mints[number])
+		a.handle = handle
+		owner.waiting[handle] = a
 		w.act(owner, actions)
 		return
 	}
@@ -197,8 +197,8 @@
 		w.messages = append(w.messages, &message{from: i, write: &write, read: write.Shard})
 	}
 	for _, verdict := range actions.Verdicts {
-		w.decide(i, i.waiting[verdict.Ticket], verdict)
-		delete(i.waiting, verdict.Ticket)
+		w.decide(i, i.waiting[verdict.Handle], verdict)
+		delete(i.waiting, verdict.Handle)
 	}
 }
 
@@ -336,7 +336,7 @@
 	switch {
 	case !a.started:
 		a.started = true
-		if !a.at.book.Start(now, a.ticket) {
+		if !a.at.book.Start(now, a.handle) {
 			w.tally.Fault("too late")
 			w.tell(a, NotRun)
 		}
@@ -344,7 +344,7 @@
 		a.sent = true
 		a.result = w.backend(a)
 	default:
-		w.act(a.at, a.at.book.Finish(now, a.ticket, a.result, []byte("answer")))
+		w.act(a.at, a.at.book.Finish(now, a.handle, a.result, []byte("answer")))
 		w.tell(a, a.result)
 	}
 }
--- a/rail/retry/breaker.go
+++ b/rail/retry/breaker.go
@@ -86,34 +86,34 @@
 	return !now.Before(held.until) && held.probes < maxProbes
 }
 
-// Ticket stands for a request that was sent to a server.
-type Ticket struct {
+// Handle stands for a request that was sent to a server.
+type Handle struct {
 	server string
 	trips  int
 }
 
-// Started tells that a request was sent to the server; Ended must follow with the ticket.
-func (b *Breakers) Started(now time.Time, server string) Ticket {
+// Started tells that a request was sent to the server; Ended must follow with the handle.
+func (b *Breakers) Started(now time.Time, server string) Handle {
 	held, ok := b.servers[server]
 	if !ok || !held.open() {
-		return Ticket{server: server}
+		return Handle{server: server}
 	}
 	held.probes++
 	held.probed = now
-	return Ticket{server: server, trips: held.trips}
+	return Handle{server: server, trips: held.trips}
 }
 
 // Ended tells how a request has ended; one that was sent before the breaker last opened says nothing.
-func (b *Breakers) Ended(now time.Time, ticket Ticket, succeeded bool) {
-	held, ok := b.servers[ticket.server]
-	if !ok && (succeeded || ticket.trips > 0) {
+func (b *Breakers) Ended(now time.Time, handle Handle, succeeded bool) {
+	held, ok := b.servers[handle.server]
+	if !ok && (succeeded || handle.trips > 0) {
 		return
 	}
 	if !ok {
 		held = new(breaker)
-		b.servers[ticket.server] = held
+		b.servers[handle.server] = held
 	}
-	if held.trips != ticket.trips {
+	if held.trips != handle.trips {
 		return
 	}
 	held.probes = max(0, held.probes-1)
@@ -124,7 +124,7 @@
 		held.successes++
 	}
 	if succeeded && (!held.open() || held.successes >= closeSuccesses) {
-		delete(b.servers, ticket.server)
+		delete(b.servers, handle.server)
 	}
 }
 
--- a/rail/retry/retry_test.go
+++ b/rail/retry/retry_test.go
@@ -70,14 +70,14 @@
 
 // shadow is what a proof knows of one server.
 type shadow struct {
-	tickets   []Ticket
+	handles   []Handle
 	probes    []time.Time
 	sickUntil time.Time
 }
 
 // start remembers a request that was sent, and when if it is a probe.
-func (s *shadow) start(now time.Time, ticket Ticket, probe bool) {
-	s.tickets = append(s.tickets, ticket)
+func (s *shadow) start(now time.Time, handle Handle, probe bool) {
+	s.handles = append(s.handles, handle)
 	began := time.Time{}
 	if probe {
 		began = now
@@ -85,12 +85,12 @@
 	s.probes = append(s.probes, began)
 }
 
-// end forgets a request and returns its ticket.
-func (s *shadow) end(i int) Ticket {
-	ticket := s.tickets[i]
-	s.tickets = append(s.tickets[:i], s.tickets[i+1:]...)
+// end forgets a request and returns its handle.
+func (s *shadow) end(i int) Handle {
+	handle := s.handles[i]
+	s.handles = append(s.handles[:i], s.handles[i+1:]...)
 	s.probes = append(s.probes[:i], s.probes[i+1:]...)
-	return ticket
+	return handle
 }
 
 // recent returns the number of probes in progress that have not timed out.
@@ -136,9 +136,9 @@
 				}
 			}
 			for j := range shadows {
-				if count := len(shadows[j].tickets); count > 0 && rapid.IntRange(0, 3).Draw(rt, "end") == 0 {
-					ticket := shadows[j].end(rapid.IntRange(0, count-1).Draw(rt, "ticket"))
-					breakers.Ended(now, ticket, !now.Before(shadows[j].sickUntil))
+				if count := len(shadows[j].handles); count > 0 && rapid.IntRange(0, 3).Draw(rt, "end") == 0 {
+					handle := shadows[j].end(rapid.IntRange(0, count-1).Draw(rt, "handle"))
+					breakers.Ended(now, handle, !now.Before(shadows[j].sickUntil))
 				}
 			}
 			if got, want := float64(breakers.Open()), float64(size)/2; got > want {
--- a/standin/plain/main.go
+++ b/standin/plain/main.go
@@ -1,4 +1,3 @@
-// Plain is a stand-in for a plain service whose calls may not be repeated.
 package main
 
 import (
