Run load through several faults at once

Cause: faults were tried one after another with whole processes, not together. Change: an end-to-end test takes the platform's service away, kills an engine of the first stage, freezes one of the second and later kills one of the third, under load from railload; every request must be done and every instance ready. Tried and no proof: with the deadlines for silence at an hour it still passed, so the test says nothing about them; TestRunRecovers does. A first form hung in its clean-up on the frozen engine, which is thawed now.

--- /dev/null
+++ b/comfreyrail/e2e/together_test.go
@@ -0,0 +1,36 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/fake/fakeengine"
+)
+
+// TestFaultsTogether takes the platform's service away, kills one engine of the first stage and freezes one of the
+// second at once, and later kills one of the third, all under load.
+func TestFaultsTogether(t *testing.T) {
+	f := newFleet(t, "comfreyrail", "comfreyctl", "railload")
+	tables := f.tables(func(_ string, next http.Handler) http.Handler { return next })
+	for _, zone := range []string{"a", "b", "c"} {
+		f.add(zone)
+	}
+	f.apply(tables)
+	wait := f.load("--rate", "40", "--time", "9s", "--timeout", "15s")
+	time.Sleep(2 * time.Second)
+	f.shut(true)
+	f.engines[0].SetFaults(fakeengine.Faults{Crash: true})
+	f.engines[2].SetFaults(fakeengine.Faults{Freeze: true})
+	defer f.engines[2].SetFaults(fakeengine.Faults{})
+	time.Sleep(3 * time.Second)
+	f.engines[4].SetFaults(fakeengine.Faults{Crash: true})
+	time.Sleep(2 * time.Second)
+	f.shut(false)
+	wait()
+	for _, p := range f.processes {
+		if got, want := f.get(p, "/ready"), http.StatusOK; got != want {
+			t.Errorf("%s answers %d when asked whether it is ready, want %d", p.name, got, want)
+		}
+	}
+}
