Ask the platform's service directly

Cause: its client was net/http's default one, which takes proxies from the environment and follows redirects; a write could go elsewhere. Change: it has the transport of the other clients; none follows redirects.

--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -49,8 +49,12 @@
 
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
 
+// provideHTTP returns a client that goes straight to the address: no proxy of the environment, no redirects.
 func provideHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, DisableCompression: true}}
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 func provideChecker(log *logrus.Entry, registry metrics.Registry) *invariant.Checker {
@@ -61,7 +65,7 @@
 }
 
 func provideStore(loaded settings.Settings) *kv.Client {
-	return &kv.Client{Address: loaded.Platform.Address}
+	return &kv.Client{Address: loaded.Platform.Address, HTTP: provideHTTP()}
 }
 
 func provideControl(loaded settings.Settings, log *logrus.Entry, checker *invariant.Checker) *control.Control {
