Serve a guest in time when the platform's service hangs

A guest that had registered meanwhile stayed a guest on its connection. Ruled out: no look-up for those who know the secret (a member that has just joined would be a guest). Change: half a second for those who prove the secret; a guest that asks for more loses its connection, so that the next one is identified anew.

--- a/comfreyrail/internal/peer/transport.go
+++ b/comfreyrail/internal/peer/transport.go
@@ -23,8 +23,10 @@
 	idleTimeout      = 30 * time.Second
 	handshakeTimeout = 2 * time.Second
 	serveTimeout     = 10 * time.Second
-	maxStreams       = 64
-	maxConnections   = 1024
+	// guestTimeout is the longest wait for the record of an instance that may be served as a guest.
+	guestTimeout   = 500 * time.Millisecond
+	maxStreams     = 64
+	maxConnections = 1024
 )
 
 // Codes with which a connection is closed.
@@ -182,7 +184,7 @@
 			_ = connection.CloseWithError(closeNormal, "")
 			return
 		}
-		go t.serveStream(ctx, from, stream)
+		go t.serveStream(ctx, from, connection, stream)
 	}
 }
 
@@ -208,18 +210,24 @@
 	if len(certificates) != 1 {
 		return from, fmt.Errorf("%d certificates instead of 1", len(certificates))
 	}
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	limit, guest := serveTimeout, knowsSecret(certificates[0], t.config.Secret)
+	if guest {
+		limit = guestTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	name := certificates[0].Subject.CommonName
 	from, err = t.config.Resolve(ctx, name, fingerprint(certificates[0]))
-	if err != nil && knowsSecret(certificates[0], t.config.Secret) {
+	if err != nil && guest {
 		return member.Member{Name: name}, nil
 	}
 	return from, err
 }
 
 // serveStream answers one call.
-func (t *Transport) serveStream(ctx context.Context, from member.Member, stream *quic.Stream) {
+//
+// A guest who asks for more may have a record by now: its connection is closed, so that the next one is identified anew.
+func (t *Transport) serveStream(ctx context.Context, from member.Member, connection *quic.Conn, stream *quic.Stream) {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	defer func() { _ = stream.Close() }()
@@ -229,6 +237,10 @@
 		stream.CancelRead(0)
 		return
 	}
+	if from.Epoch == 0 && !t.guests[received.Kind] {
+		_ = connection.CloseWithError(closeUnknown, "the call is not for guests")
+		return
+	}
 	var sent answer
 	body, err := t.handle(ctx, from, received)
 	if err == nil {
@@ -245,9 +257,6 @@
 	if !ok {
 		return nil, fmt.Errorf("unknown kind %q", received.Kind)
 	}
-	if from.Epoch == 0 && !t.guests[received.Kind] {
-		return nil, fmt.Errorf("kind %q is not for guests", received.Kind)
-	}
 	return handler(ctx, from, received.Body)
 }
 
