--- a/comfreyrail/internal/control/config.go
+++ b/comfreyrail/internal/control/config.go
@@ -31,7 +31,7 @@
 			}
 		}
 	}
-	e.Actions <- actions
+	c.afterwards(func() { e.Actions <- actions })
 }
 
 // putInForce puts a generation of the tables in force that has been validated.
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -71,6 +71,8 @@
 	published uint64
 	servers   *servers
 	urgent    chan struct{}
+	// answers are kept until the next snapshot is published.
+	answers []func()
 	// shown holds the hash of the marks that each partner has shown last.
 	shown    map[string]uint64
 	snapshot atomic.Pointer[Snapshot]
@@ -125,8 +127,20 @@
 			next := *c.snapshot.Load()
 			event.apply(c, &next)
 			c.snapshot.Store(&next)
+			c.reply()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
+
+// afterwards keeps an answer until the snapshot that the event led to is published, so that whoever gets it sees both.
+func (c *Control) afterwards(answer func()) { c.answers = append(c.answers, answer) }
+
+// reply gives the answers that were kept.
+func (c *Control) reply() {
+	for _, answer := range c.answers {
+		answer()
+	}
+	c.answers = c.answers[:0]
+}
