Keep one pause, one jitter and one list of a pool's servers

Cause: configsync, membership and the lister each had their own pause, two of them their own jitter; completion and chooser listed the servers of a pool in the same loop; retry.Budget.Saved was used nowhere. Behaviour and assertions are the same.

--- a/comfreyrail/internal/control/configsync/configsync.go
+++ b/comfreyrail/internal/control/configsync/configsync.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/edit"
 	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
@@ -162,7 +162,7 @@
 	var after uint64
 	for ctx.Err() == nil {
 		if s.Duty != nil && !s.Duty() {
-			pause(ctx, jitter(retryPause))
+			_ = pause.For(ctx, pause.Jitter(retryPause))
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
@@ -186,9 +186,9 @@
 			interval = max(interval, time.Duration(s.Members())*time.Second/readsPerSecond)
 		}
 		select {
-		case <-time.After(jitter(interval)):
+		case <-time.After(pause.Jitter(interval)):
 		case <-s.again:
-			pause(ctx, jitter(retryPause))
+			_ = pause.For(ctx, pause.Jitter(retryPause))
 		case <-ctx.Done():
 		}
 	}
@@ -218,7 +218,7 @@
 	if err != nil {
 		s.count("config.read.failed")
 		s.log.WithError(err).Warn("cannot read the head of the tables")
-		pause(ctx, jitter(retryPause))
+		_ = pause.For(ctx, pause.Jitter(retryPause))
 		return
 	}
 	s.hear(ctx, install.HeadRead{Manifest: head.Manifest})
@@ -228,7 +228,7 @@
 func (s *Sync) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.hear(ctx, install.Tick{})
-		pause(ctx, tickInterval)
+		_ = pause.For(ctx, tickInterval)
 	}
 }
 
@@ -248,15 +248,3 @@
 
 // count counts one event.
 func (s *Sync) count(name string) { metrics.GetOrRegisterCounter(name, s.metrics).Inc(1) }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
-// jitter returns a time between three quarters and five quarters of d.
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2)
-}
--- a/comfreyrail/internal/control/configsync/edit.go
+++ b/comfreyrail/internal/control/configsync/edit.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/edit"
 	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
@@ -77,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, inForceWait)
 	defer cancel()
 	for ctx.Err() == nil && s.control.Snapshot().Tables.Generation < generation {
-		pause(ctx, inForcePoll)
+		_ = pause.For(ctx, inForcePoll)
 	}
 }
 
@@ -95,7 +96,7 @@
 // step makes one call or waits.
 func (s *Sync) step(ctx context.Context, step edit.Step) edit.Answer {
 	if wait, ok := step.(edit.Wait); ok {
-		pause(ctx, wait.For)
+		_ = pause.For(ctx, wait.For)
 		return edit.Answer{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -144,7 +145,7 @@
 		if s.Members != nil {
 			interval = max(interval, time.Duration(float64(s.Members())/sweepsPerSecond)*time.Second)
 		}
-		pause(ctx, jitter(interval))
+		_ = pause.For(ctx, pause.Jitter(interval))
 		if ctx.Err() == nil && (s.Duty == nil || s.Duty()) {
 			s.sweepOnce(ctx, time.Now())
 		}
--- a/comfreyrail/internal/control/membership/heartbeat.go
+++ b/comfreyrail/internal/control/membership/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -146,17 +145,3 @@
 		return nil
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// jitter returns a time between three quarters and five quarters of d.
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2)
-}
--- a/comfreyrail/internal/control/membership/membership.go
+++ b/comfreyrail/internal/control/membership/membership.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -102,7 +103,7 @@
 			return nil
 		}
 		m.log.WithError(err).Warn("cannot register with the platform's service")
-		if err = pause(ctx, retryPause); err != nil {
+		if err = pause.For(ctx, retryPause); err != nil {
 			return err
 		}
 	}
@@ -162,7 +163,7 @@
 
 // renewLease renews the lease, and registers again if the lease is lost or too short for the fleet.
 func (m *Membership) renewLease(ctx context.Context) {
-	for pause(ctx, m.renewInterval()) == nil {
+	for pause.For(ctx, m.renewInterval()) == nil {
 		lease := m.lease.Load()
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		err := m.store.Renew(call, lease.ID)
@@ -180,7 +181,7 @@
 // listMembers reads the records of all instances, rarely enough for the platform's service.
 func (m *Membership) listMembers(ctx context.Context) {
 	wait := time.Duration(0)
-	for pause(ctx, wait) == nil {
+	for pause.For(ctx, wait) == nil {
 		members, err := m.list(ctx)
 		if err != nil {
 			m.log.WithError(err).Warn("cannot list the instances")
@@ -189,7 +190,7 @@
 		}
 		m.config.Control.Send(ctx, control.MembersListed{At: time.Now(), Members: members})
 		interval := float64(len(members)) / listingsPerSecond * float64(time.Second)
-		wait = jitter(max(minListInterval, time.Duration(interval)))
+		wait = pause.Jitter(max(minListInterval, time.Duration(interval)))
 	}
 }
 
--- a/comfreyrail/internal/control/probe/lister.go
+++ b/comfreyrail/internal/control/probe/lister.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 )
 
@@ -42,10 +43,8 @@
 func (l *Lister) Serve(ctx context.Context) error {
 	for {
 		mean := listPause(len(l.config.Control.Snapshot().Members()))
-		select {
-		case <-time.After(mean/2 + time.Duration(rand.Int64N(int64(mean)))):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := pause.For(ctx, mean/2+rand.N(mean)); err != nil {
+			return err
 		}
 		l.read(ctx)
 	}
--- a/comfreyrail/internal/control/servers.go
+++ b/comfreyrail/internal/control/servers.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/health"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
 // reasonLeaving is the reason by which a backend server refuses work because it is leaving.
@@ -169,6 +170,16 @@
 	return ok && server.Usable
 }
 
+// AppendServers appends what is known about the backend servers of the pool, in the order of its row.
+func (s *Snapshot) AppendServers(servers []chain.Server, pool table.Pool) []chain.Server {
+	for _, row := range pool.Servers {
+		if server, ok := s.Servers[row.Name]; ok {
+			servers = append(servers, *server)
+		}
+	}
+	return servers
+}
+
 // replace puts other records of backend servers into the snapshot; readers keep the map that they have.
 func (s *Snapshot) replace(servers ...*chain.Server) {
 	if len(servers) == 0 {
--- /dev/null
+++ b/comfreyrail/internal/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits between the calls of a loop.
+package pause
--- a/comfreyrail/internal/traffic/chooser/chooser.go
+++ b/comfreyrail/internal/traffic/chooser/chooser.go
@@ -114,7 +114,7 @@
 		return held
 	}
 	row, _ := snapshot.Tables.FindPool(request.Pool)
-	held.view, held.listed = now, listed(held.listed[:0], snapshot, row)
+	held.view, held.listed = now, snapshot.AppendServers(held.listed[:0], row)
 	shape(held.listed)
 	servers := held.listed
 	names := make([]string, 0, len(servers))
@@ -131,16 +131,6 @@
 	return held
 }
 
-// listed appends what is known about the backend servers of the pool.
-func listed(servers []chain.Server, snapshot *control.Snapshot, pool table.Pool) []chain.Server {
-	for _, row := range pool.Servers {
-		if server, ok := snapshot.Servers[row.Name]; ok {
-			servers = append(servers, *server)
-		}
-	}
-	return servers
-}
-
 // sameServers reports whether both lists name the same servers in the same order.
 func sameServers(a, b []chain.Server) bool {
 	if len(a) != len(b) {
--- a/comfreyrail/internal/traffic/chooser/chooser_test.go
+++ b/comfreyrail/internal/traffic/chooser/chooser_test.go
@@ -38,7 +38,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	chooser := New(Config{Control: state, Name: "i", Zone: "zone", Now: time.Now, Seed: 1, Checker: new(invariant.Checker)})
-	return chooser, func() []chain.Server { return listed(nil, state.Snapshot(), pool) }
+	return chooser, func() []chain.Server { return state.Snapshot().AppendServers(nil, pool) }
 }
 
 func usable(snapshot *control.Snapshot) (names []string) {
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -107,10 +107,12 @@
 		deadline = time.Now().Add(request.Route.Deadline())
 	}
 	session := stream.NewSession(stream.SessionConfig{
-		Answer:       stream.AnswerConfig{Stream: request.ID, Layers: pool.Layers, MaxTokens: request.MaxTokens, Checker: r.config.Checker},
-		Recovery:     r.recovery(request, pool),
-		Silence:      r.config.Silence,
-		Servers:      func() []chain.Server { return r.candidates(pool) },
+		Answer:   stream.AnswerConfig{Stream: request.ID, Layers: pool.Layers, MaxTokens: request.MaxTokens, Checker: r.config.Checker},
+		Recovery: r.recovery(request, pool),
+		Silence:  r.config.Silence,
+		Servers: func() []chain.Server {
+			return r.config.Control.Snapshot().AppendServers(make([]chain.Server, 0, len(pool.Servers)), pool)
+		},
 		OpenTimeout:  openTimeout,
 		ProbeTimeout: probeTimeout,
 		ProbeFloor:   probeFloor,
@@ -142,18 +144,6 @@
 	}
 }
 
-// candidates returns what is known about the backend servers of the pool.
-func (r *Runner) candidates(pool table.Pool) []chain.Server {
-	snapshot := r.config.Control.Snapshot()
-	servers := make([]chain.Server, 0, len(pool.Servers))
-	for _, row := range pool.Servers {
-		if server, ok := snapshot.Servers[row.Name]; ok {
-			servers = append(servers, *server)
-		}
-	}
-	return servers
-}
-
 // count counts an attempt by the way that led to it.
 func (r *Runner) count(way stream.Way) {
 	if r.config.Metrics != nil {
--- a/rail/retry/budget.go
+++ b/rail/retry/budget.go
@@ -58,7 +58,4 @@
 	return true
 }
 
-// Saved returns the number of retries that are saved up.
-func (b *Budget) Saved() float64 { return b.saved }
-
 func (b *Budget) earn(amount float64) { b.saved = min(b.saved+amount, b.config.Burst) }
