--- a/comfreyrail/internal/command/command.go
+++ b/comfreyrail/internal/command/command.go
@@ -63,7 +63,7 @@
 			code = ExitFailure
 			return run(loaded, stderr)
 		},
-	})
+	}, gatewayCommand(path, &code, stdout, stderr))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintf(stderr, "comfreyrail: %v\n", err)
 		var cut *process.CutError
--- /dev/null
+++ b/comfreyrail/internal/gateway/duty/placer.go
@@ -0,0 +1,204 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/placement"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// Times of placing layers.
+const (
+	// placeEvery is the time between two looks at what the engines hold.
+	placeEvery = 200 * time.Millisecond
+	// orderTimeout is the longest time for an engine's answer to an order.
+	orderTimeout = time.Second
+	// entryLag is how long after a load an engine's entry may still show nothing.
+	entryLag = 5 * time.Second
+)
+
+// EngineState is what an engine reports of itself.
+type EngineState struct {
+	// Born is the start of the incarnation in Unix milliseconds.
+	Born int64
+	// Orders is the number of orders that it has accepted.
+	Orders int64
+	// Busy tells that it carries out an order.
+	Busy bool
+	// Layers is the range that it holds.
+	Layers backend.Range
+}
+
+// PlacerConfig configures a Placer.
+type PlacerConfig struct {
+	// Name is the name of this instance.
+	Name string
+	// Catalog tells what the engines hold.
+	Catalog *catalog.Catalog
+	// Lease is the lease of this instance.
+	Lease *Lease
+	// Commit carries out a transaction.
+	Commit func(ctx context.Context, transaction store.Transaction) (uint64, error)
+	// State asks an engine for its state.
+	State func(ctx context.Context, server backend.Server) (EngineState, error)
+	// Place orders an engine that has accepted so many orders to hold layers.
+	Place func(ctx context.Context, server backend.Server, orders int64, layers backend.Range) error
+	// Refused reports whether an error of Place says that nothing has begun.
+	Refused func(err error) bool
+	// Log receives the log.
+	Log *logrus.Entry
+}
+
+// Placer gives engines their layers while this instance holds the duty.
+type Placer struct {
+	config PlacerConfig
+	orders sync.WaitGroup
+
+	mu       sync.Mutex
+	promised map[string]promise
+	held     bool
+}
+
+// promise is an order that an engine may be carrying out.
+type promise struct {
+	born   int64
+	layers backend.Range
+	until  time.Time
+}
+
+// NewPlacer returns a Placer without the duty.
+func NewPlacer(config PlacerConfig) *Placer {
+	return &Placer{config: config, promised: make(map[string]promise)}
+}
+
+// Serve places layers until the context ends.
+func (p *Placer) Serve(ctx context.Context) error {
+	defer p.orders.Wait()
+	for ctx.Err() == nil {
+		if p.onDuty(ctx) {
+			p.place(ctx)
+		}
+		wait(ctx, placeEvery)
+	}
+	return ctx.Err()
+}
+
+// onDuty reports whether this instance is the placer, and takes the duty if nobody has it.
+func (p *Placer) onDuty(ctx context.Context) bool {
+	id, ok := p.config.Lease.Held()
+	item := p.config.Catalog.Snapshot().Placer
+	held := ok && item.Revision != 0 && item.Lease == id
+	if held != p.held {
+		p.held = held
+		p.config.Log.WithField("held", held).WithField("lease", id).Info("duty of placing layers")
+	}
+	if held || !ok || item.Revision != 0 || p.config.Catalog.Snapshot().Table == nil {
+		return held
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.config.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: catalog.PlacerKey}},
+		Writes:     []store.Write{{Key: catalog.PlacerKey, Value: []byte(p.config.Name), Lease: id}},
+	})
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		p.config.Log.WithError(err).Info("the duty of placing layers was not taken")
+	}
+	wait(ctx, placeEvery)
+	return false
+}
+
+// place orders the engines that hold nothing.
+func (p *Placer) place(ctx context.Context) {
+	snapshot := p.config.Catalog.Snapshot()
+	for i := range snapshot.Table.Config.Services {
+		service := &snapshot.Table.Config.Services[i]
+		if service.Engine == nil {
+			continue
+		}
+		servers := snapshot.Servers[service.Name]
+		for _, assignment := range placement.Plan(service.Engine, servers, p.pending(servers)) {
+			p.promise(assignment, loadTime(service))
+			p.orders.Add(1)
+			go p.order(ctx, assignment)
+		}
+	}
+}
+
+// loadTime returns the longest time that a load may take before the entry must show it.
+func loadTime(service *route.Service) time.Duration { return service.Engine.Load + entryLag }
+
+// pending returns what engines have been ordered to hold and do not show yet.
+func (p *Placer) pending(servers []backend.Server) map[string]backend.Range {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	promised := make(map[string]backend.Range)
+	for _, server := range servers {
+		held, ok := p.promised[server.ID]
+		if !ok {
+			continue
+		}
+		if server.Layers.Len() > 0 || server.Born != held.born || now.After(held.until) {
+			delete(p.promised, server.ID)
+			continue
+		}
+		promised[server.ID] = held.layers
+	}
+	return promised
+}
+
+func (p *Placer) promise(assignment placement.Assignment, load time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.promised[assignment.Server.ID] = promise{born: assignment.Server.Born, layers: assignment.Layers, until: time.Now().Add(load)}
+}
+
+func (p *Placer) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.promised, id)
+}
+
+// order reads an engine's state and orders it to hold layers.
+func (p *Placer) order(ctx context.Context, assignment placement.Assignment) {
+	defer p.orders.Done()
+	server, layers := assignment.Server, assignment.Layers
+	log := p.config.Log.WithFields(logrus.Fields{"server": server.ID, "from": layers.From, "to": layers.To})
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state, err := p.config.State(ctx, server)
+	if err != nil {
+		log.WithError(err).Info("the engine does not tell its state: no order")
+		wait(ctx, orderTimeout)
+		p.forget(server.ID)
+		return
+	}
+	if state.Busy || state.Layers.Len() > 0 {
+		log.WithField("busy", state.Busy).WithField("holds", state.Layers.Len()).Info("the engine holds layers already: no order")
+		return
+	}
+	if _, ok := p.config.Lease.Held(); !ok {
+		p.forget(server.ID)
+		return
+	}
+	err = p.config.Place(ctx, server, state.Orders, layers)
+	switch {
+	case err == nil:
+		log.WithField("orders", state.Orders).Info("layers ordered")
+	case p.config.Refused(err):
+		log.WithError(err).Info("the engine refused the order")
+		p.forget(server.ID)
+	default:
+		log.WithError(err).Warn("the engine did not answer the order: it may be carried out late")
+		p.forget(server.ID)
+	}
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/balance"
+	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// fleet guards the choosers of backend servers.
+type fleet struct {
+	catalog *catalog.Catalog
+	zone    string
+
+	mu      sync.Mutex
+	plain   *balance.Balancer
+	engines map[string]*engines
+}
+
+// engines is the chooser of one service with the snapshot that it was told.
+type engines struct {
+	chooser *pipeline.Chooser
+	changed uint64
+}
+
+func newFleet(known *catalog.Catalog, zone string) *fleet {
+	return &fleet{catalog: known, zone: zone, plain: balance.New(balance.Config{}), engines: make(map[string]*engines)}
+}
+
+func (f *fleet) choosePlain(servers []backend.Server, avoid []string) (backend.Server, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plain.Choose(time.Now(), servers, f.zone, avoid)
+}
+
+func (f *fleet) startedPlain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plain.Started(id)
+}
+
+func (f *fleet) endedPlain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plain.Ended(id)
+}
+
+func (f *fleet) reported(id string, running int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plain.Reported(time.Now(), id, running)
+}
+
+func (f *fleet) suspectPlain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plain.Suspect(time.Now(), id)
+}
+
+// of returns the chooser of a service, told of the newest snapshot.
+func (f *fleet) of(service *route.Service, snapshot *catalog.Snapshot) *pipeline.Chooser {
+	held := f.engines[service.Name]
+	if held == nil {
+		held = &engines{chooser: pipeline.New(pipeline.Config{})}
+		f.engines[service.Name] = held
+	}
+	if held.changed != snapshot.Changed {
+		held.changed = snapshot.Changed
+		held.chooser.SetFleet(service.Engine, snapshot.Servers[service.Name], snapshot.Instances)
+	}
+	return held.chooser
+}
+
+// choosePath returns a path and counts the request there.
+func (f *fleet) choosePath(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request) (path pipeline.Path, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	request.Zone = f.zone
+	chooser := f.of(service, snapshot)
+	now := time.Now()
+	if path, ok = chooser.Choose(now, request); ok {
+		chooser.Started(now, path, request)
+	}
+	return path, ok
+}
+
+func (f *fleet) endPath(service string, path pipeline.Path, request pipeline.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.engines[service]; held != nil {
+		held.chooser.Ended(path, request)
+	}
+}
+
+func (f *fleet) suspectEngine(service, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.engines[service]; held != nil {
+		held.chooser.Suspect(time.Now(), address)
+	}
+}
+
+// hops returns the path as engines are told.
+func hops(path pipeline.Path) (list []call.Hop) {
+	for _, stage := range path {
+		list = append(list, call.Hop{Address: stage.Server.Address, From: stage.Layers.From, To: stage.Layers.To})
+	}
+	return list
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -0,0 +1,285 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// Config configures a Forwarder.
+type Config struct {
+	// Catalog tells the configuration and the backend servers.
+	Catalog *catalog.Catalog
+	// Upstream sends requests.
+	Upstream *upstream.Pool
+	// Zone is the availability zone of this instance.
+	Zone string
+	// ConfirmWithin is how long the configuration holds without the store's word for requests with keys.
+	ConfirmWithin time.Duration
+	// UnsureAfter is how long the configuration holds without the store's word for refusing unknown routes and keys.
+	UnsureAfter time.Duration
+	// Retries bounds what is sent to a second server.
+	Retries *Budgets
+	// ReadRequest reads what a caller says.
+	ReadRequest func(header http.Header) call.Request
+	// WriteForward writes what a backend server is told.
+	WriteForward func(header http.Header, forward call.Forward)
+	// ReadAnswer reads what a backend server says.
+	ReadAnswer func(status int, header http.Header) call.Answer
+	// Stalled asks the first engine of a path for the address of the engine that holds a request up.
+	Stalled func(ctx context.Context, server backend.Server, request string) (address string, err error)
+	// Log receives the log.
+	Log *logrus.Entry
+	// Metrics receives counters and times.
+	Metrics metrics.Registry
+}
+
+// Forwarder passes requests on.
+type Forwarder struct {
+	config Config
+	fleet  *fleet
+}
+
+// New returns a Forwarder.
+func New(config Config) *Forwarder {
+	return &Forwarder{config: config, fleet: newFleet(config.Catalog, config.Zone)}
+}
+
+// Times told to callers.
+const (
+	// retryAfter is when a caller may come back if nothing ran.
+	retryAfter = 500 * time.Millisecond
+	// defaultDeadline holds for callers that name none, on routes without one.
+	defaultDeadline = 30 * time.Second
+	// defaultBody is the greatest body in bytes if the configuration names none.
+	defaultBody = 4 << 20
+)
+
+// refusal is an answer of the instance itself.
+type refusal struct {
+	status int
+	code   string
+	after  time.Duration
+}
+
+// Error says what the caller is told.
+func (r *refusal) Error() string { return fmt.Sprintf("%d %s", r.status, r.code) }
+
+// job is one request on its way.
+type job struct {
+	request  call.Request
+	route    *route.Route
+	space    string
+	priority int
+	deadline time.Time
+	limit    time.Time // end of the route's timeout or of the caller's wait, whichever is first
+	method   string
+	target   string
+	host     string
+	header   http.Header
+	body     []byte
+	began    time.Time
+	sent     int
+	avoid    []string
+	ran      bool // a backend server may have run it
+	last     string
+}
+
+// ServeHTTP passes one request on.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{began: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, request: f.config.ReadRequest(r.Header)}
+	err := f.accept(j, r)
+	if err == nil {
+		ctx, cancel := context.WithDeadline(r.Context(), j.limit)
+		defer cancel()
+		if j.route.Kind == route.Stream {
+			err = f.stream(ctx, w, j)
+		} else {
+			err = f.plain(ctx, w, j)
+		}
+	}
+	f.finish(w, r, j, err)
+}
+
+// finish answers a request that failed, and logs how each ended.
+func (f *Forwarder) finish(w http.ResponseWriter, r *http.Request, j *job, err error) {
+	line := f.config.Log.WithFields(logrus.Fields{
+		"request": j.request.ID, "ms": time.Since(j.began).Milliseconds(), "sent": j.sent, "servers": j.last, "prompt": j.request.Prompt,
+	})
+	if j.route != nil {
+		line = line.WithField("route", j.route.Name)
+	}
+	var refused *refusal
+	switch {
+	case err == nil:
+		metrics.GetOrRegisterCounter("requests.done", f.config.Metrics).Inc(1)
+		line.Debug("done")
+	case r.Context().Err() != nil:
+		metrics.GetOrRegisterCounter("requests.left", f.config.Metrics).Inc(1)
+		line.WithError(err).Info("the caller has left")
+		panic(http.ErrAbortHandler)
+	case errors.As(err, &refused):
+		metrics.GetOrRegisterCounter("requests.refused."+refused.code, f.config.Metrics).Inc(1)
+		line.WithField("status", refused.status).Info("refused: " + refused.code)
+		refuse(w, refused)
+	default:
+		metrics.GetOrRegisterCounter("requests.broken", f.config.Metrics).Inc(1)
+		line.WithError(err).Info("broken off")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refuse sends an answer of the instance itself.
+func refuse(w http.ResponseWriter, refused *refusal) {
+	header := w.Header()
+	for name := range header {
+		delete(header, name)
+	}
+	if refused.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refused.after.Seconds(), 'f', 2, 64))
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(refused.code)+1))
+	w.WriteHeader(refused.status)
+	_, _ = io.WriteString(w, refused.code+"\n")
+}
+
+// accept reads a request and finds its route and workspace.
+func (f *Forwarder) accept(j *job, r *http.Request) (err error) {
+	snapshot := f.config.Catalog.Snapshot()
+	if snapshot.Table == nil {
+		return &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: retryAfter}
+	}
+	age, _ := f.config.Catalog.Age()
+	unsure := age > f.config.UnsureAfter
+	found, ok := snapshot.Table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		return unless(unsure, &refusal{status: http.StatusNotFound, code: "no-route"})
+	}
+	j.route, j.priority = found, found.Priority
+	if err = f.admit(j, snapshot.Table, age, unsure); err != nil {
+		return err
+	}
+	j.setDeadline()
+	return f.readBody(j, r, snapshot.Table.Config.Limits)
+}
+
+// unless returns the refusal, or one without a verdict if the configuration may be an old one.
+func unless(unsure bool, refused *refusal) error {
+	if unsure {
+		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: retryAfter}
+	}
+	return refused
+}
+
+// admit finds the workspace of the caller's key.
+func (f *Forwarder) admit(j *job, table *route.Table, age time.Duration, unsure bool) error {
+	if j.route.Public || !table.NeedsKeys() {
+		return nil
+	}
+	if age > f.config.ConfirmWithin {
+		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: retryAfter}
+	}
+	workspace, ok := table.Workspace(j.request.Key)
+	if !ok {
+		return unless(unsure, &refusal{status: http.StatusUnauthorized, code: "unknown-key"})
+	}
+	j.space = workspace.Name
+	if workspace.Priority != nil {
+		j.priority = *workspace.Priority
+	}
+	return nil
+}
+
+// setDeadline works out until when the request is worth running.
+func (j *job) setDeadline() {
+	wait := j.route.Timeout
+	if j.request.Deadline > 0 && (wait <= 0 || j.request.Deadline < wait) {
+		wait = j.request.Deadline
+	}
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	j.limit = j.began.Add(wait)
+	j.deadline = j.limit
+}
+
+// readBody reads the whole body.
+func (f *Forwarder) readBody(j *job, r *http.Request, limits route.Limits) (err error) {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if r.ContentLength > most {
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	}
+	if j.body, err = io.ReadAll(io.LimitReader(r.Body, most+1)); err != nil {
+		return errors.Annotate(err, "read body")
+	}
+	if int64(len(j.body)) > most {
+		return &refusal{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	}
+	j.header = endToEnd(r.Header)
+	return nil
+}
+
+// pickService returns the servers of the service that the request goes to.
+func (f *Forwarder) pickService(j *job) (service *route.Service, servers []backend.Server, snapshot *catalog.Snapshot) {
+	snapshot = f.config.Catalog.Snapshot()
+	name := j.route.Pick(rand.Float64())
+	service, ok := snapshot.Table.Service(name)
+	if !ok {
+		service = &route.Service{Name: name}
+	}
+	return service, snapshot.Servers[name], snapshot
+}
+
+// outgoing returns the request for one server.
+func (f *Forwarder) outgoing(j *job, server backend.Server, hops []call.Hop, lastEvent string) upstream.Request {
+	header := j.header.Clone()
+	f.config.WriteForward(header, call.Forward{
+		Deadline: time.Until(j.deadline), Workspace: j.space, Server: server.ID, Priority: j.priority, Hops: hops, LastEvent: lastEvent,
+	})
+	return upstream.Request{
+		Address: server.Address, Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body,
+		Fresh: !j.route.Repeatable(),
+	}
+}
+
+// exhausted is the answer once no further server may be tried.
+func (j *job) exhausted(code string) *refusal {
+	if j.ran {
+		return &refusal{status: http.StatusBadGateway, code: code}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, code: code, after: retryAfter}
+}
+
+// expired is the answer once the time is up.
+func (j *job) expired() *refusal {
+	if j.ran {
+		return &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, code: "timeout", after: retryAfter}
+}
+
+// stoppingRetryAfter is when a caller may ask another instance.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// ServeStopping answers a request that comes while the instance stops and must not run here.
+func (f *Forwarder) ServeStopping(w http.ResponseWriter, _ *http.Request) {
+	refuse(w, &refusal{status: http.StatusServiceUnavailable, code: "stopping", after: stoppingRetryAfter})
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// maxAnswer is the greatest size of a plain answer in bytes.
+const maxAnswer = 16 << 20
+
+// errForeign means that an answer belongs to another request.
+const errForeign = errors.ConstError("the answer belongs to another request")
+
+// whole is a whole answer.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+	told   call.Answer
+}
+
+// plain passes on a request whose answer is sent once it is whole.
+func (f *Forwarder) plain(ctx context.Context, w http.ResponseWriter, j *job) error {
+	var failed *whole
+	for j.sent < j.route.Attempts {
+		_, servers, _ := f.pickService(j)
+		server, ok := f.fleet.choosePlain(servers, j.avoid)
+		if !ok || j.sent > 0 && !f.config.Retries.Allow(server.Service) {
+			break
+		}
+		if j.sent == 0 {
+			f.config.Retries.Count(server.Service)
+		}
+		j.sent++
+		j.avoid = append(j.avoid, server.ID)
+		j.last = server.ID
+		answer, err := f.once(ctx, j, server)
+		if ctx.Err() != nil && err != nil {
+			return j.expired()
+		}
+		if err == nil && !answer.told.NotRun && answer.status < http.StatusInternalServerError {
+			return answer.send(w)
+		}
+		if err == nil {
+			failed = answer
+		}
+		if j.ran && j.route.Kind == route.Once {
+			break
+		}
+	}
+	if failed != nil && !failed.told.NotRun {
+		return failed.send(w)
+	}
+	return j.exhausted("no-server")
+}
+
+// once sends the request to one server and reads the whole answer.
+func (f *Forwarder) once(ctx context.Context, j *job, server backend.Server) (result *whole, err error) {
+	f.fleet.startedPlain(server.ID)
+	defer f.fleet.endedPlain(server.ID)
+	answer, err := f.config.Upstream.Send(ctx, f.outgoing(j, server, nil, ""))
+	if err != nil {
+		var failure *upstream.Error
+		j.ran = j.ran || !errors.As(err, &failure) || failure.Sent
+		f.failed(j, server, err)
+		return nil, err
+	}
+	told := f.config.ReadAnswer(answer.Status, answer.Header)
+	if told.ID != j.request.ID {
+		answer.Discard()
+		j.ran = true
+		f.failed(j, server, errForeign)
+		return nil, errForeign
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswer))
+	if err != nil {
+		answer.Discard()
+		j.ran = true
+		f.failed(j, server, err)
+		return nil, err
+	}
+	answer.Close()
+	if told.Slots > 0 {
+		f.fleet.reported(server.ID, told.Running+told.Waiting)
+	}
+	if told.NotRun {
+		f.fleet.suspectPlain(server.ID)
+		f.config.Log.WithField("request", j.request.ID).WithField("server", server.ID).WithField("status", answer.Status).Info("the server did not run the request")
+	} else {
+		j.ran = true
+	}
+	return &whole{status: answer.Status, header: answer.Header, body: body, told: told}, nil
+}
+
+// failed logs an attempt that failed and leaves the server alone for a while.
+func (f *Forwarder) failed(j *job, server backend.Server, err error) {
+	f.fleet.suspectPlain(server.ID)
+	f.config.Log.WithError(err).WithField("request", j.request.ID).WithField("server", server.ID).WithField("after", time.Since(j.began).String()).Info("attempt failed")
+}
+
+// send gives the answer to the caller.
+func (a *whole) send(w http.ResponseWriter) error {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, err := w.Write(a.body)
+	return err
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -0,0 +1,250 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// Times of a stream.
+const (
+	// firstPatience is how many times its target the first event may take before another path is tried.
+	firstPatience = 3
+	// gapPatience is how many times its target a pause may last before another path is tried.
+	gapPatience = 3
+	// leastPatience bounds both below.
+	leastPatience = 300 * time.Millisecond
+)
+
+// errNoPath means that no path with room covers the layers.
+const errNoPath = errors.ConstError("no path")
+
+// run is one run of a stream at one path.
+type run struct {
+	service *route.Service
+	path    pipeline.Path
+	cost    pipeline.Request
+	answer  *upstream.Answer
+}
+
+// stream passes on a request whose answer is a stream of events.
+func (f *Forwarder) stream(ctx context.Context, w http.ResponseWriter, j *job) error {
+	out := &events{w: w, lastID: j.request.LastEvent}
+	for {
+		r, err := f.begin(ctx, j, out.lastID)
+		if err == nil && r.answer.Status != http.StatusOK {
+			return f.relayFailure(w, j, out, r)
+		}
+		if err == nil {
+			err = f.relay(ctx, j, out, r)
+			f.end(r, err)
+		}
+		switch {
+		case err == nil:
+			return nil
+		case ctx.Err() != nil && !out.begun:
+			return j.expired()
+		case ctx.Err() != nil:
+			return err
+		case errors.Is(err, errNoPath) && !out.begun:
+			return j.exhausted("no-room")
+		case !f.mayGoOn(j):
+			if out.begun {
+				return err
+			}
+			return j.exhausted("stream-failed")
+		}
+	}
+}
+
+// mayGoOn reports whether the stream may be sent to one more path.
+func (f *Forwarder) mayGoOn(j *job) bool {
+	if j.sent >= j.route.Attempts || j.ran && !j.route.Resumable {
+		return false
+	}
+	return f.config.Retries.Allow(j.route.Shares[0].Service)
+}
+
+// relayFailure gives the caller the answer of a server that ran the request and failed.
+func (f *Forwarder) relayFailure(w http.ResponseWriter, j *job, out *events, r *run) error {
+	defer f.end(r, nil)
+	if out.begun {
+		return errors.Errorf("the server answered with status %d", r.answer.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.answer, maxAnswer))
+	if err != nil {
+		return j.exhausted("stream-failed")
+	}
+	return (&whole{status: r.answer.Status, header: r.answer.Header, body: body}).send(w)
+}
+
+// begin sends the request along a path and waits for the beginning of the answer.
+func (f *Forwarder) begin(ctx context.Context, j *job, lastID string) (r *run, err error) {
+	service, servers, snapshot := f.pickService(j)
+	r = &run{service: service, cost: j.cost(service)}
+	if service.Engine == nil {
+		server, ok := f.fleet.choosePlain(servers, j.avoid)
+		if !ok {
+			return nil, errNoPath
+		}
+		r.path = pipeline.Path{{Server: server}}
+	} else {
+		path, ok := f.fleet.choosePath(service, snapshot, r.cost)
+		if !ok {
+			return nil, errNoPath
+		}
+		r.path = path
+	}
+	if j.sent == 0 {
+		f.config.Retries.Count(service.Name)
+	}
+	j.sent++
+	if err = f.open(ctx, j, r, lastID); err != nil {
+		f.end(r, err)
+		return nil, err
+	}
+	return r, nil
+}
+
+// cost returns what the request asks of engines.
+func (j *job) cost(service *route.Service) pipeline.Request {
+	cost := pipeline.Request{Prompt: j.request.Prompt, Answer: j.request.Hint, Avoid: j.avoid}
+	if cost.Answer == 0 {
+		cost.Answer = j.request.MaxAnswer
+		if service.Engine != nil {
+			cost.Answer = min(service.Engine.UsualAnswer, max(j.request.MaxAnswer, 1))
+		}
+	}
+	return cost
+}
+
+// open sends the request to the first server of the run's path.
+func (f *Forwarder) open(ctx context.Context, j *job, r *run, lastID string) (err error) {
+	first := r.path[0].Server
+	j.last = first.ID
+	request := f.outgoing(j, first, nil, lastID)
+	if r.service.Engine != nil {
+		request = f.outgoing(j, first, hops(r.path), lastID)
+	}
+	patience := max(firstPatience*j.route.Target, leastPatience)
+	headCtx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(patience, cancel)
+	answer, err := f.config.Upstream.Send(headCtx, request)
+	if !timer.Stop() && err == nil {
+		answer.Discard()
+		err = &upstream.Error{Sent: true, Cause: context.DeadlineExceeded}
+	}
+	if err != nil {
+		cancel()
+		var failure *upstream.Error
+		j.ran = j.ran || !errors.As(err, &failure) || failure.Sent
+		f.blame(ctx, j, r, "", err)
+		return err
+	}
+	r.answer = answer
+	told := f.config.ReadAnswer(answer.Status, answer.Header)
+	switch {
+	case told.ID != j.request.ID:
+		answer.Discard()
+		j.ran = true
+		return errForeign
+	case told.NotRun:
+		answer.Discard()
+		f.blame(ctx, j, r, told.Fault, errors.Errorf("status %d: the path did not run the request", answer.Status))
+		return errors.Errorf("status %d", answer.Status)
+	}
+	j.ran = true
+	return nil
+}
+
+// blame leaves the engine at fault alone for a while, the first one if none is named.
+func (f *Forwarder) blame(ctx context.Context, j *job, r *run, address string, cause error) {
+	first := r.path[0].Server
+	if r.service.Engine == nil {
+		f.fleet.suspectPlain(first.ID)
+		j.avoid = append(j.avoid, first.ID)
+	} else {
+		if address == "" {
+			address = f.stalled(ctx, j, first)
+		}
+		f.fleet.suspectEngine(r.service.Name, address)
+	}
+	f.config.Log.WithError(cause).WithFields(logrus.Fields{
+		"request": j.request.ID, "server": first.ID, "fault": address, "stages": len(r.path), "after": time.Since(j.began).Milliseconds(),
+	}).Info("attempt failed")
+}
+
+// stalledTimeout is the longest time for asking who holds a request up.
+const stalledTimeout = 150 * time.Millisecond
+
+// stalled returns the address of the engine that holds the request up, the first one's if it does not say.
+func (f *Forwarder) stalled(ctx context.Context, j *job, first backend.Server) string {
+	ctx, cancel := context.WithTimeout(ctx, stalledTimeout)
+	defer cancel()
+	address, err := f.config.Stalled(ctx, first, j.request.ID)
+	if err != nil {
+		f.config.Log.WithError(err).WithField("server", first.ID).Info("the first engine does not say who stalls")
+		return first.Address
+	}
+	if address == "" {
+		return first.Address
+	}
+	return address
+}
+
+// end gives back what the run took.
+func (f *Forwarder) end(r *run, err error) {
+	if r.answer != nil {
+		if err != nil {
+			r.answer.Discard()
+		} else {
+			r.answer.Close()
+		}
+	}
+	if r.service.Engine != nil {
+		f.fleet.endPath(r.service.Name, r.path, r.cost)
+	}
+}
+
+// relay gives the events of a run to the caller until the stream is complete.
+func (f *Forwarder) relay(ctx context.Context, j *job, out *events, r *run) (err error) {
+	out.start(r.answer.Header)
+	patience := max(gapPatience*j.route.Gap, leastPatience)
+	var buffer [4096]byte
+	for {
+		limit := time.Now().Add(patience)
+		if limit.After(j.limit) {
+			limit = j.limit
+		}
+		r.answer.SetReadDeadline(limit)
+		// The context's end sets a deadline too, which may have been replaced just now.
+		if err = ctx.Err(); err != nil {
+			return err
+		}
+		var n int
+		n, err = r.answer.Read(buffer[:])
+		if n > 0 {
+			if failed := out.write(buffer[:n]); failed != nil {
+				return failed
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return out.finish()
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				f.blame(ctx, j, r, "", err)
+			}
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/process/doc.go
@@ -0,0 +1,2 @@
+// Package process assembles a gateway from its settings and runs it as a supervisor tree.
+package process
--- /dev/null
+++ b/comfreyrail/internal/gateway/process/entry.go
@@ -0,0 +1,96 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+	"github.com/comfreyrail/comfreyrail/rail/stop"
+)
+
+// Limits that hold where the configuration names none.
+const (
+	// defaultHeaderBytes is the greatest size of the headers in bytes.
+	defaultHeaderBytes = 16 << 10
+	// defaultHeaderTimeout is the longest time that the headers may take.
+	defaultHeaderTimeout = 5 * time.Second
+	// defaultIdleTimeout is the longest time that a connection may stay idle.
+	defaultIdleTimeout = 30 * time.Second
+	// tableWait is the time between two looks for the first configuration.
+	tableWait = 20 * time.Millisecond
+)
+
+// Entry serves callers once a configuration is known.
+type Entry struct {
+	server  *graceful.Server
+	catalog *catalog.Catalog
+	within  time.Duration
+}
+
+// NewEntry returns an Entry.
+func NewEntry(loaded settings.Gateway, known *catalog.Catalog, forwarder *forward.Forwarder, lease *duty.Lease, checker *invariant.Checker, log *logrus.Entry) *Entry {
+	e := &Entry{catalog: known, within: confirmWithin(loaded)}
+	e.server = graceful.New(graceful.Config{
+		Listen:  loaded.Listen.Caller,
+		HTTP:    func() *http.Server { return newServer(known.Snapshot().Table.Config.Limits, log) },
+		Handler: forwarder,
+		Refuse:  forwarder.ServeStopping,
+		Stop: stop.Config{
+			Lag: time.Duration(loaded.Stop.Lag), Idle: time.Duration(loaded.Stop.Idle), Limit: time.Duration(loaded.Stop.Limit), Checker: checker,
+		},
+		Release: lease.Release,
+		Log:     log,
+	})
+	return e
+}
+
+// newServer returns a server with the limits of the configuration.
+func newServer(limits route.Limits, log *logrus.Entry) *http.Server {
+	server := &http.Server{
+		MaxHeaderBytes: limits.HeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		ErrorLog: newErrorLog(log),
+	}
+	if server.MaxHeaderBytes <= 0 {
+		server.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if server.ReadHeaderTimeout <= 0 {
+		server.ReadHeaderTimeout = defaultHeaderTimeout
+	}
+	if server.IdleTimeout <= 0 {
+		server.IdleTimeout = defaultIdleTimeout
+	}
+	return server
+}
+
+// Serve waits for a configuration and then serves callers.
+func (e *Entry) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tableWait)
+	for e.catalog.Snapshot().Table == nil && !e.server.Stopping() {
+		select {
+		case <-ctx.Done():
+			ticker.Stop()
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	ticker.Stop()
+	return e.server.Serve(ctx)
+}
+
+// Ready reports whether the balancer may send callers here.
+func (e *Entry) Ready() bool {
+	if e.server.Stopping() || e.catalog.Snapshot().Table == nil {
+		return false
+	}
+	age, ok := e.catalog.Age()
+	return ok && age < e.within
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -0,0 +1,140 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/clock"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/platform"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/invariant"
+)
+
+// Times and counts of connections.
+const (
+	// dialTimeout is the longest time to open a connection within the deployment.
+	dialTimeout = 400 * time.Millisecond
+	// idleTimeout is how long a connection to the store is kept without a call.
+	idleTimeout = 10 * time.Second
+	// storeConnections is the number of idle connections kept to the store.
+	storeConnections = 4
+)
+
+// confirmPart is the part of the time for removing a key during which the configuration holds without the store's word.
+const confirmPart = 0.8
+
+// confirmWithin returns how long requests with keys are served without the store's word.
+func confirmWithin(loaded settings.Gateway) time.Duration {
+	return time.Duration(float64(loaded.Key.Revoke) * confirmPart)
+}
+
+func provideLog(loaded settings.Gateway) (*logrus.Entry, error) {
+	level, err := logrus.ParseLevel(loaded.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return logger.WithFields(logrus.Fields{"instance": loaded.Name}), nil
+}
+
+func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
+
+func provideChecker(log *logrus.Entry, registry metrics.Registry) *invariant.Checker {
+	return &invariant.Checker{Report: func(violation *invariant.Violation) {
+		metrics.GetOrRegisterCounter("invariant."+violation.Name, registry).Inc(1)
+		log.WithField("invariant", violation.Name).Error(violation.Detail)
+	}}
+}
+
+// newHTTP returns a client that goes straight to the address and keeps so many idle connections.
+func newHTTP(idle int) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: idle, IdleConnTimeout: idleTimeout,
+			DisableCompression: true, DisableKeepAlives: idle == 0,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func provideStore(loaded settings.Gateway) *platform.Store {
+	return &platform.Store{Address: loaded.Store.Address, HTTP: newHTTP(storeConnections)}
+}
+
+func provideEngines() *platform.Engines { return &platform.Engines{HTTP: newHTTP(0)} }
+
+func provideCatalog(loaded settings.Gateway, store *platform.Store, log *logrus.Entry) *catalog.Catalog {
+	return catalog.New(catalog.Config{
+		Range: store.Range, Watch: store.Watch, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		ServerID: platform.ServerID, DecodeServer: platform.DecodeServer, Pace: time.Duration(loaded.Store.Pace),
+		Elapsed: clock.Elapsed, Log: log,
+	})
+}
+
+func provideLease(loaded settings.Gateway, store *platform.Store, log *logrus.Entry) *duty.Lease {
+	return duty.NewLease(duty.LeaseConfig{
+		Name: loaded.Name, Grant: store.Grant, Renew: store.Renew, End: store.End, Commit: store.Commit, Elapsed: clock.Elapsed, Log: log,
+	})
+}
+
+func providePlacer(loaded settings.Gateway, known *catalog.Catalog, lease *duty.Lease, store *platform.Store, engines *platform.Engines, log *logrus.Entry) *duty.Placer {
+	return duty.NewPlacer(duty.PlacerConfig{
+		Name: loaded.Name, Catalog: known, Lease: lease, Commit: store.Commit, Place: engines.Place,
+		State: func(ctx context.Context, server backend.Server) (state duty.EngineState, err error) {
+			told, err := engines.State(ctx, server)
+			return duty.EngineState{Born: told.Born, Orders: told.Orders, Busy: told.Busy, Layers: told.Layers}, err
+		},
+		Refused: func(err error) bool {
+			return errors.Is(err, platform.ErrMoved) || errors.Is(err, platform.ErrGone) || errors.Is(err, platform.ErrInvalid)
+		},
+		Log: log,
+	})
+}
+
+func provideUpstream(registry metrics.Registry) *upstream.Pool {
+	opened := metrics.GetOrRegisterCounter("upstream.opened", registry)
+	return upstream.New(upstream.Config{DialTimeout: dialTimeout, Opened: func() { opened.Inc(1) }})
+}
+
+func provideBudgets(loaded settings.Gateway, known *catalog.Catalog) *forward.Budgets {
+	return forward.NewBudgets(forward.BudgetConfig{
+		Ratio: loaded.Repeat.Ratio, Burst: loaded.Repeat.Burst, Window: time.Duration(loaded.Repeat.Window),
+		Instances: func() int { return known.Snapshot().Instances },
+	})
+}
+
+func provideForwarder(loaded settings.Gateway, known *catalog.Catalog, pool *upstream.Pool, engines *platform.Engines, budgets *forward.Budgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
+	return forward.New(forward.Config{
+		Catalog: known, Upstream: pool, Zone: loaded.Zone, Retries: budgets, Log: log, Metrics: registry,
+		ConfirmWithin: confirmWithin(loaded), UnsureAfter: time.Duration(loaded.Key.Apply),
+		ReadRequest: platform.ReadRequest, WriteForward: platform.WriteForward, ReadAnswer: platform.ReadAnswer,
+		Stalled: func(ctx context.Context, server backend.Server, request string) (address string, err error) {
+			state, err := engines.State(ctx, server)
+			if err != nil || len(state.Stalled) == 0 {
+				return "", err
+			}
+			return state.Stalled[0].Address, nil
+		},
+	})
+}
+
+func provideOperate(loaded settings.Gateway, entry *Entry, known *catalog.Catalog, registry metrics.Registry, log *logrus.Entry) *Operate {
+	return &Operate{
+		Listen: loaded.Listen.Ready, ReadyPath: platform.ReadyPath, Ready: entry.Ready, Metrics: registry, Catalog: known, Log: log,
+	}
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -0,0 +1,30 @@
+//go:build wireinject
+
+package process
+
+import (
+	"github.com/google/wire"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+)
+
+// Build builds a Gateway from its settings.
+func Build(loaded settings.Gateway) (*Gateway, error) {
+	wire.Build(
+		provideLog,
+		provideMetrics,
+		provideChecker,
+		provideStore,
+		provideEngines,
+		provideCatalog,
+		provideLease,
+		providePlacer,
+		provideUpstream,
+		provideBudgets,
+		provideForwarder,
+		NewEntry,
+		provideOperate,
+		wire.Struct(new(Branches), "*"), New,
+	)
+	return nil, nil
+}
--- /dev/null
+++ b/comfreyrail/internal/settings/gateway.go
@@ -0,0 +1,167 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Gateway are the settings of a process that routes with a configuration watched in a store.
+type Gateway struct {
+	// Name identifies the instance in the fleet.
+	Name string `toml:"name"`
+	// Zone is the availability zone of the instance.
+	Zone string `toml:"zone"`
+	// Listen holds the addresses to listen on.
+	Listen Listen `toml:"listen"`
+	// Store configures the calls to the store.
+	Store Store `toml:"store"`
+	// Key configures what holds while the store cannot be reached.
+	Key Key `toml:"key"`
+	// Repeat bounds the requests that are sent to a second backend server.
+	Repeat Repeat `toml:"repeat"`
+	// Event configures the passing on of events.
+	Event Event `toml:"event"`
+	// Stop configures the planned stop of the instance.
+	Stop Stop `toml:"stop"`
+	// Memory bounds the memory of the process.
+	Memory Memory `toml:"memory"`
+	// Log configures the log.
+	Log Log `toml:"log"`
+}
+
+// Listen holds the addresses to listen on.
+type Listen struct {
+	// Caller is the host and port for callers.
+	Caller string `toml:"caller"`
+	// Ready is the host and port for the balancer's question whether the instance is ready.
+	Ready string `toml:"ready"`
+	// Metrics is the host and port for metrics and the dump of the state.
+	Metrics string `toml:"metrics"`
+}
+
+// Store configures the calls to the store.
+type Store struct {
+	// Address is the host and port of the store.
+	Address string `toml:"address"`
+	// Pace is the least time between two watches.
+	Pace Duration `toml:"pace"`
+}
+
+// Key configures what holds while the store cannot be reached.
+type Key struct {
+	// Revoke is the time within which a removed key must stop to work at every instance.
+	Revoke Duration `toml:"revoke"`
+	// Apply is the time within which a configuration must be in force.
+	Apply Duration `toml:"apply"`
+}
+
+// Repeat bounds the requests that are sent to a second backend server, over all instances.
+type Repeat struct {
+	// Ratio is the part of the requests to a service.
+	Ratio float64 `toml:"ratio"`
+	// Burst is the number of repeats beyond that in a window.
+	Burst float64 `toml:"burst"`
+	// Window is the time over which repeats are counted.
+	Window Duration `toml:"window"`
+}
+
+// Event configures the passing on of events.
+type Event struct {
+	// Delay is the greatest time from an event's arrival to its sending.
+	Delay Duration `toml:"delay"`
+}
+
+// Memory bounds the memory of the process.
+type Memory struct {
+	// Limit is the memory that the process may take, in megabytes; zero sets no limit.
+	Limit int `toml:"limit"`
+}
+
+// Defaults of the gateway's settings.
+const (
+	defaultPace         = 500 * time.Millisecond
+	defaultRevoke       = 5 * time.Second
+	defaultApply        = 2 * time.Second
+	defaultRepeatRatio  = 0.1
+	defaultRepeatBurst  = 20
+	defaultRepeatWindow = 10 * time.Second
+	defaultEventDelay   = 100 * time.Millisecond
+	defaultGatewayLag   = 3 * time.Second
+	defaultGatewayIdle  = time.Second
+	defaultGatewayLimit = 7500 * time.Millisecond
+)
+
+// DefaultGateway returns the settings that apply where the file sets none.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Store:  Store{Pace: Duration(defaultPace)},
+		Key:    Key{Revoke: Duration(defaultRevoke), Apply: Duration(defaultApply)},
+		Repeat: Repeat{Ratio: defaultRepeatRatio, Burst: defaultRepeatBurst, Window: Duration(defaultRepeatWindow)},
+		Event:  Event{Delay: Duration(defaultEventDelay)},
+		Stop:   Stop{Lag: Duration(defaultGatewayLag), Idle: Duration(defaultGatewayIdle), Limit: Duration(defaultGatewayLimit)},
+		Log:    Log{Level: logrus.InfoLevel.String()},
+	}
+}
+
+// LoadGateway reads and checks the settings in the file.
+func LoadGateway(path string) (loaded Gateway, err error) {
+	defer errors.DeferredAnnotatef(&err, "settings %s", path)
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, err
+	}
+	return ParseGateway(content)
+}
+
+// ParseGateway reads and checks the settings of a gateway written in TOML.
+func ParseGateway(content []byte) (parsed Gateway, err error) {
+	parsed = DefaultGateway()
+	if err = decode(content, &parsed); err != nil {
+		return Gateway{}, err
+	}
+	return parsed, joined(parsed.problems())
+}
+
+// problems returns a line for each invalid field, with its value and how to mend it.
+func (g Gateway) problems() (problems []string) {
+	report := func(field string, value any, fix string) {
+		problems = append(problems, problem(field, value, fix))
+	}
+	if g.Name == "" {
+		report("name", g.Name, "use a name that no other instance has")
+	}
+	addresses := []struct{ field, value string }{
+		{"listen.caller", g.Listen.Caller}, {"listen.ready", g.Listen.Ready}, {"store.address", g.Store.Address},
+	}
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			report(address.field, address.value, "use a host and a port, such as \"10.0.0.1:8080\"")
+		}
+	}
+	times := []struct {
+		field string
+		value Duration
+	}{
+		{"store.pace", g.Store.Pace}, {"key.revoke", g.Key.Revoke}, {"key.apply", g.Key.Apply},
+		{"repeat.window", g.Repeat.Window}, {"stop.limit", g.Stop.Limit},
+	}
+	for _, limit := range times {
+		if limit.value <= 0 {
+			report(limit.field, limit.value, "use a time above zero, such as \"1s\"")
+		}
+	}
+	if g.Stop.Limit <= g.Stop.Lag+g.Stop.Idle {
+		report("stop.limit", g.Stop.Limit, "use more than stop.lag and stop.idle together")
+	}
+	if g.Repeat.Ratio < 0 || g.Repeat.Burst < 0 {
+		report("repeat", g.Repeat, "use no negative ratio or burst")
+	}
+	if _, err := logrus.ParseLevel(g.Log.Level); err != nil {
+		report("log.level", g.Log.Level, "use debug, info, warn or error")
+	}
+	return problems
+}
--- a/comfreyrail/internal/settings/settings.go
+++ b/comfreyrail/internal/settings/settings.go
@@ -104,14 +104,31 @@
 // Parse reads and checks settings written in TOML.
 func Parse(content []byte) (parsed Settings, err error) {
 	parsed = Defaults()
-	decoder := toml.NewDecoder(bytes.NewReader(content)).DisallowUnknownFields()
-	if err = decoder.Decode(&parsed); err != nil {
-		return Settings{}, explain(err)
+	if err = decode(content, &parsed); err != nil {
+		return Settings{}, err
+	}
+	return parsed, joined(parsed.problems())
+}
+
+// decode reads TOML without unknown keys.
+func decode(content []byte, into any) error {
+	if err := toml.NewDecoder(bytes.NewReader(content)).DisallowUnknownFields().Decode(into); err != nil {
+		return explain(err)
 	}
-	if problems := parsed.problems(); len(problems) > 0 {
-		return Settings{}, fmt.Errorf("%s", strings.Join(problems, "; "))
+	return nil
+}
+
+// joined returns the problems as one error, nil for none.
+func joined(problems []string) error {
+	if len(problems) == 0 {
+		return nil
 	}
-	return parsed, nil
+	return errors.New(strings.Join(problems, "; "))
+}
+
+// problem describes an invalid field, with its value and how to mend it.
+func problem(field string, value any, fix string) string {
+	return fmt.Sprintf("%s = %q: %s", field, fmt.Sprint(value), fix)
 }
 
 // explain names the line of a syntax error and the unknown keys.
@@ -123,7 +140,7 @@
 			row, _ := field.Position()
 			keys = append(keys, fmt.Sprintf("line %d: unknown key %q; remove it or correct its name", row, strings.Join(field.Key(), ".")))
 		}
-		return fmt.Errorf("%s", strings.Join(keys, "; "))
+		return joined(keys)
 	}
 	var syntax *toml.DecodeError
 	if stderrors.As(err, &syntax) {
@@ -137,7 +154,7 @@
 func (s Settings) problems() []string {
 	var problems []string
 	report := func(field string, value any, fix string) {
-		problems = append(problems, fmt.Sprintf("%s = %q: %s", field, fmt.Sprint(value), fix))
+		problems = append(problems, problem(field, value, fix))
 	}
 	if s.Name == "" {
 		report("name", s.Name, "give the instance a name that no other instance has")
--- /dev/null
+++ b/rail/backend/backend.go
@@ -0,0 +1,126 @@
+package backend
+
+import "time"
+
+// Range is a range of layers.
+type Range struct {
+	// From is the first layer.
+	From int
+	// To is the layer after the last.
+	To int
+}
+
+// Len returns the number of layers.
+func (r Range) Len() int { return r.To - r.From }
+
+// Contains reports whether the range holds all layers of the other.
+func (r Range) Contains(other Range) bool { return r.From <= other.From && other.To <= r.To }
+
+// Server is a backend server as it describes itself.
+type Server struct {
+	// ID names one incarnation, except for servers that start again under the same name.
+	ID string
+	// Born is the start of the incarnation in Unix milliseconds.
+	Born int64
+	// Service is the service that it belongs to.
+	Service string
+	// Address is its host and port.
+	Address string
+	// Zone is its availability zone.
+	Zone string
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Draining tells that it takes no new work.
+	Draining bool
+	// Card names the kind of its accelerator; empty for plain servers.
+	Card string
+	// Layers is the range of layers that it holds; empty if none.
+	Layers Range
+	// Weights is the version of the weights that it holds.
+	Weights int
+	// Busy tells that it carries out an order, as far as it says so.
+	Busy bool
+	// Orders is the number of orders that this incarnation has accepted.
+	Orders int64
+}
+
+// Card describes one kind of accelerator.
+type Card struct {
+	// Name identifies the kind.
+	Name string
+	// Memory is its memory in megabytes.
+	Memory float64
+	// Pace multiplies the time of a step and of its context.
+	Pace float64
+	// ReadFactor multiplies all other times.
+	ReadFactor float64
+}
+
+// Delay is the time of one way between two availability zones.
+type Delay struct {
+	// From and To are the availability zones.
+	From, To string
+	// Time is the delay of one way.
+	Time time.Duration
+}
+
+// Engine describes the model engines of a service; times are for all layers on an accelerator of pace 1.
+type Engine struct {
+	// Model names the model.
+	Model string
+	// Layers is the number of layers.
+	Layers int
+	// LayerMemory is the memory of one layer's weights in megabytes.
+	LayerMemory float64
+	// TokenBytes is the size of the KV cache of one token over all layers in bytes.
+	TokenBytes float64
+	// Step is the time of one step.
+	Step time.Duration
+	// PerSequence is the time that each writing request adds to a step.
+	PerSequence time.Duration
+	// PerContext is the time that each token of context adds to a step.
+	PerContext time.Duration
+	// PerPromptToken is the time of reading one token of a prompt.
+	PerPromptToken time.Duration
+	// Chunk is the greatest number of prompt tokens in one step.
+	Chunk int
+	// Stride is the number of steps in one pass.
+	Stride int
+	// Load is the time of loading all layers.
+	Load time.Duration
+	// LoadsAtOnce is the number of loads that run at full speed.
+	LoadsAtOnce int
+	// StateLag is the age of what an engine reports of itself.
+	StateLag time.Duration
+	// ActivationBytes is what one token sends from stage to stage in bytes.
+	ActivationBytes float64
+	// ZoneMegabits is the rate between availability zones in megabits per second.
+	ZoneMegabits float64
+	// UsualPrompt is the mean number of prompt tokens.
+	UsualPrompt int
+	// UsualAnswer is the mean number of tokens in an answer.
+	UsualAnswer int
+	// Cards lists the kinds of accelerators.
+	Cards []Card
+	// Delays lists the delays between availability zones.
+	Delays []Delay
+}
+
+// Card returns the kind of that name.
+func (e *Engine) Card(name string) (card Card, ok bool) {
+	for _, card := range e.Cards {
+		if card.Name == name {
+			return card, true
+		}
+	}
+	return Card{}, false
+}
+
+// Room returns the number of tokens whose KV cache fits beside the layers on a card, over those layers.
+func (e *Engine) Room(card Card, layers int) float64 {
+	if layers <= 0 {
+		return 0
+	}
+	free := (card.Memory - float64(layers)*e.LayerMemory) * 1e6
+	return max(free, 0) / (e.TokenBytes / float64(e.Layers) * float64(layers))
+}
--- /dev/null
+++ b/rail/balance/balance_test.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func TestChoose(t *testing.T) {
+	near := backend.Server{ID: "near", Zone: "a", Slots: 6}
+	far := backend.Server{ID: "far", Zone: "b", Slots: 6}
+	leaving := backend.Server{ID: "leaving", Zone: "a", Slots: 6, Draining: true}
+	tests := []struct {
+		name    string
+		servers []backend.Server
+		avoid   []string
+		prepare func(*Balancer)
+		want    string
+	}{
+		{"the nearest of idle ones", []backend.Server{far, near}, nil, func(*Balancer) {}, "near"},
+		{"not one that leaves", []backend.Server{leaving, far}, nil, func(*Balancer) {}, "far"},
+		{"not one that failed the request", []backend.Server{near, far}, []string{"near"}, func(*Balancer) {}, "far"},
+		{"a far one before one with three requests", []backend.Server{near, far}, nil, func(b *Balancer) {
+			for range 3 {
+				b.Started("near")
+			}
+		}, "far"},
+		{"a far one before one that reports load", []backend.Server{near, far}, nil, func(b *Balancer) {
+			b.Reported(start, "near", 5)
+		}, "far"},
+		{"not a suspect", []backend.Server{near, far}, nil, func(b *Balancer) { b.Suspect(start, "near") }, "far"},
+		{"a suspect before none", []backend.Server{near}, nil, func(b *Balancer) { b.Suspect(start, "near") }, "near"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := New(Config{})
+			test.prepare(b)
+			got, ok := b.Choose(start, test.servers, "a", test.avoid)
+			if !ok || got.ID != test.want {
+				t.Errorf("got %q, want %q", got.ID, test.want)
+			}
+		})
+	}
+}
+
+func TestChooseHasNoServer(t *testing.T) {
+	if got, ok := New(Config{}).Choose(start, nil, "a", nil); ok {
+		t.Errorf("got %q, want no server", got.ID)
+	}
+}
--- /dev/null
+++ b/rail/balance/doc.go
@@ -0,0 +1,2 @@
+// Package balance chooses the plain backend server for a request.
+package balance
--- /dev/null
+++ b/rail/pipeline/chooser.go
@@ -0,0 +1,248 @@
+package pipeline
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+// Stage is the part of a path that one engine runs.
+type Stage struct {
+	// Server is the engine.
+	Server backend.Server
+	// Layers is the range that it runs.
+	Layers backend.Range
+}
+
+// Path lists stages that together run every layer once, in order.
+type Path []Stage
+
+// Request describes a request for which a path is chosen.
+type Request struct {
+	// Prompt is the number of tokens to read.
+	Prompt int
+	// Answer is the expected number of tokens to write.
+	Answer int
+	// Zone is the availability zone of the instance that chooses.
+	Zone string
+	// Avoid names engines that failed the request before.
+	Avoid []string
+}
+
+// Config configures a Chooser.
+type Config struct {
+	// Random draws numbers in [0, 1); nil takes the global source.
+	Random func() float64
+}
+
+// Weights and times of the choice.
+const (
+	// memory of the rate of work: work done this long ago counts by 1/e.
+	rateMemory = 2 * time.Second
+	// maxUse bounds the part of an engine's time that a delay is computed for.
+	maxUse = 0.95
+	// maxFill is the part of an engine's memory for requests that may be promised.
+	maxFill = 0.92
+	// spreadNoise is the greatest part by which a cost is varied, so that instances with the same view part.
+	spreadNoise = 0.15
+	// hopCost is what one more stage costs.
+	hopCost = time.Millisecond
+	// suspectTime is how long an engine is left alone after a failure.
+	suspectTime = 1500 * time.Millisecond
+	// suspectCost is what a path over a suspect costs more.
+	suspectCost = 10 * time.Second
+	// passesAhead is the number of passes that a token waits for at a stage on average.
+	passesAhead = 0.5
+)
+
+// load is what this instance knows of one engine.
+type load struct {
+	work    float64 // seconds of work sent, decaying
+	at      time.Time
+	tokens  float64 // tokens x layers promised
+	suspect time.Time
+}
+
+// Chooser chooses paths; it is not safe for concurrent use.
+type Chooser struct {
+	config  Config
+	engine  *backend.Engine
+	servers []backend.Server
+	bounds  []int
+	loads   map[string]*load
+	peers   int
+}
+
+// New returns a Chooser that knows no engines.
+func New(config Config) *Chooser {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
+	return &Chooser{config: config, loads: make(map[string]*load), peers: 1}
+}
+
+// SetFleet states the engines and the number of instances that send work to them.
+func (c *Chooser) SetFleet(engine *backend.Engine, servers []backend.Server, instances int) {
+	c.engine, c.peers = engine, max(instances, 1)
+	c.servers = c.servers[:0]
+	known := make(map[string]bool, len(servers))
+	boundary := make([]bool, engine.Layers+1)
+	boundary[0], boundary[engine.Layers] = true, true
+	for _, server := range servers {
+		if server.Layers.Len() <= 0 || server.Layers.From < 0 || server.Layers.To > engine.Layers || server.Draining {
+			continue
+		}
+		if _, ok := engine.Card(server.Card); !ok {
+			continue
+		}
+		known[server.ID] = true
+		boundary[server.Layers.From], boundary[server.Layers.To] = true, true
+		c.servers = append(c.servers, server)
+	}
+	c.bounds = c.bounds[:0]
+	for layer, is := range boundary {
+		if is {
+			c.bounds = append(c.bounds, layer)
+		}
+	}
+	for id, held := range c.loads {
+		if !known[id] && held.tokens <= 0 {
+			delete(c.loads, id)
+		}
+	}
+}
+
+func (c *Chooser) load(id string) *load {
+	held := c.loads[id]
+	if held == nil {
+		held = &load{}
+		c.loads[id] = held
+	}
+	return held
+}
+
+// decay returns the work in seconds a second that this instance sends to the engine.
+func (l *load) rate(now time.Time) float64 {
+	if l.at.IsZero() {
+		return 0
+	}
+	return l.work * math.Exp(-now.Sub(l.at).Seconds()/rateMemory.Seconds()) / rateMemory.Seconds()
+}
+
+func (l *load) add(now time.Time, seconds float64) {
+	l.work = l.rate(now)*rateMemory.Seconds() + seconds
+	l.at = now
+}
+
+// work returns the engine's time for the whole request over a share of the layers.
+func (c *Chooser) work(card backend.Card, layers int, request Request) (read, write time.Duration) {
+	e, share := c.engine, float64(layers)/float64(c.engine.Layers)
+	read = time.Duration(float64(request.Prompt) * float64(e.PerPromptToken) * card.ReadFactor * share)
+	context := float64(request.Prompt) + float64(request.Answer)/2
+	token := float64(e.PerSequence)*card.ReadFactor + context*float64(e.PerContext)*card.Pace
+	return read, time.Duration(float64(request.Answer) * token * share)
+}
+
+// Started counts a request that was sent along the path.
+func (c *Chooser) Started(now time.Time, path Path, request Request) {
+	for _, stage := range path {
+		card, _ := c.engine.Card(stage.Server.Card)
+		read, write := c.work(card, stage.Layers.Len(), request)
+		held := c.load(stage.Server.ID)
+		held.add(now, (read + write).Seconds())
+		held.tokens += c.need(request, stage.Layers.Len())
+	}
+}
+
+// Ended gives back what Started took.
+func (c *Chooser) Ended(path Path, request Request) {
+	for _, stage := range path {
+		held := c.load(stage.Server.ID)
+		held.tokens = max(held.tokens-c.need(request, stage.Layers.Len()), 0)
+	}
+}
+
+// Suspect leaves the engine at the address alone for a while.
+func (c *Chooser) Suspect(now time.Time, address string) {
+	for _, server := range c.servers {
+		if server.Address == address {
+			c.load(server.ID).suspect = now.Add(suspectTime)
+		}
+	}
+}
+
+// need returns the memory that the request takes in tokens x layers.
+func (c *Chooser) need(request Request, layers int) float64 {
+	return float64(request.Prompt+request.Answer) * float64(layers)
+}
+
+// candidate is an engine with its price for one request.
+type candidate struct {
+	server   backend.Server
+	perLayer float64 // seconds
+	fixed    float64 // seconds
+}
+
+// Choose returns the cheapest path, and false if no path with room covers the layers.
+func (c *Chooser) Choose(now time.Time, request Request) (path Path, ok bool) {
+	if c.engine == nil {
+		return nil, false
+	}
+	banned := make(map[string]bool, len(request.Avoid))
+	for _, id := range request.Avoid {
+		banned[id] = true
+	}
+	for {
+		path, ok = c.search(c.candidates(now, request, banned), request)
+		if !ok {
+			return nil, false
+		}
+		between, twice := doubled(path)
+		if !twice {
+			return path, true
+		}
+		banned[between] = true
+	}
+}
+
+// doubled returns an engine that lies between two stages of another one.
+func doubled(path Path) (between string, twice bool) {
+	for i := range path {
+		for j := i + 2; j < len(path); j++ {
+			if path[i].Server.ID == path[j].Server.ID {
+				return path[i+1].Server.ID, true
+			}
+		}
+	}
+	return "", false
+}
+
+// candidates returns the engines that have room for the request.
+func (c *Chooser) candidates(now time.Time, request Request, banned map[string]bool) (found []candidate) {
+	for _, server := range c.servers {
+		if banned[server.ID] {
+			continue
+		}
+		card, _ := c.engine.Card(server.Card)
+		held := c.load(server.ID)
+		room := c.engine.Room(card, server.Layers.Len()) * float64(server.Layers.Len())
+		fill := held.tokens * float64(c.peers) / max(room, 1)
+		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > maxFill {
+			continue
+		}
+		use := min(held.rate(now)*float64(c.peers), maxUse)
+		read, write := c.work(card, server.Layers.Len(), request)
+		step := float64(c.engine.Step) * card.Pace * float64(server.Layers.Len()) / float64(c.engine.Layers) * float64(c.engine.Stride)
+		cost := (passesAhead*step + float64(read+write)) / float64(time.Second)
+		cost *= 1 + spreadNoise*c.config.Random()
+		cost /= (1 - use) * (1 - fill)
+		fixed := hopCost.Seconds()
+		if now.Before(held.suspect) {
+			fixed += suspectCost.Seconds()
+		}
+		found = append(found, candidate{server: server, perLayer: cost / float64(server.Layers.Len()), fixed: fixed})
+	}
+	return found
+}
--- /dev/null
+++ b/rail/pipeline/chooser_test.go
@@ -0,0 +1,122 @@
+package pipeline
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func testEngine() *backend.Engine {
+	return &backend.Engine{
+		Layers: 80, LayerMemory: 1750, TokenBytes: 918000, Step: 1020 * time.Microsecond,
+		PerSequence: 7140 * time.Nanosecond, PerContext: 10 * time.Nanosecond, PerPromptToken: 9524 * time.Nanosecond,
+		Stride: 3, ActivationBytes: 45900, ZoneMegabits: 26000,
+		Cards: []backend.Card{
+			{Name: "large", Memory: 72000, Pace: 2.4, ReadFactor: 3.2},
+			{Name: "small", Memory: 21600, Pace: 16, ReadFactor: 8.2},
+		},
+		Delays: []backend.Delay{{From: "a", To: "b", Time: 750 * time.Microsecond}},
+	}
+}
+
+// engines returns one engine for each part of the layers.
+func engines(zone, card string, parts int) (servers []backend.Server) {
+	size := 80 / parts
+	for i := range parts {
+		id := fmt.Sprintf("%s-%s-%d", zone, card, i)
+		servers = append(servers, backend.Server{
+			ID: id, Address: id, Zone: zone, Card: card, Layers: backend.Range{From: i * size, To: (i + 1) * size},
+		})
+	}
+	return servers
+}
+
+func newChooser(servers []backend.Server, instances int) *Chooser {
+	random := rand.New(rand.NewPCG(1, 2))
+	c := New(Config{Random: random.Float64})
+	c.SetFleet(testEngine(), servers, instances)
+	return c
+}
+
+var usual = Request{Prompt: 760, Answer: 200, Zone: "a"}
+
+func TestChooseRunsEveryLayerOnceInOrder(t *testing.T) {
+	servers := append(engines("a", "large", 4), engines("b", "small", 8)...)
+	c := newChooser(servers, 6)
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		path, ok := c.Choose(now, usual)
+		if !ok {
+			continue
+		}
+		if !Covers(path, 80) {
+			t.Fatalf("path %+v does not run every layer once in order", path)
+		}
+		seen := make(map[string]bool)
+		for _, stage := range path {
+			if seen[stage.Server.ID] {
+				t.Fatalf("engine %s appears twice in %+v", stage.Server.ID, path)
+			}
+			seen[stage.Server.ID] = true
+		}
+		c.Started(now, path, usual)
+	}
+}
+
+func TestChooseLeavesSuspectsAndAvoidedEnginesAlone(t *testing.T) {
+	servers := append(engines("a", "large", 4), engines("a", "small", 8)...)
+	c := newChooser(servers, 1)
+	c.Suspect(start, "a-large-1")
+	request := usual
+	request.Avoid = []string{"a-large-3"}
+	path, ok := c.Choose(start, request)
+	if !ok {
+		t.Fatal("got no path, want one over the other engines")
+	}
+	for _, stage := range path {
+		if stage.Server.ID == "a-large-1" || stage.Server.ID == "a-large-3" {
+			t.Errorf("path uses %s, want it left alone", stage.Server.ID)
+		}
+	}
+}
+
+func TestChooseRefusesWhereAPartHasNoRoom(t *testing.T) {
+	c := newChooser(engines("a", "small", 8), 1)
+	started := 0
+	for range 1000 {
+		path, ok := c.Choose(start, usual)
+		if !ok {
+			break
+		}
+		c.Started(start, path, usual)
+		started++
+	}
+	if most := int(35800 / 960); started == 0 || started > most {
+		t.Errorf("got %d requests in memory, want 1 to %d", started, most)
+	}
+}
+
+func TestEndedGivesTheMemoryBack(t *testing.T) {
+	c := newChooser(engines("a", "small", 8), 1)
+	for range 500 {
+		path, ok := c.Choose(start, usual)
+		if !ok {
+			t.Fatal("got no path, want one while nothing is in progress")
+		}
+		c.Started(start, path, usual)
+		c.Ended(path, usual)
+	}
+}
+
+func TestChooseNeedsEveryLayer(t *testing.T) {
+	servers := engines("a", "small", 8)
+	c := newChooser(append(servers[:3:3], servers[4:]...), 1)
+	if path, ok := c.Choose(start, usual); ok {
+		t.Errorf("got %+v, want no path where a part is held by nobody", path)
+	}
+}
--- /dev/null
+++ b/rail/placement/placement_test.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+func mixedEngine() *backend.Engine {
+	return &backend.Engine{
+		Layers: 80, LayerMemory: 1750, TokenBytes: 918000,
+		Cards: []backend.Card{
+			{Name: "large", Memory: 72000, Pace: 2.4, ReadFactor: 3.2},
+			{Name: "middle", Memory: 43200, Pace: 5.6, ReadFactor: 2.7},
+			{Name: "small", Memory: 21600, Pace: 16, ReadFactor: 8.2},
+		},
+	}
+}
+
+func mixedFleet() (servers []backend.Server) {
+	counts := []struct {
+		zone, card string
+		count      int
+	}{
+		{"a", "large", 1}, {"b", "large", 1}, {"c", "large", 2},
+		{"a", "middle", 3}, {"b", "middle", 6}, {"c", "middle", 2},
+		{"a", "small", 8}, {"b", "small", 5}, {"c", "small", 5},
+	}
+	for _, group := range counts {
+		for i := range group.count {
+			servers = append(servers, backend.Server{
+				ID: fmt.Sprintf("%s-%s-%d", group.zone, group.card, i), Zone: group.zone, Card: group.card,
+			})
+		}
+	}
+	return servers
+}
+
+// holders counts the engines of a zone, or of all, that hold each layer.
+func holders(plan []Assignment, zone string, layers int) []int {
+	counts := make([]int, layers)
+	for _, assignment := range plan {
+		if zone != "" && assignment.Server.Zone != zone {
+			continue
+		}
+		for layer := assignment.Layers.From; layer < assignment.Layers.To; layer++ {
+			counts[layer]++
+		}
+	}
+	return counts
+}
+
+func TestPlanCoversEveryLayerInEveryZone(t *testing.T) {
+	engine := mixedEngine()
+	plan := Plan(engine, mixedFleet(), nil)
+	for _, zone := range []string{"a", "b", "c"} {
+		for layer, got := range holders(plan, zone, engine.Layers) {
+			if got < 1 {
+				t.Errorf("zone %s: layer %d is held by %d engines, want at least 1", zone, layer, got)
+			}
+		}
+	}
+	for layer, got := range holders(plan, "", engine.Layers) {
+		if got < 5 {
+			t.Errorf("layer %d is held by %d engines, want at least 5", layer, got)
+		}
+	}
+}
+
+func TestPlanLeavesRoomForRequests(t *testing.T) {
+	engine := mixedEngine()
+	for _, assignment := range Plan(engine, mixedFleet(), nil) {
+		card, _ := engine.Card(assignment.Server.Card)
+		got := float64(assignment.Layers.Len()) * engine.LayerMemory
+		if want := card.Memory * WeightShare; got > want {
+			t.Errorf("%s holds %v MB of weights, want at most %v", assignment.Server.ID, got, want)
+		}
+	}
+}
+
+func TestPlanGivesAnEmptyEngineWhatTheFleetLacks(t *testing.T) {
+	engine := mixedEngine()
+	servers := mixedFleet()
+	full := Plan(engine, servers, nil)
+	lost := full[len(full)-1]
+	var rest []backend.Server
+	for _, assignment := range full {
+		server := assignment.Server
+		server.Layers = assignment.Layers
+		if server.Layers.From < lost.Layers.To && lost.Layers.From < server.Layers.To {
+			continue
+		}
+		rest = append(rest, server)
+	}
+	rest = append(rest, lost.Server)
+	plan := Plan(engine, rest, nil)
+	if len(plan) != 1 || plan[0].Layers != lost.Layers {
+		t.Errorf("got %+v, want the layers %+v that nobody holds", plan, lost.Layers)
+	}
+}
+
+func TestPlanKeepsWhatIsHeldAndPromised(t *testing.T) {
+	engine := mixedEngine()
+	servers := mixedFleet()
+	promised := make(map[string]backend.Range)
+	for _, assignment := range Plan(engine, servers, nil) {
+		promised[assignment.Server.ID] = assignment.Layers
+	}
+	if got := Plan(engine, servers, promised); len(got) != 0 {
+		t.Errorf("got %d assignments, want none where all is promised", len(got))
+	}
+	servers[0].Draining = true
+	if got := Plan(engine, servers[:1], nil); len(got) != 0 {
+		t.Errorf("got %d assignments, want none for an engine that leaves", len(got))
+	}
+}
--- /dev/null
+++ b/rail/route/table.go
@@ -0,0 +1,89 @@
+package route
+
+import (
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table is a Config prepared for looking things up; it is never changed.
+type Table struct {
+	// Config is what the table was made from.
+	Config Config
+
+	hosts    map[string][]*Route
+	keys     map[string]*Workspace
+	services map[string]*Service
+}
+
+// New returns the Table of a configuration.
+func New(config Config) *Table {
+	t := &Table{
+		Config: config, hosts: make(map[string][]*Route),
+		keys: make(map[string]*Workspace), services: make(map[string]*Service),
+	}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range config.Workspaces {
+		for _, key := range config.Workspaces[i].Keys {
+			t.keys[key] = &config.Workspaces[i]
+		}
+	}
+	for i := range config.Services {
+		t.services[config.Services[i].Name] = &config.Services[i]
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix of the path.
+func (t *Table) Match(host, path string) (found *Route, ok bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// NeedsKeys reports whether the configuration knows workspaces.
+func (t *Table) NeedsKeys() bool { return len(t.Config.Workspaces) > 0 }
+
+// Workspace returns the workspace that holds the key.
+func (t *Table) Workspace(key string) (found *Workspace, ok bool) {
+	found, ok = t.keys[key]
+	return found, ok
+}
+
+// Service returns the service of that name.
+func (t *Table) Service(name string) (found *Service, ok bool) {
+	found, ok = t.services[name]
+	return found, ok
+}
+
+// Pick returns the service for a request, by the weights of the route and a number in [0, 1).
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, share := range r.Shares {
+		total += max(share.Weight, 0)
+	}
+	point := random * float64(total)
+	for _, share := range r.Shares {
+		point -= float64(max(share.Weight, 0))
+		if point < 0 {
+			return share.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
