Tell other instances the work at each engine by datagrams

Cause: an instance took its own use of an engine's memory times the number of instances. Instances use the engines of their own zone most, so the one of perth-c saw engines full that were not. Ruled out: memory itself (no engine put a request back).

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -64,6 +64,8 @@
 	Servers map[string][]backend.Server
 	// Instances is the number of live instances, at least 1.
 	Instances int
+	// Peers lists the addresses at which the live instances hear each other.
+	Peers []string
 	// Placer is the item of the instance that places layers; its revision is zero if there is none.
 	Placer store.Item
 	// Changed counts the snapshots.
@@ -90,7 +92,7 @@
 	table     *route.Table
 	servers   map[string]backend.Server
 	lapsed    map[string]time.Duration
-	instances map[string]bool
+	instances map[string]string
 	placer    store.Item
 	connected bool
 	outage    bool
@@ -100,7 +102,7 @@
 // New returns a Catalog that knows nothing.
 func New(config Config) *Catalog {
 	c := &Catalog{
-		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration), instances: make(map[string]bool),
+		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration), instances: make(map[string]string),
 	}
 	c.confirmed.Store(-1)
 	c.publish()
@@ -229,7 +231,7 @@
 // replace takes items as all that there are.
 func (c *Catalog) replace(items []store.Item) {
 	present := make(map[string]bool, len(items))
-	c.instances = make(map[string]bool)
+	c.instances = make(map[string]string)
 	c.placer = store.Item{}
 	for _, item := range items {
 		c.apply(item)
@@ -255,7 +257,7 @@
 			c.placer = store.Item{}
 		}
 	case strings.HasPrefix(item.Key, InstancePrefix):
-		c.instances[item.Key] = true
+		c.instances[item.Key] = string(item.Value)
 		if item.Deleted {
 			delete(c.instances, item.Key)
 		}
@@ -355,6 +357,9 @@
 	if last := c.published.Load(); last != nil {
 		snapshot.Changed = last.Changed + 1
 	}
+	for _, address := range c.instances {
+		snapshot.Peers = append(snapshot.Peers, address)
+	}
 	for _, server := range c.servers {
 		snapshot.Servers[server.Service] = append(snapshot.Servers[server.Service], server)
 	}
--- a/comfreyrail/internal/gateway/duty/lease.go
+++ b/comfreyrail/internal/gateway/duty/lease.go
@@ -28,6 +28,8 @@
 type LeaseConfig struct {
 	// Name is the name of this instance.
 	Name string
+	// Address is where other instances reach this one.
+	Address string
 	// Grant creates a lease.
 	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	// Renew extends a lease.
@@ -100,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	record := store.Write{Key: catalog.InstancePrefix + l.config.Name, Value: []byte(l.config.Name), Lease: granted.ID}
+	record := store.Write{Key: catalog.InstancePrefix + l.config.Name, Value: []byte(l.config.Address), Lease: granted.ID}
 	if _, err = l.config.Commit(ctx, store.Transaction{Writes: []store.Write{record}}); err != nil {
 		return err
 	}
--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -14,8 +15,7 @@
 
 // fleet guards the choosers of backend servers.
 type fleet struct {
-	catalog *catalog.Catalog
-	zone    string
+	config Config
 
 	mu      sync.Mutex
 	plain   *balance.Balancer
@@ -26,16 +26,23 @@
 type engines struct {
 	chooser *pipeline.Chooser
 	changed uint64
+	others  func(id string) (pipeline.Use, bool)
+	heard   time.Time
 }
 
-func newFleet(known *catalog.Catalog, zone string) *fleet {
-	return &fleet{catalog: known, zone: zone, plain: balance.New(balance.Config{}), engines: make(map[string]*engines)}
+func (e *engines) othersAt(id string) (pipeline.Use, bool) { return e.others(id) }
+
+// sumEvery is the time for which the sum of what other instances told is used.
+const sumEvery = 50 * time.Millisecond
+
+func newFleet(config Config) *fleet {
+	return &fleet{config: config, plain: balance.New(balance.Config{}), engines: make(map[string]*engines)}
 }
 
 func (f *fleet) choosePlain(servers []backend.Server, avoid []string) (backend.Server, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.plain.Choose(time.Now(), servers, f.zone, avoid)
+	return f.plain.Choose(time.Now(), servers, f.config.Zone, avoid)
 }
 
 func (f *fleet) startedPlain(id string) {
@@ -66,21 +73,36 @@
 func (f *fleet) of(service *route.Service, snapshot *catalog.Snapshot) *pipeline.Chooser {
 	held := f.engines[service.Name]
 	if held == nil {
-		held = &engines{chooser: pipeline.New(pipeline.Config{})}
+		held = &engines{}
+		held.chooser = pipeline.New(pipeline.Config{Others: held.othersAt})
 		f.engines[service.Name] = held
 	}
 	if held.changed != snapshot.Changed {
 		held.changed = snapshot.Changed
 		held.chooser.SetFleet(service.Engine, snapshot.Servers[service.Name], snapshot.Instances)
 	}
+	if now := time.Now(); now.Sub(held.heard) > sumEvery {
+		held.heard, held.others = now, f.config.Others(now, snapshot.Instances-1)
+	}
 	return held.chooser
 }
 
+// Uses returns how much of each engine this instance takes.
+func (f *Forwarder) Uses() map[string]pipeline.Use {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	uses := make(map[string]pipeline.Use)
+	for _, held := range f.fleet.engines {
+		maps.Copy(uses, held.chooser.Uses(time.Now()))
+	}
+	return uses
+}
+
 // choosePath returns a path and counts the request there.
 func (f *fleet) choosePath(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request) (path pipeline.Path, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	request.Zone = f.zone
+	request.Zone = f.config.Zone
 	chooser := f.of(service, snapshot)
 	now := time.Now()
 	if path, ok = chooser.Choose(now, request); ok {
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -34,6 +35,8 @@
 	UnsureAfter time.Duration
 	// Retries bounds what is sent to a second server.
 	Retries *Budgets
+	// Others returns the work of so many other instances at engines.
+	Others func(now time.Time, others int) func(id string) (use pipeline.Use, known bool)
 	// ReadRequest reads what a caller says.
 	ReadRequest func(header http.Header) call.Request
 	// WriteForward writes what a backend server is told.
@@ -56,7 +59,7 @@
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, fleet: newFleet(config.Catalog, config.Zone)}
+	return &Forwarder{config: config, fleet: newFleet(config)}
 }
 
 // Times told to callers.
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 )
@@ -22,6 +23,8 @@
 	Lease *duty.Lease
 	// Placer gives engines their layers.
 	Placer *duty.Placer
+	// Share tells other instances of the work of this one.
+	Share *share.Share
 	// Upstream keeps connections to backend servers.
 	Upstream *upstream.Pool
 	// Entry serves callers.
@@ -62,6 +65,7 @@
 	control.Add(branches.Placer)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
+	traffic.Add(branches.Share)
 	traffic.Add(&keeper{pool: branches.Upstream, catalog: branches.Catalog})
 	root.Add(control)
 	root.Add(traffic)
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,11 +16,13 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/clock"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/platform"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 )
 
 // Times and counts of connections.
@@ -88,7 +91,7 @@
 
 func provideLease(loaded settings.Gateway, store *platform.Store, log *logrus.Entry) *duty.Lease {
 	return duty.NewLease(duty.LeaseConfig{
-		Name: loaded.Name, Grant: store.Grant, Renew: store.Renew, End: store.End, Commit: store.Commit, Elapsed: clock.Elapsed, Log: log,
+		Name: loaded.Name, Address: loaded.Listen.Peer, Grant: store.Grant, Renew: store.Renew, End: store.End, Commit: store.Commit, Elapsed: clock.Elapsed, Log: log,
 	})
 }
 
@@ -118,9 +121,9 @@
 	})
 }
 
-func provideForwarder(loaded settings.Gateway, known *catalog.Catalog, pool *upstream.Pool, engines *platform.Engines, budgets *forward.Budgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
+func provideForwarder(loaded settings.Gateway, known *catalog.Catalog, others *hearing, pool *upstream.Pool, engines *platform.Engines, budgets *forward.Budgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
 	return forward.New(forward.Config{
-		Catalog: known, Upstream: pool, Zone: loaded.Zone, Retries: budgets, Log: log, Metrics: registry,
+		Catalog: known, Upstream: pool, Others: others.Others, Zone: loaded.Zone, Retries: budgets, Log: log, Metrics: registry,
 		ConfirmWithin: confirmWithin(loaded), UnsureAfter: time.Duration(loaded.Key.Apply),
 		ReadRequest: platform.ReadRequest, WriteForward: platform.WriteForward, ReadAnswer: platform.ReadAnswer,
 		Stalled: func(ctx context.Context, server backend.Server, request string) (address string, err error) {
@@ -133,6 +136,26 @@
 	})
 }
 
+// hearing passes on what other instances told; the Share that hears them needs the Forwarder first.
+type hearing struct{ share *share.Share }
+
+// Others returns the work of so many other instances at engines.
+func (h *hearing) Others(now time.Time, others int) func(id string) (use pipeline.Use, known bool) {
+	return h.share.Others(now, others)
+}
+
+func provideHearing() *hearing { return &hearing{} }
+
+func provideShare(loaded settings.Gateway, known *catalog.Catalog, forwarder *forward.Forwarder, heard *hearing, log *logrus.Entry) *share.Share {
+	heard.share = share.New(share.Config{
+		Name: loaded.Name, Listen: loaded.Listen.Peer, Uses: forwarder.Uses, Log: log,
+		Peers: func() []string {
+			return slices.DeleteFunc(slices.Clone(known.Snapshot().Peers), func(peer string) bool { return peer == loaded.Listen.Peer })
+		},
+	})
+	return heard.share
+}
+
 func provideOperate(loaded settings.Gateway, entry *Entry, known *catalog.Catalog, registry metrics.Registry, log *logrus.Entry) *Operate {
 	return &Operate{
 		Listen: loaded.Listen.Ready, ReadyPath: platform.ReadyPath, Ready: entry.Ready, Metrics: registry, Catalog: known, Log: log,
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -23,10 +23,12 @@
 	lease := provideLease(loaded, store, entry)
 	engines := provideEngines()
 	placer := providePlacer(loaded, catalog, lease, store, engines, entry)
+	processHearing := provideHearing()
 	registry := provideMetrics()
 	pool := provideUpstream(registry)
 	budgets := provideBudgets(loaded, catalog)
-	forwarder := provideForwarder(loaded, catalog, pool, engines, budgets, entry, registry)
+	forwarder := provideForwarder(loaded, catalog, processHearing, pool, engines, budgets, entry, registry)
+	share := provideShare(loaded, catalog, forwarder, processHearing, entry)
 	checker := provideChecker(entry, registry)
 	processEntry := NewEntry(loaded, catalog, forwarder, lease, checker, entry)
 	operate := provideOperate(loaded, processEntry, catalog, registry, entry)
@@ -34,6 +36,7 @@
 		Catalog:  catalog,
 		Lease:    lease,
 		Placer:   placer,
+		Share:    share,
 		Upstream: pool,
 		Entry:    processEntry,
 		Operate:  operate,
--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -39,8 +39,8 @@
 	Caller string `toml:"caller"`
 	// Ready is the host and port for the balancer's question whether the instance is ready.
 	Ready string `toml:"ready"`
-	// Metrics is the host and port for metrics and the dump of the state.
-	Metrics string `toml:"metrics"`
+	// Peer is the UDP host and port for other instances.
+	Peer string `toml:"peer"`
 }
 
 // Store configures the calls to the store.
@@ -135,7 +135,7 @@
 		report("name", g.Name, "use a name that no other instance has")
 	}
 	addresses := []struct{ field, value string }{
-		{"listen.caller", g.Listen.Caller}, {"listen.ready", g.Listen.Ready}, {"store.address", g.Store.Address},
+		{"listen.caller", g.Listen.Caller}, {"listen.ready", g.Listen.Ready}, {"listen.peer", g.Listen.Peer}, {"store.address", g.Store.Address},
 	}
 	for _, address := range addresses {
 		if _, _, err := net.SplitHostPort(address.value); err != nil {
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -31,10 +31,21 @@
 	Avoid []string
 }
 
+// Use is the part of an engine that is taken.
+type Use struct {
+	// Tokens is the memory promised to requests, in tokens times layers.
+	Tokens float64
+	// Rate is the work sent lately, in seconds a second.
+	Rate float64
+}
+
 // Config configures a Chooser.
 type Config struct {
 	// Random draws numbers in [0, 1); nil takes the global source.
 	Random func() float64
+	// Others returns how much of an engine the other instances take, and false if nothing is known; nil means that there
+	// are no others.
+	Others func(id string) (use Use, known bool)
 }
 
 // Weights and times of the choice.
@@ -53,6 +64,8 @@
 	suspectTime = 1500 * time.Millisecond
 	// suspectCost is what a path over a suspect costs more.
 	suspectCost = 10 * time.Second
+	// leastRate is the rate of work below which an engine counts as unused.
+	leastRate = 0.001
 	// passesAhead is the number of passes that a token waits for at a stage on average.
 	passesAhead = 0.5
 )
@@ -80,6 +93,9 @@
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
+	if config.Others == nil {
+		config.Others = func(string) (Use, bool) { return Use{}, true }
+	}
 	return &Chooser{config: config, loads: make(map[string]*load), peers: 1}
 }
 
@@ -123,7 +139,7 @@
 	return held
 }
 
-// decay returns the work in seconds a second that this instance sends to the engine.
+// rate returns the work in seconds a second that this instance sends to the engine.
 func (l *load) rate(now time.Time) float64 {
 	if l.at.IsZero() {
 		return 0
@@ -178,6 +194,27 @@
 	return float64(request.Prompt+request.Answer) * float64(layers)
 }
 
+// taken returns how much of an engine all instances take; while nothing is known of the others they take as much each.
+func (c *Chooser) taken(now time.Time, id string, held *load) Use {
+	own := Use{Tokens: held.tokens, Rate: held.rate(now)}
+	others, known := c.config.Others(id)
+	if !known {
+		return Use{Tokens: own.Tokens * float64(c.peers), Rate: own.Rate * float64(c.peers)}
+	}
+	return Use{Tokens: own.Tokens + others.Tokens, Rate: own.Rate + others.Rate}
+}
+
+// Uses returns how much of each engine this instance takes.
+func (c *Chooser) Uses(now time.Time) map[string]Use {
+	uses := make(map[string]Use)
+	for id, held := range c.loads {
+		if use := (Use{Tokens: held.tokens, Rate: held.rate(now)}); use.Tokens > 0 || use.Rate > leastRate {
+			uses[id] = use
+		}
+	}
+	return uses
+}
+
 // candidate is an engine with its price for one request.
 type candidate struct {
 	server   backend.Server
@@ -228,11 +265,12 @@
 		card, _ := c.engine.Card(server.Card)
 		held := c.load(server.ID)
 		room := c.engine.Room(card, server.Layers.Len()) * float64(server.Layers.Len())
-		fill := held.tokens * float64(c.peers) / max(room, 1)
+		taken := c.taken(now, server.ID, held)
+		fill := taken.Tokens / max(room, 1)
 		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > maxFill {
 			continue
 		}
-		use := min(held.rate(now)*float64(c.peers), maxUse)
+		use := min(taken.Rate, maxUse)
 		read, write := c.work(card, server.Layers.Len(), request)
 		step := float64(c.engine.Step) * card.Pace * float64(server.Layers.Len()) / float64(c.engine.Layers) * float64(c.engine.Stride)
 		cost := (passesAhead*step + float64(read+write)) / float64(time.Second)
