Wait for all engines before the first placement

Cause: engines register over 1.2 s and were given layers as they came, so the largest cards were placed last.

--- a/comfreyrail/internal/gateway/duty/placer.go
+++ b/comfreyrail/internal/gateway/duty/placer.go
@@ -21,6 +21,8 @@
 	placeEvery = 200 * time.Millisecond
 	// orderTimeout is the longest time for an engine's answer to an order.
 	orderTimeout = time.Second
+	// settleTime is how long the number of empty engines must stay the same before the first of them is given layers.
+	settleTime = 1500 * time.Millisecond
 	// entryLag is how long after a load an engine's entry may still show nothing.
 	entryLag = 5 * time.Second
 )
@@ -62,11 +64,19 @@
 	config PlacerConfig
 	orders sync.WaitGroup
 
+	arrivals map[string]arrival
+
 	mu       sync.Mutex
 	promised map[string]promise
 	held     bool
 }
 
+// arrival is when the number of engines of a service last changed.
+type arrival struct {
+	count int
+	at    time.Time
+}
+
 // promise is an order that an engine may be carrying out.
 type promise struct {
 	born   int64
@@ -76,7 +86,7 @@
 
 // NewPlacer returns a Placer without the duty.
 func NewPlacer(config PlacerConfig) *Placer {
-	return &Placer{config: config, promised: make(map[string]promise)}
+	return &Placer{config: config, promised: make(map[string]promise), arrivals: make(map[string]arrival)}
 }
 
 // Serve places layers until the context ends.
@@ -125,6 +135,9 @@
 			continue
 		}
 		servers := snapshot.Servers[service.Name]
+		if !p.settled(service.Name, servers) {
+			continue
+		}
 		for _, assignment := range placement.Plan(service.Engine, servers, p.pending(servers)) {
 			p.promise(assignment, loadTime(service))
 			p.orders.Add(1)
@@ -133,6 +146,21 @@
 	}
 }
 
+// settled reports whether a fleet of engines that all hold nothing has been complete for a while, as far as can be seen.
+func (p *Placer) settled(service string, servers []backend.Server) bool {
+	for _, server := range servers {
+		if server.Layers.Len() > 0 {
+			return true
+		}
+	}
+	seen := p.arrivals[service]
+	if seen.count != len(servers) {
+		p.arrivals[service] = arrival{count: len(servers), at: time.Now()}
+		return false
+	}
+	return time.Since(seen.at) >= settleTime
+}
+
 // loadTime returns the longest time that a load may take before the entry must show it.
 func loadTime(service *route.Service) time.Duration { return service.Engine.Load + entryLag }
 
