Balance speed and room of the blocks over the fleet

Each engine's place is now looked at again until nothing improves, by speed and room, the fleet before the zones.

--- a/rail/placement/placement.go
+++ b/rail/placement/placement.go
@@ -9,14 +9,20 @@
 // WeightShare is the greatest part of an engine's memory that weights take; the rest holds the KV cache of requests.
 const WeightShare = 0.66
 
-// Needs of blocks that nobody serves, as the reciprocal of a rate.
+// Floors of what a block is served with, as parts of the mean over all blocks; they bound the cost of a block that is not
+// served at all.
 const (
-	// fleetFloor is the rate that counts for a block that the whole fleet lacks.
-	fleetFloor = 1e-4
-	// zoneFloor is the rate that counts for a block that an availability zone lacks.
-	zoneFloor = 1e-2
+	// fleetFloor holds for the whole fleet.
+	fleetFloor = 0.001
+	// zoneFloor holds within an availability zone, where the lack of a block costs a crossing only.
+	zoneFloor = 0.05
+	// zoneWeight is what an availability zone counts beside the fleet.
+	zoneWeight = 0.3
 )
 
+// improvements bounds how often each engine's place is looked at again.
+const improvements = 8
+
 // Assignment is a range of layers that an engine is to hold.
 type Assignment struct {
 	// Server is the engine.
@@ -45,55 +51,52 @@
 	return max(min(layers, engine.Layers), 1)
 }
 
-// coverage is the rate at which each block is served.
-type coverage []float64
-
-// add counts an engine that holds the layers.
-func (c coverage) add(layers backend.Range, block int, speed float64) {
-	held := float64(layers.Len()) / float64(block)
-	for i := range c {
-		if layers.Contains(backend.Range{From: i * block, To: (i + 1) * block}) {
-			c[i] += speed / held
-		}
-	}
-}
-
 // Plan returns what the engines that hold nothing are to hold; holding and promised layers of the others stay.
 func Plan(engine *backend.Engine, servers []backend.Server, promised map[string]backend.Range) (plan []Assignment) {
 	block := Block(engine)
-	fleet := make(coverage, engine.Layers/block)
-	zones := make(map[string]coverage)
+	supplied := newSupply(engine, servers, block)
 	var empty []backend.Server
 	for _, server := range servers {
-		if zones[server.Zone] == nil {
-			zones[server.Zone] = make(coverage, len(fleet))
-		}
 		layers := server.Layers
 		if layers.Len() == 0 {
 			layers = promised[server.ID]
 		}
-		card, ok := engine.Card(server.Card)
-		if !ok || server.Draining {
+		if _, ok := engine.Card(server.Card); !ok || server.Draining {
 			continue
 		}
 		if layers.Len() == 0 {
 			empty = append(empty, server)
 			continue
 		}
-		fleet.add(layers, block, 1/card.ReadFactor)
-		zones[server.Zone].add(layers, block, 1/card.ReadFactor)
+		supplied.add(server, layers, 1)
 	}
 	sortBySize(engine, empty)
 	for _, server := range empty {
-		card, _ := engine.Card(server.Card)
-		layers := neediest(fleet, zones[server.Zone], block, capacity(engine, card)/block)
-		fleet.add(layers, block, 1/card.ReadFactor)
-		zones[server.Zone].add(layers, block, 1/card.ReadFactor)
+		layers := supplied.best(server)
+		supplied.add(server, layers, 1)
 		plan = append(plan, Assignment{Server: server, Layers: layers})
 	}
+	improve(supplied, plan)
 	return plan
 }
 
+// improve moves one engine at a time to a better place while there is one.
+func improve(supplied *supply, plan []Assignment) {
+	for range improvements {
+		moved := false
+		for i := range plan {
+			supplied.add(plan[i].Server, plan[i].Layers, -1)
+			better := supplied.best(plan[i].Server)
+			moved = moved || better != plan[i].Layers
+			plan[i].Layers = better
+			supplied.add(plan[i].Server, better, 1)
+		}
+		if !moved {
+			return
+		}
+	}
+}
+
 // sortBySize puts the engines that hold most first, as they have the fewest places to go.
 func sortBySize(engine *backend.Engine, servers []backend.Server) {
 	sort.Slice(servers, func(i, j int) bool {
@@ -105,19 +108,3 @@
 		return servers[i].ID < servers[j].ID
 	})
 }
-
-// neediest returns the window of blocks that are served least.
-func neediest(fleet, zone coverage, block, blocks int) backend.Range {
-	blocks = min(max(blocks, 1), len(fleet))
-	best, most := 0, -1.0
-	for start := 0; start+blocks <= len(fleet); start++ {
-		need := 0.0
-		for i := start; i < start+blocks; i++ {
-			need += 1/(zone[i]+zoneFloor) + 1/(fleet[i]+fleetFloor)
-		}
-		if need > most {
-			best, most = start, need
-		}
-	}
-	return backend.Range{From: best * block, To: (best + blocks) * block}
-}
