Let one instance of a zone read the store for the others

Readers are chosen by hash; the others ask them and count the age from their own question. Refusals that another instance can serve name 50 ms. Ruled out: the engines (no late event in the instances' logs).

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -18,7 +18,7 @@
 const (
 	// Root is the parent of all items that instances write.
 	Root = "comfreyrail/"
-	// InstancePrefix is the parent of one item for each live instance.
+	// InstancePrefix is the parent of the records of the live instances.
 	InstancePrefix = Root + "instance/"
 	// PlacerKey is the item of the instance that places layers.
 	PlacerKey = Root + "placer"
@@ -30,6 +30,12 @@
 	callTimeout = 1500 * time.Millisecond
 	// retryPause is the time between failed calls.
 	retryPause = 250 * time.Millisecond
+	// askTimeout is the longest time for another instance's answer.
+	askTimeout = 300 * time.Millisecond
+	// unheardTime is how long an instance that had no news is not asked again.
+	unheardTime = 2 * time.Second
+	// freshMargin is how much older than the pace another instance's word may be.
+	freshMargin = 500 * time.Millisecond
 	// lapseTime is how long after the store's return an entry may take to come back.
 	lapseTime = 2500 * time.Millisecond
 )
@@ -40,6 +46,10 @@
 	Range func(ctx context.Context, prefix, after string) (store.Page, error)
 	// Watch waits for changes.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Changes, error)
+	// Ask returns what another instance knows that changed after a revision.
+	Ask func(ctx context.Context, address string, after uint64) (Changes, error)
+	// Self is the record of this instance.
+	Self Instance
 	// ConfigKey is the key of the configuration.
 	ConfigKey string
 	// DecodeConfig reads the configuration.
@@ -62,10 +72,8 @@
 	Table *route.Table
 	// Servers lists the backend servers of each service.
 	Servers map[string][]backend.Server
-	// Instances is the number of live instances, at least 1.
-	Instances int
-	// Peers lists the addresses at which the live instances hear each other.
-	Peers []string
+	// Instances lists the live instances, the own one too once the store lists it.
+	Instances []Instance
 	// Placer is the item of the instance that places layers; its revision is zero if there is none.
 	Placer store.Item
 	// Changed counts the snapshots.
@@ -82,27 +90,31 @@
 	return found, false
 }
 
-// Catalog reads the store.
+// Catalog reads the store, or asks an instance that does.
 type Catalog struct {
 	config    Config
 	published atomic.Pointer[Snapshot]
 	confirmed atomic.Int64
+	log       changeLog
 
 	revision  uint64
 	table     *route.Table
 	servers   map[string]backend.Server
 	lapsed    map[string]time.Duration
-	instances map[string]string
+	instances map[string]Instance
 	placer    store.Item
+	changed   bool
 	connected bool
 	outage    bool
 	regained  time.Duration
+	unheard   time.Duration // until when the instance that reads for this one is not asked
 }
 
 // New returns a Catalog that knows nothing.
 func New(config Config) *Catalog {
 	c := &Catalog{
-		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration), instances: make(map[string]string),
+		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration),
+		instances: make(map[string]Instance), log: newChangeLog(),
 	}
 	c.confirmed.Store(-1)
 	c.publish()
@@ -125,11 +137,11 @@
 func (c *Catalog) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := c.config.Elapsed()
-		err := c.step(ctx)
+		age, err := c.step(ctx)
 		pause := c.config.Pace - (c.config.Elapsed() - began)
 		switch {
 		case err == nil:
-			c.reached(began)
+			c.reached(began - age)
 		case errors.Is(err, store.ErrCompacted):
 			c.config.Log.WithError(err).Info("the store's history is gone: reading everything again")
 			c.revision = 0
@@ -144,9 +156,9 @@
 	return ctx.Err()
 }
 
-// reached notes that the store answered a call that began at the time.
-func (c *Catalog) reached(began time.Duration) {
-	c.confirmed.Store(int64(began))
+// reached notes that what is known is what the store held at the time.
+func (c *Catalog) reached(confirmed time.Duration) {
+	c.confirmed.Store(max(c.confirmed.Load(), int64(confirmed)))
 	if !c.connected {
 		c.connected = true
 		c.regained = c.config.Elapsed()
@@ -177,8 +189,69 @@
 	}
 }
 
-// step reads everything, or what has changed.
-func (c *Catalog) step(ctx context.Context) (err error) {
+// step brings in what has changed and returns how old that is: from the instance that reads the store for this one, from
+// the store, or from any other instance.
+func (c *Catalog) step(ctx context.Context) (age time.Duration, err error) {
+	now := c.config.Elapsed()
+	if reader, ok := readerOf(c.Snapshot().Instances, c.config.Self); ok && c.revision > 0 && now >= c.unheard {
+		age, asked := c.ask(ctx, reader)
+		if asked == nil && age <= c.freshEnough() {
+			return age, nil
+		}
+		c.unheard = now + unheardTime
+		c.config.Log.WithField("reader", reader.Name).WithField("age", age.String()).Info("the instance that reads the store has no news: asking the store")
+	}
+	err = c.read(ctx)
+	if err == nil || errors.Is(err, store.ErrCompacted) {
+		return 0, err
+	}
+	if helper, ok := helperOf(c.Snapshot().Instances, c.config.Self); ok {
+		age, asked := c.ask(ctx, helper)
+		if asked == nil && age <= c.freshEnough() {
+			return age, nil
+		}
+	}
+	return 0, err
+}
+
+// freshEnough is the age up to which another instance's word is as good as the store's.
+func (c *Catalog) freshEnough() time.Duration { return c.config.Pace + freshMargin }
+
+// ask brings in what another instance knows.
+func (c *Catalog) ask(ctx context.Context, instance Instance) (age time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	changes, err := c.config.Ask(ctx, instance.Peer, c.revision)
+	if err != nil {
+		return 0, err
+	}
+	if changes.Revision < c.revision {
+		return 0, errBehind
+	}
+	if changes.All {
+		c.replace(changes.Items)
+	} else {
+		c.applyAll(changes.Items)
+	}
+	c.advance(changes.Revision)
+	return changes.Age, nil
+}
+
+// errBehind means that another instance knows less than this one.
+const errBehind = errors.ConstError("the other instance knows less")
+
+// advance notes the revision up to which everything is known.
+func (c *Catalog) advance(revision uint64) {
+	c.revision = max(c.revision, revision)
+	c.log.advance(c.revision)
+	if c.changed {
+		c.changed = false
+		c.publish()
+	}
+}
+
+// read reads everything from the store, or what has changed there.
+func (c *Catalog) read(ctx context.Context) (err error) {
 	if c.revision == 0 {
 		return c.readAll(ctx)
 	}
@@ -188,14 +261,26 @@
 	if err != nil {
 		return err
 	}
-	for _, item := range changes.Items {
+	c.applyAll(changes.Items)
+	c.advance(changes.Revision)
+	return nil
+}
+
+func (c *Catalog) applyAll(items []store.Item) {
+	for _, item := range items {
 		c.apply(item)
 	}
-	c.revision = max(c.revision, changes.Revision)
-	if len(changes.Items) > 0 {
-		c.publish()
+}
+
+// Changes returns what changed after a revision, for another instance.
+func (c *Catalog) Changes(after uint64) (changes Changes, ok bool) {
+	age, ok := c.Age()
+	if !ok {
+		return changes, false
 	}
-	return nil
+	changes = c.log.since(after)
+	changes.Age = age
+	return changes, changes.Revision > 0
 }
 
 // readAll reads every page; the watch goes on from the first one, as pages are no snapshot.
@@ -218,7 +303,7 @@
 	}
 	c.replace(items)
 	c.revision = first
-	c.publish()
+	c.advance(first)
 	return nil
 }
 
@@ -231,41 +316,61 @@
 // replace takes items as all that there are.
 func (c *Catalog) replace(items []store.Item) {
 	present := make(map[string]bool, len(items))
-	c.instances = make(map[string]string)
-	c.placer = store.Item{}
 	for _, item := range items {
+		present[item.Key] = true
 		c.apply(item)
-		if id, ok := c.config.ServerID(item.Key); ok {
-			present[id] = true
-		}
 	}
-	for id := range c.servers {
-		if !present[id] {
-			c.remove(id)
+	for _, key := range c.log.keys() {
+		if !present[key] {
+			c.apply(store.Item{Key: key, Revision: c.log.revisionOf(key) + 1, Deleted: true})
 		}
 	}
 }
 
-// apply takes one change.
+// apply takes one change, unless a later one is known.
 func (c *Catalog) apply(item store.Item) {
+	if item.Revision <= c.log.revisionOf(item.Key) {
+		return
+	}
+	changed := c.take(item)
+	c.changed = c.changed || changed
+	c.log.add(item, changed)
+}
+
+// take changes the state and reports whether anyone needs to know.
+func (c *Catalog) take(item store.Item) (changed bool) {
 	switch {
 	case item.Key == c.config.ConfigKey:
 		c.install(item)
+		return true
 	case item.Key == PlacerKey:
 		c.placer = item
 		if item.Deleted {
 			c.placer = store.Item{}
 		}
+		return true
 	case strings.HasPrefix(item.Key, InstancePrefix):
-		c.instances[item.Key] = string(item.Value)
-		if item.Deleted {
-			delete(c.instances, item.Key)
-		}
-	default:
-		if id, ok := c.config.ServerID(item.Key); ok {
-			c.entry(id, item)
-		}
+		c.instance(item)
+		return true
 	}
+	if id, ok := c.config.ServerID(item.Key); ok {
+		return c.entry(id, item)
+	}
+	return false
+}
+
+// instance takes the record of an instance.
+func (c *Catalog) instance(item store.Item) {
+	delete(c.instances, item.Key)
+	if item.Deleted {
+		return
+	}
+	decoded, err := DecodeInstance(item.Value)
+	if err != nil {
+		c.config.Log.WithError(err).WithField("key", item.Key).Warn("the record names no instance")
+		return
+	}
+	c.instances[item.Key] = decoded
 }
 
 // install takes a configuration of a greater version.
@@ -285,45 +390,45 @@
 	c.config.Log.WithFields(logrus.Fields{"version": decoded.Version, "routes": len(decoded.Routes)}).Info("configuration in force")
 }
 
-// entry takes the entry of a backend server.
-func (c *Catalog) entry(id string, item store.Item) {
+// entry takes the entry of a backend server and reports whether it says anything new.
+func (c *Catalog) entry(id string, item store.Item) (changed bool) {
 	if item.Deleted {
-		c.remove(id)
-		return
+		return c.remove(id)
 	}
+	before, known := c.servers[id]
 	server, err := c.config.DecodeServer(id, item.Value)
 	if err != nil {
-		if _, known := c.servers[id]; known {
-			delete(c.servers, id)
-		}
+		delete(c.servers, id)
 		c.config.Log.WithError(err).Warn("entry names no server")
-		return
-	}
-	before, known := c.servers[id]
-	if !known || before.Born != server.Born || before.Draining != server.Draining || before.Layers != server.Layers {
-		c.config.Log.WithFields(logrus.Fields{
-			"server": id, "address": server.Address, "zone": server.Zone, "draining": server.Draining,
-			"from": server.Layers.From, "to": server.Layers.To, "card": server.Card,
-		}).Info("backend server")
+		return known
 	}
 	delete(c.lapsed, id)
 	c.servers[id] = server
+	if known && before == server {
+		return false
+	}
+	c.config.Log.WithFields(logrus.Fields{
+		"server": id, "address": server.Address, "zone": server.Zone, "draining": server.Draining,
+		"from": server.Layers.From, "to": server.Layers.To, "card": server.Card,
+	}).Info("backend server")
+	return true
 }
 
 // remove takes a backend server away, at once unless its entry may have lapsed with the store.
-func (c *Catalog) remove(id string) {
+func (c *Catalog) remove(id string) (changed bool) {
 	server, known := c.servers[id]
 	if !known {
-		return
+		return false
 	}
 	away := !c.connected || c.config.Elapsed()-c.regained < lapseTime
 	if !server.Draining && c.outage && away {
 		if _, waiting := c.lapsed[id]; !waiting {
 			c.lapsed[id] = c.config.Elapsed() + lapseTime
 		}
-		return
+		return true
 	}
 	c.drop(id, "entry removed")
+	return true
 }
 
 func (c *Catalog) drop(id, reason string) {
@@ -352,13 +457,13 @@
 // publish makes a snapshot of the state.
 func (c *Catalog) publish() {
 	snapshot := &Snapshot{
-		Table: c.table, Servers: make(map[string][]backend.Server), Instances: max(len(c.instances), 1), Placer: c.placer,
+		Table: c.table, Servers: make(map[string][]backend.Server), Placer: c.placer,
 	}
 	if last := c.published.Load(); last != nil {
 		snapshot.Changed = last.Changed + 1
 	}
-	for _, address := range c.instances {
-		snapshot.Peers = append(snapshot.Peers, address)
+	for _, instance := range c.instances {
+		snapshot.Instances = append(snapshot.Instances, instance)
 	}
 	for _, server := range c.servers {
 		snapshot.Servers[server.Service] = append(snapshot.Servers[server.Service], server)
--- a/comfreyrail/internal/gateway/duty/lease.go
+++ b/comfreyrail/internal/gateway/duty/lease.go
@@ -26,10 +26,8 @@
 
 // LeaseConfig configures a Lease.
 type LeaseConfig struct {
-	// Name is the name of this instance.
-	Name string
-	// Address is where other instances reach this one.
-	Address string
+	// Self is the record of this instance.
+	Self catalog.Instance
 	// Grant creates a lease.
 	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	// Renew extends a lease.
@@ -102,7 +100,11 @@
 	if err != nil {
 		return err
 	}
-	record := store.Write{Key: catalog.InstancePrefix + l.config.Name, Value: []byte(l.config.Address), Lease: granted.ID}
+	value, err := l.config.Self.Encode()
+	if err != nil {
+		return err
+	}
+	record := store.Write{Key: catalog.InstancePrefix + l.config.Self.Name, Value: value, Lease: granted.ID}
 	if _, err = l.config.Commit(ctx, store.Transaction{Writes: []store.Write{record}}); err != nil {
 		return err
 	}
--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -79,10 +79,10 @@
 	}
 	if held.changed != snapshot.Changed {
 		held.changed = snapshot.Changed
-		held.chooser.SetFleet(service.Engine, snapshot.Servers[service.Name], snapshot.Instances)
+		held.chooser.SetFleet(service.Engine, snapshot.Servers[service.Name], len(snapshot.Instances))
 	}
 	if now := time.Now(); now.Sub(held.heard) > sumEvery {
-		held.heard, held.others = now, f.config.Others(now, snapshot.Instances-1)
+		held.heard, held.others = now, f.config.Others(now, len(snapshot.Instances)-1)
 	}
 	return held.chooser
 }
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -53,19 +54,25 @@
 
 // Forwarder passes requests on.
 type Forwarder struct {
-	config Config
-	fleet  *fleet
+	config    Config
+	fleet     *fleet
+	stopBy    atomic.Int64 // Unix nanoseconds, zero while the instance does not stop
+	tokenTime atomic.Int64 // nanoseconds between tokens
 }
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, fleet: newFleet(config)}
+	f := &Forwarder{config: config, fleet: newFleet(config)}
+	f.tokenTime.Store(int64(firstTokenTime))
+	return f
 }
 
 // Times told to callers.
 const (
-	// retryAfter is when a caller may come back if nothing ran.
-	retryAfter = 500 * time.Millisecond
+	// retryAfter is when a caller may come back if no backend server could take the request.
+	retryAfter = 300 * time.Millisecond
+	// elsewhereAfter is when a caller may come back if another instance can serve the request now.
+	elsewhereAfter = 50 * time.Millisecond
 	// defaultDeadline holds for callers that name none, on routes without one.
 	defaultDeadline = 30 * time.Second
 	// defaultBody is the greatest body in bytes if the configuration names none.
@@ -102,7 +109,9 @@
 	last     string
 	first    time.Duration // time to the first event
 	gap      time.Duration // longest pause between events
+	lastAt   time.Time     // time of the last event
 	events   int
+	tokens   int
 	stages   int
 }
 
@@ -133,6 +142,7 @@
 	var refused *refusal
 	switch {
 	case err == nil:
+		f.learn(j)
 		metrics.GetOrRegisterCounter("requests.done", f.config.Metrics).Inc(1)
 		line.WithFields(logrus.Fields{"first_ms": j.first.Milliseconds(), "gap_ms": j.gap.Milliseconds(), "events": j.events, "stages": j.stages}).Info("done")
 	case r.Context().Err() != nil:
@@ -169,7 +179,7 @@
 func (f *Forwarder) accept(j *job, r *http.Request) (err error) {
 	snapshot := f.config.Catalog.Snapshot()
 	if snapshot.Table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: retryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: elsewhereAfter}
 	}
 	age, _ := f.config.Catalog.Age()
 	unsure := age > f.config.UnsureAfter
@@ -181,6 +191,9 @@
 	if err = f.admit(j, snapshot.Table, age, unsure); err != nil {
 		return err
 	}
+	if !f.endsInTime(j) {
+		return stopping()
+	}
 	j.setDeadline()
 	return f.readBody(j, r, snapshot.Table.Config.Limits)
 }
@@ -188,7 +201,7 @@
 // unless returns the refusal, or one without a verdict if the configuration may be an old one.
 func unless(unsure bool, refused *refusal) error {
 	if unsure {
-		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: retryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: elsewhereAfter}
 	}
 	return refused
 }
@@ -199,7 +212,7 @@
 		return nil
 	}
 	if age > f.config.ConfirmWithin {
-		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: retryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: "configuration-unconfirmed", after: elsewhereAfter}
 	}
 	workspace, ok := table.Workspace(j.request.Key)
 	if !ok {
@@ -283,10 +296,44 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: "timeout", after: retryAfter}
 }
 
-// stoppingRetryAfter is when a caller may ask another instance.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // ServeStopping answers a request that comes while the instance stops and must not run here.
-func (f *Forwarder) ServeStopping(w http.ResponseWriter, _ *http.Request) {
-	refuse(w, &refusal{status: http.StatusServiceUnavailable, code: "stopping", after: stoppingRetryAfter})
+func (f *Forwarder) ServeStopping(w http.ResponseWriter, _ *http.Request) { refuse(w, stopping()) }
+
+func stopping() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: "stopping", after: elsewhereAfter}
+}
+
+// StopBy tells that requests which are still in progress at the time are cut.
+func (f *Forwarder) StopBy(at time.Time) { f.stopBy.Store(at.UnixNano()) }
+
+// stopMargin is how long before the cut a request must be expected to end.
+const stopMargin = time.Second
+
+// endsInTime reports whether a request is expected to end before the instance stops.
+func (f *Forwarder) endsInTime(j *job) bool {
+	at := f.stopBy.Load()
+	if at == 0 {
+		return true
+	}
+	expected := j.route.Target
+	if j.route.Kind == route.Stream {
+		expected += time.Duration(max(j.request.Hint, j.request.MaxAnswer/2)) * time.Duration(f.tokenTime.Load())
+	}
+	return time.Until(time.Unix(0, at)) > expected+stopMargin
+}
+
+// firstTokenTime is the time between tokens that is expected before any has been seen.
+const firstTokenTime = 15 * time.Millisecond
+
+// tokenMemory is the part that one stream has in the expected time between tokens.
+const tokenMemory = 16
+
+// learn takes the time that a stream took for each token.
+func (f *Forwarder) learn(j *job) {
+	if j.tokens <= 0 || j.first <= 0 {
+		return
+	}
+	seen := int64(time.Since(j.began)-j.first) / int64(j.tokens)
+	held := f.tokenTime.Load()
+	f.tokenTime.Store(held + (seen-held)/tokenMemory)
 }
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -221,7 +221,6 @@
 	patience := max(gapPatience*j.route.Gap, leastPatience)
 	var buffer [4096]byte
 	j.stages = len(r.path)
-	last := time.Now()
 	for {
 		limit := time.Now().Add(patience)
 		if limit.After(j.limit) {
@@ -235,7 +234,7 @@
 		var n int
 		n, err = r.answer.Read(buffer[:])
 		if n > 0 {
-			j.note(out.count, &last)
+			j.note(out.count, tokensPerEvent(r.service))
 			if failed := out.write(buffer[:n]); failed != nil {
 				return failed
 			}
@@ -253,13 +252,21 @@
 }
 
 // note takes the time of events that have arrived.
-func (j *job) note(events int, last *time.Time) {
+func (j *job) note(events, tokens int) {
 	now := time.Now()
-	j.events = events
+	j.events, j.tokens = events, events*tokens
 	if j.first == 0 {
 		j.first = now.Sub(j.began)
 	} else {
-		j.gap = max(j.gap, now.Sub(*last))
+		j.gap = max(j.gap, now.Sub(j.lastAt))
 	}
-	*last = now
+	j.lastAt = now
+}
+
+// tokensPerEvent returns the number of tokens that an event holds.
+func tokensPerEvent(service *route.Service) int {
+	if service.Engine == nil {
+		return 1
+	}
+	return max(service.Engine.Stride, 1)
 }
--- a/comfreyrail/internal/gateway/process/operate.go
+++ b/comfreyrail/internal/gateway/process/operate.go
@@ -88,7 +88,7 @@
 		Routes    int    `json:"routes"`
 		Confirmed bool   `json:"confirmed"`
 		Age       string `json:"age"`
-		Instances int    `json:"instances"`
+		Instances any    `json:"instances"`
 		Placer    string `json:"placer"`
 		Servers   any    `json:"servers"`
 	}{Confirmed: confirmed, Age: age.String(), Instances: snapshot.Instances, Placer: string(snapshot.Placer.Value), Servers: snapshot.Servers}
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
@@ -23,6 +24,8 @@
 	Lease *duty.Lease
 	// Placer gives engines their layers.
 	Placer *duty.Placer
+	// Mirror tells other instances what the store says.
+	Mirror *mirror.Server
 	// Share tells other instances of the work of this one.
 	Share *share.Share
 	// Upstream keeps connections to backend servers.
@@ -61,6 +64,7 @@
 	root := suture.New("gateway", spec)
 	control := suture.New("control", spec)
 	control.Add(branches.Catalog)
+	control.Add(branches.Mirror)
 	control.Add(branches.Lease)
 	control.Add(branches.Placer)
 	traffic := suture.New("traffic", spec)
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/clock"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
@@ -33,6 +33,8 @@
 	idleTimeout = 10 * time.Second
 	// storeConnections is the number of idle connections kept to the store.
 	storeConnections = 4
+	// peerConnections is the number of idle connections kept to another instance.
+	peerConnections = 1
 )
 
 // confirmPart is the part of the time for removing a key during which the configuration holds without the store's word.
@@ -81,17 +83,25 @@
 
 func provideEngines() *platform.Engines { return &platform.Engines{HTTP: newHTTP(0)} }
 
-func provideCatalog(loaded settings.Gateway, store *platform.Store, log *logrus.Entry) *catalog.Catalog {
+func provideSelf(loaded settings.Gateway) catalog.Instance {
+	return catalog.Instance{Name: loaded.Name, Zone: loaded.Zone, Peer: loaded.Listen.Peer}
+}
+
+func provideMirror(loaded settings.Gateway, known *catalog.Catalog, log *logrus.Entry) *mirror.Server {
+	return mirror.New(mirror.Config{Listen: loaded.Listen.Peer, Changes: known.Changes, Log: log})
+}
+
+func provideCatalog(loaded settings.Gateway, self catalog.Instance, store *platform.Store, log *logrus.Entry) *catalog.Catalog {
 	return catalog.New(catalog.Config{
-		Range: store.Range, Watch: store.Watch, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
+		Range: store.Range, Watch: store.Watch, Ask: mirror.NewClient(newHTTP(peerConnections)).Changes, Self: self, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		ServerID: platform.ServerID, DecodeServer: platform.DecodeServer, Pace: time.Duration(loaded.Store.Pace),
 		Elapsed: clock.Elapsed, Log: log,
 	})
 }
 
-func provideLease(loaded settings.Gateway, store *platform.Store, log *logrus.Entry) *duty.Lease {
+func provideLease(self catalog.Instance, store *platform.Store, log *logrus.Entry) *duty.Lease {
 	return duty.NewLease(duty.LeaseConfig{
-		Name: loaded.Name, Address: loaded.Listen.Peer, Grant: store.Grant, Renew: store.Renew, End: store.End, Commit: store.Commit, Elapsed: clock.Elapsed, Log: log,
+		Self: self, Grant: store.Grant, Renew: store.Renew, End: store.End, Commit: store.Commit, Elapsed: clock.Elapsed, Log: log,
 	})
 }
 
@@ -117,7 +127,7 @@
 func provideBudgets(loaded settings.Gateway, known *catalog.Catalog) *forward.Budgets {
 	return forward.NewBudgets(forward.BudgetConfig{
 		Ratio: loaded.Repeat.Ratio, Burst: loaded.Repeat.Burst, Window: time.Duration(loaded.Repeat.Window),
-		Instances: func() int { return known.Snapshot().Instances },
+		Instances: func() int { return len(known.Snapshot().Instances) },
 	})
 }
 
@@ -149,8 +159,13 @@
 func provideShare(loaded settings.Gateway, known *catalog.Catalog, forwarder *forward.Forwarder, heard *hearing, log *logrus.Entry) *share.Share {
 	heard.share = share.New(share.Config{
 		Name: loaded.Name, Listen: loaded.Listen.Peer, Uses: forwarder.Uses, Log: log,
-		Peers: func() []string {
-			return slices.DeleteFunc(slices.Clone(known.Snapshot().Peers), func(peer string) bool { return peer == loaded.Listen.Peer })
+		Peers: func() (peers []string) {
+			for _, instance := range known.Snapshot().Instances {
+				if instance.Peer != loaded.Listen.Peer {
+					peers = append(peers, instance.Peer)
+				}
+			}
+			return peers
 		},
 	})
 	return heard.share
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -14,15 +14,17 @@
 
 // Build builds a Gateway from its settings.
 func Build(loaded settings.Gateway) (*Gateway, error) {
+	instance := provideSelf(loaded)
 	store := provideStore(loaded)
 	entry, err := provideLog(loaded)
 	if err != nil {
 		return nil, err
 	}
-	catalog := provideCatalog(loaded, store, entry)
-	lease := provideLease(loaded, store, entry)
+	catalog := provideCatalog(loaded, instance, store, entry)
+	lease := provideLease(instance, store, entry)
 	engines := provideEngines()
 	placer := providePlacer(loaded, catalog, lease, store, engines, entry)
+	server := provideMirror(loaded, catalog, entry)
 	processHearing := provideHearing()
 	registry := provideMetrics()
 	pool := provideUpstream(registry)
@@ -36,6 +38,7 @@
 		Catalog:  catalog,
 		Lease:    lease,
 		Placer:   placer,
+		Mirror:   server,
 		Share:    share,
 		Upstream: pool,
 		Entry:    processEntry,
