Swap a silent engine in flight, and let slow ones cost what they take

Cause: a stream through a dead engine paused for 600 ms and then started again on another path, so every death made the streams of an engine late; a slow engine kept getting work. An engine counts as dead when several streams pass through it and none has made progress for twice its longest silence; the first engine is ordered to go on without it. The least slowness of an engine's streams multiplies its cost.

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -119,6 +119,42 @@
 	}
 }
 
+// progressed notes an event of a run after a pause.
+func (f *fleet) progressed(r *run, pause time.Duration) {
+	if r.service.Engine == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[r.service.Name].chooser.Progressed(time.Now(), r.path, pause, r.cost)
+}
+
+// silent returns the stage that holds up a run, if it has been silent for so long at least.
+func (f *fleet) silent(r *run, least time.Duration) (stage int, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[r.service.Name].chooser.Silent(time.Now(), r.path, r.since, least)
+}
+
+// reroute returns the path of a run without the engine of one stage, which is left alone from now on.
+func (f *fleet) reroute(r *run, stage int) (path pipeline.Path, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, chooser := time.Now(), f.engines[r.service.Name].chooser
+	chooser.Suspect(now, r.path[stage].Server.Address)
+	return chooser.Reroute(now, r.path, stage, r.cost)
+}
+
+// moved counts a run on another path from now on.
+func (f *fleet) moved(r *run, path pipeline.Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	chooser := f.engines[r.service.Name].chooser
+	chooser.Ended(r.path, r.cost)
+	r.path = path
+	chooser.Started(time.Now(), path, r.cost)
+}
+
 func (f *fleet) suspectEngine(service, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -46,6 +46,8 @@
 	ReadAnswer func(status int, header http.Header) call.Answer
 	// Stalled asks the first engine of a path for the address of the engine that holds a request up.
 	Stalled func(ctx context.Context, server backend.Server, request string) (address string, err error)
+	// Repath orders the first engine of a request to go on along other engines.
+	Repath func(ctx context.Context, first backend.Server, request string, path []call.Hop) error
 	// Log receives the log.
 	Log *logrus.Entry
 	// Metrics receives counters and times.
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -15,14 +15,22 @@
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
-// Times of a stream.
+// Times of a stream, as parts of the wanted time to the first event and of the longest pause that is on time.
 const (
-	// firstPatience is how many times its target the first event may take before another path is tried.
-	firstPatience = 3
-	// gapPatience is how many times its target a pause may last before another path is tried.
-	gapPatience = 3
-	// leastPatience bounds both below.
+	// firstSilence is the part of the wanted time to the first event after which the engines are looked at.
+	firstSilence = 0.4
+	// firstPatience is how many times that time the first event may take before another path is tried.
+	firstPatience = 3.0
+	// pauseSilence is the part of the longest pause after which the engines are looked at.
+	pauseSilence = 0.45
+	// pausePatience is how many times that pause may last before another path is tried.
+	pausePatience = 3.0
+	// leastPatience bounds how soon another path is tried.
 	leastPatience = 300 * time.Millisecond
+	// silenceStep is the time between two looks at the engines.
+	silenceStep = 30 * time.Millisecond
+	// repathTimeout is the longest time for the order to go on along other engines.
+	repathTimeout = 100 * time.Millisecond
 )
 
 // errNoPath means that no path with room covers the layers.
@@ -34,6 +42,8 @@
 	path    pipeline.Path
 	cost    pipeline.Request
 	answer  *upstream.Answer
+	since   time.Time // when it began, or made progress last
+	moves   int
 }
 
 // stream passes on a request whose answer is a stream of events.
@@ -135,16 +145,13 @@
 	if r.service.Engine != nil {
 		request = f.outgoing(j, first, hops(r.path), lastID)
 	}
-	patience := max(firstPatience*j.route.Target, leastPatience)
-	headCtx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(patience, cancel)
-	answer, err := f.config.Upstream.Send(headCtx, request)
-	if !timer.Stop() && err == nil {
-		answer.Discard()
-		err = &upstream.Error{Sent: true, Cause: context.DeadlineExceeded}
+	r.since = time.Now()
+	request.Patience = part(j.route.Target, firstSilence)
+	request.Silent = func() time.Duration {
+		return f.silent(ctx, j, r, max(part(j.route.Target, firstPatience), leastPatience))
 	}
+	answer, err := f.config.Upstream.Send(ctx, request)
 	if err != nil {
-		cancel()
 		var failure *upstream.Error
 		j.ran = j.ran || !errors.As(err, &failure) || failure.Sent
 		f.blame(ctx, j, r, "", err)
@@ -166,6 +173,56 @@
 	return nil
 }
 
+// part returns a part of a time.
+func part(of time.Duration, factor float64) time.Duration { return time.Duration(float64(of) * factor) }
+
+// silent looks for the engine that holds up a run and moves the run past it; it returns how long to wait on, zero to give
+// the run up.
+func (f *Forwarder) silent(ctx context.Context, j *job, r *run, patience time.Duration) time.Duration {
+	waited := time.Since(r.since)
+	if waited >= patience {
+		return 0
+	}
+	if r.service.Engine == nil {
+		return patience - waited
+	}
+	stage, ok := f.fleet.silent(r, part(j.route.Gap, pauseSilence))
+	if !ok || r.moves >= maxMoves {
+		return min(silenceStep, patience-waited)
+	}
+	if stage == 0 {
+		f.fleet.suspectEngine(r.service.Name, r.path[0].Server.Address)
+		return 0
+	}
+	f.move(ctx, j, r, stage)
+	return min(silenceStep, patience-waited)
+}
+
+// maxMoves is how often a run is moved past an engine.
+const maxMoves = 2
+
+// move orders the first engine to go on without the engine of a stage.
+func (f *Forwarder) move(ctx context.Context, j *job, r *run, stage int) {
+	r.moves++
+	culprit := r.path[stage].Server
+	log := f.config.Log.WithFields(logrus.Fields{
+		"request": j.request.ID, "first": r.path[0].Server.ID, "silent": culprit.ID, "waited": time.Since(r.since).Milliseconds(),
+	})
+	path, ok := f.fleet.reroute(r, stage)
+	if !ok {
+		log.Info("no other engines for the silent one's layers")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
+	defer cancel()
+	if err := f.config.Repath(ctx, r.path[0].Server, j.request.ID, hops(path)); err != nil {
+		log.WithError(err).Info("the first engine did not take the other path")
+		return
+	}
+	f.fleet.moved(r, path)
+	log.Info("moved past a silent engine")
+}
+
 // blame leaves the engine at fault alone for a while, the first one if none is named.
 func (f *Forwarder) blame(ctx context.Context, j *job, r *run, address string, cause error) {
 	first := r.path[0].Server
@@ -218,15 +275,14 @@
 // relay gives the events of a run to the caller until the stream is complete.
 func (f *Forwarder) relay(ctx context.Context, j *job, out *events, r *run) (err error) {
 	out.start(r.answer.Header)
-	patience := max(gapPatience*j.route.Gap, leastPatience)
+	patience := max(part(j.route.Gap, pausePatience), leastPatience)
+	silence := part(j.route.Gap, pauseSilence)
+	r.answer.Silent(func() time.Duration { return f.silent(ctx, j, r, patience) })
 	var buffer [4096]byte
 	j.stages = len(r.path)
+	f.progressed(r, 0)
 	for {
-		limit := time.Now().Add(patience)
-		if limit.After(j.limit) {
-			limit = j.limit
-		}
-		r.answer.SetReadDeadline(limit)
+		r.answer.SetReadDeadline(time.Now().Add(silence))
 		// The context's end sets a deadline too, which may have been replaced just now.
 		if err = ctx.Err(); err != nil {
 			return err
@@ -234,6 +290,7 @@
 		var n int
 		n, err = r.answer.Read(buffer[:])
 		if n > 0 {
+			f.progressed(r, time.Since(r.since))
 			j.note(out.count, tokensPerEvent(r.service))
 			if failed := out.write(buffer[:n]); failed != nil {
 				return failed
@@ -251,6 +308,12 @@
 	}
 }
 
+// progressed notes that a run made progress after a pause.
+func (f *Forwarder) progressed(r *run, pause time.Duration) {
+	f.fleet.progressed(r, pause)
+	r.since = time.Now()
+}
+
 // note takes the time of events that have arrived.
 func (j *job) note(events, tokens int) {
 	now := time.Now()
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -136,6 +136,7 @@
 		Catalog: known, Upstream: pool, Others: others.Others, Zone: loaded.Zone, Retries: budgets, Log: log, Metrics: registry,
 		ConfirmWithin: confirmWithin(loaded), UnsureAfter: time.Duration(loaded.Key.Apply),
 		ReadRequest: platform.ReadRequest, WriteForward: platform.WriteForward, ReadAnswer: platform.ReadAnswer,
+		Repath: engines.Repath,
 		Stalled: func(ctx context.Context, server backend.Server, request string) (address string, err error) {
 			state, err := engines.State(ctx, server)
 			if err != nil || len(state.Stalled) == 0 {
--- a/comfreyrail/internal/gateway/share/share.go
+++ b/comfreyrail/internal/gateway/share/share.go
@@ -25,7 +25,7 @@
 	// tellTo is the greatest number of instances that are told at a time.
 	tellTo = 8
 	// maxEngines is the greatest number of engines in a datagram, so that it is never fragmented.
-	maxEngines = 96
+	maxEngines = 80
 	// maxDatagram is the greatest size of a datagram in bytes.
 	maxDatagram = 1400
 	// rateScale is the number of steps in one second of work a second.
@@ -69,10 +69,11 @@
 
 // entry is the work at one engine.
 type entry struct {
-	_      struct{} `cbor:",toarray"`
-	Engine uint32
-	Tokens uint32
-	Rate   uint32
+	_       struct{} `cbor:",toarray"`
+	Engine  uint32
+	Tokens  uint32
+	Rate    uint32
+	Suspect bool
 }
 
 // New returns a Share that has heard nothing.
@@ -148,7 +149,7 @@
 		if len(told.Engines) == maxEngines {
 			break
 		}
-		told.Engines = append(told.Engines, entry{Engine: hash(id), Tokens: uint32(use.Tokens), Rate: uint32(use.Rate * rateScale)})
+		told.Engines = append(told.Engines, entry{Engine: hash(id), Tokens: uint32(use.Tokens), Rate: uint32(use.Rate * rateScale), Suspect: use.Suspect})
 	}
 	return cbor.Marshal(told)
 }
@@ -165,7 +166,7 @@
 	}
 	uses := make(map[uint32]pipeline.Use, len(told.Engines))
 	for _, engine := range told.Engines {
-		uses[engine.Engine] = pipeline.Use{Tokens: float64(engine.Tokens), Rate: float64(engine.Rate) / rateScale}
+		uses[engine.Engine] = pipeline.Use{Tokens: float64(engine.Tokens), Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +188,7 @@
 		heard++
 		for engine, use := range told.uses {
 			sum := total[engine]
-			total[engine] = pipeline.Use{Tokens: sum.Tokens + use.Tokens, Rate: sum.Rate + use.Rate}
+			total[engine] = pipeline.Use{Tokens: sum.Tokens + use.Tokens, Rate: sum.Rate + use.Rate, Suspect: sum.Suspect || use.Suspect}
 		}
 	}
 	scale := 1.0
@@ -196,6 +197,6 @@
 	}
 	return func(id string) (pipeline.Use, bool) {
 		use := total[hash(id)]
-		return pipeline.Use{Tokens: use.Tokens * scale, Rate: use.Rate * scale}, heard > 0
+		return pipeline.Use{Tokens: use.Tokens * scale, Rate: use.Rate * scale, Suspect: use.Suspect}, heard > 0
 	}
 }
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,24 @@
 
 	reader *bufio.Reader
 	until  time.Time
+	silent func() time.Duration
+}
+
+// Read reads; where a deadline passes first, it asks whether and for how long to go on.
+func (c *conn) Read(b []byte) (n int, err error) {
+	for {
+		n, err = c.Conn.Read(b)
+		if n > 0 || c.silent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		more := c.silent()
+		if more <= 0 {
+			return n, err
+		}
+		if err = c.SetReadDeadline(time.Now().Add(more)); err != nil {
+			return 0, err
+		}
+	}
 }
 
 // Request is a request to a backend server.
@@ -75,6 +94,10 @@
 	Body []byte
 	// Fresh demands a connection that has not been used.
 	Fresh bool
+	// Patience is how long the answer may take until Silent is asked; zero means forever.
+	Patience time.Duration
+	// Silent is asked whenever nothing has come for the time given last; it returns how long to wait on, zero to give up.
+	Silent func() time.Duration
 }
 
 // Error is a failure before an answer came.
@@ -112,6 +135,7 @@
 	closing bool
 	whole   bool
 	release func() bool
+	ctx     context.Context //nolint:containedctx // ends with the answer
 }
 
 // Send sends the request once and returns the beginning of the answer; the context's end breaks the connection.
@@ -127,6 +151,16 @@
 			_ = c.Close()
 		}
 	}()
+	c.silent = nil
+	if request.Silent != nil {
+		c.silent = func() time.Duration {
+			if ctx.Err() != nil {
+				return 0
+			}
+			return request.Silent()
+		}
+		_ = c.SetReadDeadline(time.Now().Add(request.Patience))
+	}
 	if err = ctx.Err(); err != nil {
 		return nil, &Error{Cause: err}
 	}
@@ -142,7 +176,7 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
-		pool: p, conn: c, address: request.Address, closing: response.Close, release: release,
+		pool: p, conn: c, address: request.Address, closing: response.Close, release: release, ctx: ctx,
 	}, nil
 }
 
@@ -190,7 +224,9 @@
 	}
 	p.config.Opened()
 	limitUnacknowledged(opened)
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+	c := &conn{Conn: opened}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -234,6 +270,16 @@
 	return n, err
 }
 
+// Silent replaces what is asked whenever a deadline of reading passes.
+func (a *Answer) Silent(ask func() time.Duration) {
+	a.conn.silent = func() time.Duration {
+		if a.ctx.Err() != nil {
+			return 0
+		}
+		return ask()
+	}
+}
+
 // SetReadDeadline sets the time at which reading fails.
 func (a *Answer) SetReadDeadline(at time.Time) { _ = a.conn.SetReadDeadline(at) }
 
@@ -249,6 +295,7 @@
 		_ = a.conn.Close()
 		return
 	}
+	a.conn.silent = nil
 	_ = a.conn.SetDeadline(time.Time{})
 	a.conn.until = time.Now().Add(keep)
 	a.pool.mu.Lock()
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -37,6 +37,8 @@
 	Tokens float64
 	// Rate is the work sent lately, in seconds a second.
 	Rate float64
+	// Suspect tells that the engine failed or fell silent just now.
+	Suspect bool
 }
 
 // Config configures a Chooser.
@@ -60,8 +62,6 @@
 	spreadNoise = 0.15
 	// hopCost is what one more stage costs.
 	hopCost = time.Millisecond
-	// suspectTime is how long an engine is left alone after a failure.
-	suspectTime = 1500 * time.Millisecond
 	// suspectCost is what a path over a suspect costs more.
 	suspectCost = 10 * time.Second
 	// leastRate is the rate of work below which an engine counts as unused.
@@ -72,10 +72,10 @@
 
 // load is what this instance knows of one engine.
 type load struct {
-	work    float64 // seconds of work sent, decaying
-	at      time.Time
-	tokens  float64 // tokens x layers promised
-	suspect time.Time
+	work   float64 // seconds of work sent, decaying
+	at     time.Time
+	tokens float64 // tokens x layers promised
+	health health
 }
 
 // Chooser chooses paths; it is not safe for concurrent use.
@@ -86,6 +86,7 @@
 	bounds  []int
 	loads   map[string]*load
 	peers   int
+	usual   float64 // pause between events as a multiple of the expected one
 }
 
 // New returns a Chooser that knows no engines.
@@ -169,6 +170,7 @@
 		held := c.load(stage.Server.ID)
 		held.add(now, (read + write).Seconds())
 		held.tokens += c.need(request, stage.Layers.Len())
+		held.health.started(now)
 	}
 }
 
@@ -177,15 +179,7 @@
 	for _, stage := range path {
 		held := c.load(stage.Server.ID)
 		held.tokens = max(held.tokens-c.need(request, stage.Layers.Len()), 0)
-	}
-}
-
-// Suspect leaves the engine at the address alone for a while.
-func (c *Chooser) Suspect(now time.Time, address string) {
-	for _, server := range c.servers {
-		if server.Address == address {
-			c.load(server.ID).suspect = now.Add(suspectTime)
-		}
+		held.health.ended()
 	}
 }
 
@@ -201,14 +195,15 @@
 	if !known {
 		return Use{Tokens: own.Tokens * float64(c.peers), Rate: own.Rate * float64(c.peers)}
 	}
-	return Use{Tokens: own.Tokens + others.Tokens, Rate: own.Rate + others.Rate}
+	return Use{Tokens: own.Tokens + others.Tokens, Rate: own.Rate + others.Rate, Suspect: others.Suspect}
 }
 
 // Uses returns how much of each engine this instance takes.
 func (c *Chooser) Uses(now time.Time) map[string]Use {
 	uses := make(map[string]Use)
 	for id, held := range c.loads {
-		if use := (Use{Tokens: held.tokens, Rate: held.rate(now)}); use.Tokens > 0 || use.Rate > leastRate {
+		use := Use{Tokens: held.tokens, Rate: held.rate(now), Suspect: held.health.fresh(now)}
+		if use.Tokens > 0 || use.Rate > leastRate || use.Suspect {
 			uses[id] = use
 		}
 	}
@@ -222,6 +217,9 @@
 	fixed    float64 // seconds
 }
 
+// whole is the search for a path over all layers.
+func (c *Chooser) whole() span { return span{to: c.engine.Layers} }
+
 // Choose returns the cheapest path, and false if no path with room covers the layers.
 func (c *Chooser) Choose(now time.Time, request Request) (path Path, ok bool) {
 	if c.engine == nil {
@@ -232,7 +230,7 @@
 		banned[id] = true
 	}
 	for {
-		path, ok = c.search(c.candidates(now, request, banned), request)
+		path, ok = c.search(c.candidates(now, request, banned), request, c.whole())
 		if !ok {
 			return nil, false
 		}
@@ -275,9 +273,9 @@
 		step := float64(c.engine.Step) * card.Pace * float64(server.Layers.Len()) / float64(c.engine.Layers) * float64(c.engine.Stride)
 		cost := (passesAhead*step + float64(read+write)) / float64(time.Second)
 		cost *= 1 + spreadNoise*c.config.Random()
-		cost /= (1 - use) * (1 - fill)
+		cost *= held.health.slowness(now) / ((1 - use) * (1 - fill))
 		fixed := hopCost.Seconds()
-		if now.Before(held.suspect) {
+		if held.health.suspected(now) || taken.Suspect {
 			fixed += suspectCost.Seconds()
 		}
 		found = append(found, candidate{server: server, perLayer: cost / float64(server.Layers.Len()), fixed: fixed})
--- /dev/null
+++ b/rail/pipeline/health.go
@@ -0,0 +1,205 @@
+package pipeline
+
+import "time"
+
+// Times and factors of an engine's health.
+const (
+	// suspectTime is how long an engine is left alone after its first failure; it doubles with each further one.
+	suspectTime = time.Second
+	// maxSuspectTime bounds it.
+	maxSuspectTime = 8 * time.Second
+	// trialTime is the time between requests that try an engine which has been left alone.
+	trialTime = 500 * time.Millisecond
+	// freshTime is how long a failure is told to other instances.
+	freshTime = 800 * time.Millisecond
+	// slowWindow is the time over which the least slowness of an engine is taken.
+	slowWindow = 400 * time.Millisecond
+	// slowMemory is how long a slow engine without events counts as slow.
+	slowMemory = 3 * time.Second
+	// slowFrom is the slowness from which an engine counts as slow.
+	slowFrom = 1.6
+	// silenceMemory is how long a silence that ended is remembered.
+	silenceMemory = 6 * time.Second
+	// silenceFactor is how many times the longest remembered silence an engine is silent before it counts as dead.
+	silenceFactor = 2
+	// enoughStreams is the number of requests whose common silence says something of an engine.
+	enoughStreams = 2
+	// usualMemory is the number of events over which the usual pause is taken.
+	usualMemory = 256
+	// maxUsual bounds the weight of a single long pause in the usual one.
+	maxUsual = 3.0
+	// maxSlow bounds what a slow engine costs more.
+	maxSlow = 20.0
+)
+
+// health is what this instance saw of one engine lately.
+type health struct {
+	streams   int       // requests in progress
+	event     time.Time // when a request through the engine last made progress
+	failed    time.Time
+	until     time.Time // until when it is left alone
+	failures  int
+	tried     time.Time
+	longest   time.Duration // longest silence lately that an event ended
+	longestAt time.Time
+	slow      float64 // least slowness in the window before the present one
+	slowSeen  time.Time
+	least     float64 // least slowness in the present window
+	leastFrom time.Time
+}
+
+func (h *health) started(now time.Time) {
+	h.streams++
+	if h.failures > 0 {
+		h.tried = now
+	}
+}
+
+func (h *health) ended() { h.streams = max(h.streams-1, 0) }
+
+// fail leaves the engine alone for a while; requests that fail together count once.
+func (h *health) fail(now time.Time) {
+	if now.Before(h.until) {
+		return
+	}
+	h.failures++
+	h.failed = now
+	h.until = now.Add(min(suspectTime<<min(h.failures-1, 3), maxSuspectTime))
+}
+
+// suspected reports whether the engine is left alone, but for a request now and then once its time is over.
+func (h *health) suspected(now time.Time) bool {
+	if h.failures == 0 {
+		return false
+	}
+	return now.Before(h.until) || now.Sub(h.tried) < trialTime
+}
+
+// fresh reports whether the engine has failed just now.
+func (h *health) fresh(now time.Time) bool { return h.failures > 0 && now.Sub(h.failed) < freshTime }
+
+// progressed notes an event after a pause of its request, which took so many times the expected time.
+func (h *health) progressed(now time.Time, pause time.Duration, slowness float64) {
+	if silence := now.Sub(h.event); pause > 0 && (silence > h.longest || now.Sub(h.longestAt) > silenceMemory) {
+		h.longest, h.longestAt = silence, now
+	}
+	h.event = now
+	if h.failures > 0 && now.Sub(h.failed) > trialTime {
+		h.failures, h.until = 0, time.Time{}
+	}
+	if slowness <= 0 {
+		return
+	}
+	if now.Sub(h.leastFrom) >= slowWindow {
+		h.slow, h.slowSeen = h.least, now
+		h.least, h.leastFrom = slowness, now
+		return
+	}
+	h.least = min(h.least, slowness)
+}
+
+// dead reports whether several requests pass through the engine of which none has made progress for so long that it cannot
+// be slow alone; least is the shortest such time.
+func (h *health) dead(now time.Time, least time.Duration) bool {
+	if h.streams < enoughStreams || h.event.IsZero() {
+		return false
+	}
+	if now.Sub(h.longestAt) < silenceMemory {
+		least = max(least, silenceFactor*h.longest)
+	}
+	return now.Sub(h.event) >= least
+}
+
+// slowness returns how many times the expected time the engine takes, 1 unless every request through it is slow.
+func (h *health) slowness(now time.Time) float64 {
+	if h.slow < slowFrom || now.Sub(h.slowSeen) > slowMemory {
+		return 1
+	}
+	return min(h.slow, maxSlow)
+}
+
+// Suspect leaves the engine at the address alone for a while.
+func (c *Chooser) Suspect(now time.Time, address string) {
+	for _, server := range c.servers {
+		if server.Address == address {
+			c.load(server.ID).health.fail(now)
+		}
+	}
+}
+
+// Progressed notes that a request on the path made progress after a pause; a pause of zero says nothing of its speed.
+func (c *Chooser) Progressed(now time.Time, path Path, pause time.Duration, request Request) {
+	slowness := 0.0
+	if pause > 0 {
+		ratio := float64(pause) / float64(max(c.Expected(path, request), time.Millisecond))
+		if c.usual == 0 {
+			c.usual = ratio
+		}
+		slowness = ratio / c.usual
+		c.usual += (min(ratio, maxUsual*c.usual) - c.usual) / usualMemory
+	}
+	for _, stage := range path {
+		c.load(stage.Server.ID).health.progressed(now, pause, slowness)
+	}
+}
+
+// Expected returns the expected pause between two events of a request on the path.
+func (c *Chooser) Expected(path Path, request Request) time.Duration {
+	total := time.Duration(0)
+	for _, stage := range path {
+		card, _ := c.engine.Card(stage.Server.Card)
+		share := float64(stage.Layers.Len()) / float64(c.engine.Layers)
+		total += time.Duration(float64(c.engine.Step) * card.Pace * share * float64(c.engine.Stride))
+		total += hopCost
+	}
+	return total
+}
+
+// Silent returns the stage that holds up a request on the path which has made no progress since a time: the one that
+// counts as dead after least, and through which most requests pass if there are several.
+func (c *Chooser) Silent(now time.Time, path Path, since time.Time, least time.Duration) (stage int, ok bool) {
+	most, tied := 0, false
+	for i := range path {
+		held := &c.load(path[i].Server.ID).health
+		enough := least
+		if i == 0 {
+			enough *= firstStageFactor
+		}
+		if held.event.After(since) || !held.dead(now, enough) {
+			continue
+		}
+		if held.streams > most {
+			stage, most, ok, tied = i, held.streams, true, false
+			continue
+		}
+		tied = tied || held.streams == most
+	}
+	return stage, ok && !tied
+}
+
+// firstStageFactor is how much longer the first engine has to be silent, as a request leaves it only by starting again.
+const firstStageFactor = 3
+
+// Reroute returns the path with the part of one stage given to other engines; the first stage has to stay.
+func (c *Chooser) Reroute(now time.Time, path Path, stage int, request Request) (rerouted Path, ok bool) {
+	if stage <= 0 || stage >= len(path) || c.engine == nil {
+		return nil, false
+	}
+	banned := make(map[string]bool, len(path))
+	for i := range path {
+		banned[path[i].Server.ID] = true
+	}
+	request.Zone = path[stage-1].Server.Zone
+	lost := path[stage].Layers
+	part, ok := c.search(c.candidates(now, request, banned), request, span{from: lost.From, to: lost.To})
+	if !ok {
+		return nil, false
+	}
+	rerouted = append(rerouted, path[:stage]...)
+	rerouted = append(rerouted, part...)
+	rerouted = append(rerouted, path[stage+1:]...)
+	if _, twice := doubled(rerouted); twice || !Covers(rerouted, c.engine.Layers) {
+		return nil, false
+	}
+	return rerouted, true
+}
--- a/rail/pipeline/search.go
+++ b/rail/pipeline/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 )
@@ -31,12 +32,21 @@
 	set   bool
 }
 
-// search returns the cheapest path over the candidates.
-func (c *Chooser) search(candidates []candidate, request Request) (path Path, ok bool) {
+// span is a range of layers that a search covers.
+type span struct {
+	from, to int
+}
+
+// search returns the cheapest path over the candidates for the span.
+func (c *Chooser) search(candidates []candidate, request Request, over span) (path Path, ok bool) {
 	zones := zonesOf(candidates, request.Zone)
 	nodes := make([]node, len(c.bounds)*len(zones))
-	nodes[zones[request.Zone]] = node{set: true, from: -1}
-	for i := range c.bounds {
+	first, last := slices.Index(c.bounds, over.from), slices.Index(c.bounds, over.to)
+	if first < 0 || last < 0 {
+		return nil, false
+	}
+	nodes[first*len(zones)+zones[request.Zone]] = node{set: true, from: -1}
+	for i := first; i < last; i++ {
 		for zone, z := range zones {
 			if here := i*len(zones) + z; nodes[here].set {
 				c.extend(nodes, here, i, zone, candidates, zones, request)
@@ -45,9 +55,9 @@
 	}
 	best, least := -1, math.Inf(1)
 	for z := range len(zones) {
-		last := (len(c.bounds)-1)*len(zones) + z
-		if nodes[last].set && nodes[last].cost < least {
-			best, least = last, nodes[last].cost
+		end := last*len(zones) + z
+		if nodes[end].set && nodes[end].cost < least {
+			best, least = end, nodes[end].cost
 		}
 	}
 	if best < 0 {
