Bound the moves past silent engines, and start again only where that can help

A move needs a token, saved up by requests; a run is given up for silence only while its route allows one more.

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -20,6 +20,26 @@
 	mu      sync.Mutex
 	plain   *balance.Balancer
 	engines map[string]*engines
+	moves   float64 // moves past silent engines that are allowed now
+}
+
+// Bounds of the moves past silent engines, as each makes other engines read the request again.
+const (
+	// moveShare is the number of moves allowed for each request.
+	moveShare = 0.05
+	// moveBurst is the greatest number of moves that are saved up.
+	moveBurst = 12
+)
+
+// mayMove reports whether a request may be moved past a silent engine, and counts it.
+func (f *fleet) mayMove() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.moves < 1 {
+		return false
+	}
+	f.moves--
+	return true
 }
 
 // engines is the chooser of one service with the snapshot that it was told.
@@ -36,7 +56,7 @@
 const sumEvery = 50 * time.Millisecond
 
 func newFleet(config Config) *fleet {
-	return &fleet{config: config, plain: balance.New(balance.Config{}), engines: make(map[string]*engines)}
+	return &fleet{config: config, plain: balance.New(balance.Config{}), engines: make(map[string]*engines), moves: moveBurst}
 }
 
 func (f *fleet) choosePlain(servers []backend.Server, avoid []string) (backend.Server, bool) {
@@ -107,6 +127,7 @@
 	now := time.Now()
 	if path, ok = chooser.Choose(now, request); ok {
 		chooser.Started(now, path, request)
+		f.moves = min(f.moves+moveShare, moveBurst)
 	}
 	return path, ok
 }
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -24,7 +24,7 @@
 	// pauseSilence is the part of the longest pause after which the engines are looked at.
 	pauseSilence = 0.45
 	// pausePatience is how many times that pause may last before another path is tried.
-	pausePatience = 3.0
+	pausePatience = 6.0
 	// leastPatience bounds how soon another path is tried.
 	leastPatience = 300 * time.Millisecond
 	// silenceStep is the time between two looks at the engines.
@@ -181,7 +181,10 @@
 func (f *Forwarder) silent(ctx context.Context, j *job, r *run, patience time.Duration) time.Duration {
 	waited := time.Since(r.since)
 	if waited >= patience {
-		return 0
+		if f.mayStartAgain(j) {
+			return 0
+		}
+		patience = waited + silenceStep
 	}
 	if r.service.Engine == nil {
 		return patience - waited
@@ -191,13 +194,21 @@
 		return min(silenceStep, patience-waited)
 	}
 	if stage == 0 {
+		if !f.mayStartAgain(j) {
+			return silenceStep
+		}
 		f.fleet.suspectEngine(r.service.Name, r.path[0].Server.Address)
 		return 0
 	}
-	f.move(ctx, j, r, stage)
+	if f.fleet.mayMove() {
+		f.move(ctx, j, r, stage)
+	}
 	return min(silenceStep, patience-waited)
 }
 
+// mayStartAgain reports whether the stream could be sent to one more path, as far as its route says.
+func (f *Forwarder) mayStartAgain(j *job) bool { return j.sent < j.route.Attempts && j.route.Resumable }
+
 // maxMoves is how often a run is moved past an engine.
 const maxMoves = 2
 
