--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -33,9 +33,9 @@
 	// askTimeout is the longest time for another instance's answer.
 	askTimeout = 300 * time.Millisecond
 	// unheardTime is how long an instance that had no news is not asked again.
-	unheardTime = 2 * time.Second
+	unheardTime = 4 * time.Second
 	// freshMargin is how much older than the pace another instance's word may be.
-	freshMargin = 500 * time.Millisecond
+	freshMargin = 600 * time.Millisecond
 	// lapseTime is how long after the store's return an entry may take to come back.
 	lapseTime = 2500 * time.Millisecond
 )
@@ -107,14 +107,14 @@
 	connected bool
 	outage    bool
 	regained  time.Duration
-	unheard   time.Duration // until when the instance that reads for this one is not asked
+	unheard   map[string]time.Duration // until when instances without news are not asked
 }
 
 // New returns a Catalog that knows nothing.
 func New(config Config) *Catalog {
 	c := &Catalog{
 		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration),
-		instances: make(map[string]Instance), log: newChangeLog(),
+		instances: make(map[string]Instance), unheard: make(map[string]time.Duration), log: newChangeLog(),
 	}
 	c.confirmed.Store(-1)
 	c.publish()
@@ -192,14 +192,13 @@
 // step brings in what has changed and returns how old that is: from the instance that reads the store for this one, from
 // the store, or from any other instance.
 func (c *Catalog) step(ctx context.Context) (age time.Duration, err error) {
-	now := c.config.Elapsed()
-	if reader, ok := readerOf(c.Snapshot().Instances, c.config.Self); ok && c.revision > 0 && now >= c.unheard {
+	if reader, ok := readerOf(c.asked(), c.config.Self); ok && c.revision > 0 {
 		age, asked := c.ask(ctx, reader)
 		if asked == nil && age <= c.freshEnough() {
 			return age, nil
 		}
-		c.unheard = now + unheardTime
-		c.config.Log.WithField("reader", reader.Name).WithField("age", age.String()).Info("the instance that reads the store has no news: asking the store")
+		c.unheard[reader.Name] = c.config.Elapsed() + unheardTime
+		c.config.Log.WithField("reader", reader.Name).WithField("age", age.String()).Info("the instance that reads the store has no news")
 	}
 	err = c.read(ctx)
 	if err == nil || errors.Is(err, store.ErrCompacted) {
@@ -214,6 +213,18 @@
 	return 0, err
 }
 
+// asked returns the instances that may be asked now.
+func (c *Catalog) asked() (instances []Instance) {
+	now := c.config.Elapsed()
+	for _, instance := range c.Snapshot().Instances {
+		if now >= c.unheard[instance.Name] {
+			delete(c.unheard, instance.Name)
+			instances = append(instances, instance)
+		}
+	}
+	return instances
+}
+
 // freshEnough is the age up to which another instance's word is as good as the store's.
 func (c *Catalog) freshEnough() time.Duration { return c.config.Pace + freshMargin }
 
--- /dev/null
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -0,0 +1,298 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// world is a store whose answers a test sets, with a clock that only the test moves.
+type world struct {
+	now     time.Duration
+	items   []store.Item
+	changes []store.Item
+	err     error
+	peerErr error
+	peer    Changes
+	asked   []string
+	reads   int
+}
+
+var errDown = errors.New("down")
+
+func quiet() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+// newCatalog returns a catalog whose entries of servers read "ready" or "draining" and whose configuration is its version.
+func newCatalog(w *world, self Instance) *Catalog {
+	return New(Config{
+		Range: func(context.Context, string, string) (store.Page, error) {
+			w.reads++
+			return store.Page{Items: w.items, Revision: 10}, w.err
+		},
+		Watch: func(context.Context, string, uint64, time.Duration) (store.Changes, error) {
+			w.reads++
+			revision := uint64(0)
+			for _, item := range w.changes {
+				revision = max(revision, item.Revision)
+			}
+			return store.Changes{Items: w.changes, Revision: revision}, w.err
+		},
+		Ask: func(_ context.Context, address string, _ uint64) (Changes, error) {
+			w.asked = append(w.asked, address)
+			return w.peer, w.peerErr
+		},
+		Self: self, ConfigKey: "config",
+		DecodeConfig: func(value []byte) (config route.Config, err error) {
+			if string(value) == "bad" {
+				return config, errDown
+			}
+			return route.Config{Version: uint64(value[0] - '0')}, nil
+		},
+		ServerID: func(key string) (string, bool) { return strings.CutPrefix(key, "servers/") },
+		DecodeServer: func(id string, value []byte) (backend.Server, error) {
+			if string(value) == "bad" {
+				return backend.Server{}, errDown
+			}
+			return backend.Server{ID: id, Service: "app", Draining: string(value) == "draining"}, nil
+		},
+		Pace: 500 * time.Millisecond, Elapsed: func() time.Duration { return w.now }, Log: quiet(),
+	})
+}
+
+// turn lets the catalog read once, as Serve does.
+func turn(t *testing.T, c *Catalog, w *world) {
+	t.Helper()
+	began := w.now
+	age, err := c.step(context.Background())
+	if err == nil {
+		c.reached(began - age)
+	} else if !errors.Is(err, store.ErrCompacted) {
+		c.lost(context.Background(), err)
+	}
+	c.expire()
+}
+
+func item(key, value string, revision uint64) store.Item {
+	return store.Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+func removed(key string, revision uint64) store.Item {
+	return store.Item{Key: key, Revision: revision, Deleted: true}
+}
+
+func servers(c *Catalog) (ids []string) {
+	for _, server := range c.Snapshot().Servers["app"] {
+		ids = append(ids, server.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	w := &world{items: []store.Item{item("config", "5", 3)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	turn(t, c, w)
+	tests := []struct {
+		name string
+		item store.Item
+		want uint64
+	}{
+		{"an older revision", item("config", "6", 2), 5},
+		{"an older version", item("config", "4", 11), 5},
+		{"one that cannot be read", item("config", "bad", 12), 5},
+		{"a removal", removed("config", 13), 5},
+		{"a newer version", item("config", "7", 14), 7},
+	}
+	for _, test := range tests {
+		w.changes = []store.Item{test.item}
+		turn(t, c, w)
+		if got := c.Snapshot().Table.Config.Version; got != test.want {
+			t.Errorf("%s: got version %d, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+func TestEntriesThatNameNoServer(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/good", "ready", 1), item("servers/bad", "bad", 2)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	turn(t, c, w)
+	if got, want := servers(c), []string{"good"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Entries lapse while the store is away; those that do not come back soon after its return are gone.
+func TestEntriesThatLapseWithTheStore(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	turn(t, c, w)
+	w.err = errDown
+	w.now = 3 * time.Second
+	turn(t, c, w)
+	w.err, w.now = nil, 6*time.Second
+	w.changes = []store.Item{removed("servers/one", 20), removed("servers/two", 21)}
+	turn(t, c, w)
+	if got, want := servers(c), []string{"one", "two"}; !slices.Equal(got, want) {
+		t.Errorf("at the return: got %v, want %v", got, want)
+	}
+	w.now = 7 * time.Second
+	w.changes = []store.Item{item("servers/one", "ready", 22)}
+	turn(t, c, w)
+	w.changes, w.now = nil, 9*time.Second
+	turn(t, c, w)
+	if got, want := servers(c), []string{"one"}; !slices.Equal(got, want) {
+		t.Errorf("after the time to come back: got %v, want %v", got, want)
+	}
+}
+
+func TestServersThatLeaveAreGoneAtOnce(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/one", "ready", 1)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	turn(t, c, w)
+	w.changes = []store.Item{removed("servers/one", 20)}
+	turn(t, c, w)
+	if got := servers(c); len(got) != 0 {
+		t.Errorf("got %v, want none while the store never was away", got)
+	}
+}
+
+func TestHistoryGone(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/one", "ready", 1)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	turn(t, c, w)
+	w.err = store.ErrCompacted
+	_, err := c.step(context.Background())
+	if !errors.Is(err, store.ErrCompacted) {
+		t.Fatalf("got %v, want the history to be gone", err)
+	}
+	w.err, c.revision = nil, 0
+	w.items = []store.Item{item("servers/two", "ready", 30)}
+	turn(t, c, w)
+	if got, want := servers(c), []string{"two"}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// fleetOf returns records of instances in one zone, the reader first.
+func fleetOf(names ...string) (instances []Instance) {
+	for _, name := range names {
+		instances = append(instances, Instance{Name: name, Zone: "z", Peer: name + ":1"})
+	}
+	return instances
+}
+
+func record(t *testing.T, instance Instance, revision uint64) store.Item {
+	t.Helper()
+	value, err := instance.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return item(InstancePrefix+instance.Name, string(value), revision)
+}
+
+// One instance of a zone reads the store; the others ask it, and count its age from their own question.
+func TestOthersAskTheReader(t *testing.T) {
+	instances := fleetOf("a", "b", "c")
+	reader := highest(instances, 1)[0]
+	var self Instance
+	for _, instance := range instances {
+		if instance.Name != reader.Name {
+			self = instance
+		}
+	}
+	w := &world{now: 100 * time.Second}
+	for i, instance := range instances {
+		w.items = append(w.items, record(t, instance, uint64(i+1)))
+	}
+	c := newCatalog(w, self)
+	turn(t, c, w)
+	w.now += time.Second
+	w.peer = Changes{Revision: 50, Age: 400 * time.Millisecond, Items: []store.Item{item("config", "3", 40)}}
+	reads := w.reads
+	turn(t, c, w)
+	if got := w.reads - reads; got != 0 || !slices.Equal(w.asked, []string{reader.Peer}) {
+		t.Errorf("got %d reads and questions to %v, want a question to %s alone", got, w.asked, reader.Peer)
+	}
+	if got, _ := c.Age(); got != 400*time.Millisecond {
+		t.Errorf("got age %v, want that of the answer", got)
+	}
+	if got := c.Snapshot().Table; got == nil || got.Config.Version != 3 {
+		t.Errorf("got table %v, want version 3", got)
+	}
+	w.now += time.Second
+	w.peer.Age = 3 * time.Second
+	turn(t, c, w)
+	if got := w.reads - reads; got == 0 && len(w.asked) < 3 {
+		t.Errorf("got %d reads and questions to %v, want another source after an old answer", got, w.asked)
+	}
+	if got, _ := c.Age(); got > 1400*time.Millisecond {
+		t.Errorf("got age %v, want none that the old answer made greater", got)
+	}
+}
+
+// An instance that the store turns away goes on with what another one knows.
+func TestTurnedAwayByTheStore(t *testing.T) {
+	w := &world{now: time.Minute, items: []store.Item{
+		record(t, Instance{Name: "a", Zone: "x", Peer: "a:1"}, 1), record(t, Instance{Name: "b", Zone: "y", Peer: "b:1"}, 2),
+	}}
+	c := newCatalog(w, Instance{Name: "a", Zone: "x", Peer: "a:1"})
+	turn(t, c, w)
+	w.err = store.ErrThrottled
+	w.peer = Changes{Revision: 60, Age: 200 * time.Millisecond}
+	w.now += 2 * time.Second
+	turn(t, c, w)
+	if got, _ := c.Age(); got != 200*time.Millisecond {
+		t.Errorf("got age %v, want that of the other instance's answer", got)
+	}
+	w.peer.Age = 10 * time.Second
+	w.now += 5 * time.Second
+	turn(t, c, w)
+	if got, _ := c.Age(); got < 5*time.Second {
+		t.Errorf("got age %v, want no old answer to count as the store's word", got)
+	}
+}
+
+func TestChangesForAnotherInstance(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	if _, ok := c.Changes(0); ok {
+		t.Error("got changes before the store answered, want none")
+	}
+	turn(t, c, w)
+	w.changes = []store.Item{item("servers/one", "ready", 20), item("servers/two", "draining", 21), removed("servers/three", 22)}
+	turn(t, c, w)
+	tests := []struct {
+		after uint64
+		all   bool
+		want  []string
+	}{
+		{0, true, []string{"servers/one", "servers/two"}},
+		{10, false, []string{"servers/three", "servers/two"}},
+		{22, false, nil},
+	}
+	for _, test := range tests {
+		changes, ok := c.Changes(test.after)
+		var got []string
+		for _, item := range changes.Items {
+			got = append(got, item.Key)
+		}
+		slices.Sort(got)
+		if !ok || changes.All != test.all || !slices.Equal(got, test.want) {
+			t.Errorf("after %d: got %v, all %v, want %v, %v: heartbeats are no news", test.after, got, changes.All, test.want, test.all)
+		}
+	}
+}
