--- a/rail/pipeline/search.go
+++ b/rail/pipeline/search.go
@@ -108,7 +108,7 @@
 }
 
 // enterCost is what the first engine costs more in another availability zone than the instance's.
-const enterCost = 3 * time.Millisecond
+const enterCost = 20 * time.Millisecond
 
 // enter begins paths at the first bound: from the stage before the span, or from the instance, which sends no activations.
 func (c *Chooser) enter(nodes []node, first int, candidates []candidate, zones map[string]int, costs [][]float64, request Request, over span) {
