Explain a request from its id, keep the log within a budget, and test what requests may do

comfreyctl explain prints a request's lines in order of time and the likeliest cause. Lines of a kind beyond their budget are counted, a blocked output drops lines and holds nobody up. Tests: what runs once reaches one server at most, refusals that promise 'not run', streams that go on elsewhere, keys while the store is silent, late and unanswered orders.

--- a/Makefile
+++ b/Makefile
@@ -40,14 +40,16 @@
 
 generate:
 	cd comfreyrail/internal/process && go tool wire
+	cd comfreyrail/internal/gateway/process && go tool wire
 
 # Fails if the committed generated code differs from what the generator writes.
 generate-check:
 	cd comfreyrail/internal/process && go tool wire diff
+	cd comfreyrail/internal/gateway/process && go tool wire diff
 
 # Fails if a go.mod or go.sum is not tidy.
 tidy-check:
-	@for module in rail $(PROGRAMS); do (cd $$module && go mod tidy -diff) || exit 1; done
+	@for module in rail platform $(PROGRAMS); do (cd $$module && go mod tidy -diff) || exit 1; done
 
 clean:
 	rm -rf build
--- a/comfreyctl/internal/command/command.go
+++ b/comfreyctl/internal/command/command.go
@@ -106,7 +106,7 @@
 	flags.BoolVar(&s.wait, "wait", false, "wait until an accepted edit is in force at every instance")
 	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "longest time to wait for the instances")
 	root.AddCommand(s.routeCommand(), s.poolCommand(), s.applyCommand(), s.diffCommand(), s.exportCommand(), s.drainCommand())
-	root.AddCommand(s.editCommand(), s.historyCommand(), s.statusCommand(), s.dumpCommand())
+	root.AddCommand(s.editCommand(), s.historyCommand(), s.statusCommand(), s.dumpCommand(), explainCommand())
 	return root
 }
 
--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -147,7 +147,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.engines[r.service.Name].chooser.Progressed(time.Now(), r.path, pause, r.cost)
+	f.engines[r.service.Name].chooser.Progressed(time.Now(), r.path, pause)
 }
 
 // silent returns the stage that holds up a run, if it has been silent for so long at least.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
@@ -44,8 +45,8 @@
 	WriteForward func(header http.Header, forward call.Forward)
 	// ReadAnswer reads what a backend server says.
 	ReadAnswer func(status int, header http.Header) call.Answer
-	// Stalled asks the first engine of a path for the address of the engine that holds a request up.
-	Stalled func(ctx context.Context, server backend.Server, request string) (address string, err error)
+	// Stalled asks the first engine of a path for the address of an engine that holds requests up, empty for none.
+	Stalled func(ctx context.Context, server backend.Server) (address string, err error)
 	// Repath orders the first engine of a request to go on along other engines.
 	Repath func(ctx context.Context, first backend.Server, request string, path []call.Hop) error
 	// Log receives the log.
@@ -114,7 +115,7 @@
 	lastAt   time.Time     // time of the last event
 	events   int
 	tokens   int
-	stages   int
+	path     string // engines of the last run with their layers
 }
 
 // ServeHTTP passes one request on.
@@ -135,25 +136,22 @@
 
 // finish answers a request that failed, and logs how each ended.
 func (f *Forwarder) finish(w http.ResponseWriter, r *http.Request, j *job, err error) {
-	line := f.config.Log.WithFields(logrus.Fields{
-		"request": j.request.ID, "ms": time.Since(j.began).Milliseconds(), "sent": j.sent, "servers": j.last, "prompt": j.request.Prompt,
-	})
-	if j.route != nil {
-		line = line.WithField("route", j.route.Name)
-	}
+	line := f.config.Log.WithFields(f.describe(j))
 	var refused *refusal
 	switch {
 	case err == nil:
 		f.learn(j)
 		metrics.GetOrRegisterCounter("requests.done", f.config.Metrics).Inc(1)
-		line.WithFields(logrus.Fields{"first_ms": j.first.Milliseconds(), "gap_ms": j.gap.Milliseconds(), "events": j.events, "stages": j.stages}).Info("done")
+		f.time("requests.first", j.first)
+		f.time("requests.whole", time.Since(j.began))
+		line.Info(logs.SuccessMessage)
 	case r.Context().Err() != nil:
 		metrics.GetOrRegisterCounter("requests.left", f.config.Metrics).Inc(1)
 		line.WithError(err).Info("the caller has left")
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &refused):
 		metrics.GetOrRegisterCounter("requests.refused."+refused.code, f.config.Metrics).Inc(1)
-		line.WithField("status", refused.status).Info("refused: " + refused.code)
+		line.WithFields(logrus.Fields{"status": refused.status, "code": refused.code, "ran": j.ran}).Info("refused: " + refused.code)
 		refuse(w, refused)
 	default:
 		metrics.GetOrRegisterCounter("requests.broken", f.config.Metrics).Inc(1)
@@ -162,6 +160,49 @@
 	}
 }
 
+// describe returns what the line for the end of a request tells.
+func (f *Forwarder) describe(j *job) logrus.Fields {
+	age, _ := f.config.Catalog.Age()
+	fields := logrus.Fields{
+		logs.Request: j.request.ID, "ms": time.Since(j.began).Milliseconds(), "sent": j.sent, "config_age_ms": age.Milliseconds(),
+	}
+	if table := f.config.Catalog.Snapshot().Table; table != nil {
+		fields["config"] = table.Config.Version
+	}
+	if j.route != nil {
+		fields["route"], fields["kind"], fields["workspace"] = j.route.Name, j.route.Kind.String(), j.space
+	}
+	if j.last != "" {
+		fields[logs.Server] = j.last
+	}
+	if j.events > 0 {
+		fields["first_ms"], fields["gap_ms"] = j.first.Milliseconds(), j.gap.Milliseconds()
+		fields["events"], fields["path"] = j.events, j.path
+	}
+	return fields
+}
+
+// Sizes of the histograms of times.
+const (
+	// sampleSize is the number of values that a histogram keeps.
+	sampleSize = 512
+	// sampleAlpha is the weight of newer values.
+	sampleAlpha = 0.015
+)
+
+// time counts a time in milliseconds in a histogram.
+func (f *Forwarder) time(name string, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	histogram := f.config.Metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	if kept, ok := histogram.(metrics.Histogram); ok {
+		kept.Update(d.Milliseconds())
+	}
+}
+
 // refuse sends an answer of the instance itself.
 func refuse(w http.ResponseWriter, refused *refusal) {
 	header := w.Header()
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -0,0 +1,439 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// server is a backend server whose behaviour for its n-th request a test sets.
+type server struct {
+	id, address string
+	behave      func(conn net.Conn, request *http.Request, n int)
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func newServer(t *testing.T, id string, behave func(conn net.Conn, request *http.Request, n int)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{id: id, address: listener.Addr().String(), behave: behave}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, request)
+		n := len(s.seen)
+		s.mu.Unlock()
+		s.behave(conn, request, n)
+	}
+}
+
+func (s *server) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+func (s *server) request(n int) *http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[n]
+}
+
+// Behaviours of servers.
+func serves(conn net.Conn, request *http.Request, _ int) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", request.Header.Get("Id"))
+}
+
+func breaks(conn net.Conn, _ *http.Request, _ int) { _ = conn.Close() }
+
+func refuses(conn net.Conn, request *http.Request, _ int) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", request.Header.Get("Id"))
+}
+
+func foreign(conn net.Conn, _ *http.Request, _ int) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 2\r\n\r\nno")
+}
+
+func truncates(conn net.Conn, request *http.Request, _ int) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\nok", request.Header.Get("Id"))
+	_ = conn.Close()
+}
+
+func hangs(net.Conn, *http.Request, int) { time.Sleep(time.Second) }
+
+// desk is a Forwarder behind a listener, with the store's word as old as a test says.
+type desk struct {
+	url string
+	age atomic.Int64
+}
+
+// newDesk returns a desk with a route of each kind to the servers.
+func newDesk(t *testing.T, change func(*route.Config), servers ...*server) *desk {
+	t.Helper()
+	d := &desk{}
+	config := route.Config{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "once", Host: "127.0.0.1", Prefix: "/once/", Kind: route.Once, Attempts: 1, Timeout: 400 * time.Millisecond},
+			{Name: "safe", Host: "127.0.0.1", Prefix: "/safe/", Kind: route.Idempotent, Attempts: 2, Timeout: time.Second},
+			{
+				Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Kind: route.Stream, Resumable: true, Attempts: 2,
+				Timeout: 5 * time.Second, Target: 500 * time.Millisecond, Gap: 200 * time.Millisecond,
+			},
+			{
+				Name: "single", Host: "127.0.0.1", Prefix: "/single/", Kind: route.Stream, Attempts: 2,
+				Timeout: 5 * time.Second, Target: 500 * time.Millisecond, Gap: 200 * time.Millisecond,
+			},
+		},
+		Services: []route.Service{{Name: "app"}},
+	}
+	for i := range config.Routes {
+		config.Routes[i].Shares = []route.Share{{Service: "app", Weight: 1}}
+	}
+	if change != nil {
+		change(&config)
+	}
+	known := newCatalog(t, d, config, servers)
+	registry := metrics.NewRegistry()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f := New(Config{
+		Catalog: known, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: logrus.NewEntry(logger), Metrics: registry,
+		ConfirmWithin: 4 * time.Second, UnsureAfter: 2 * time.Second,
+		Retries: NewBudgets(BudgetConfig{Ratio: 1, Burst: 100, Window: 10 * time.Second, Instances: func() int { return 1 }}),
+		Others: func(time.Time, int) func(string) (pipeline.Use, bool) {
+			return func(string) (pipeline.Use, bool) { return pipeline.Use{}, true }
+		},
+		ReadRequest: readRequest, WriteForward: writeForward, ReadAnswer: readAnswer,
+		Stalled: func(context.Context, backend.Server) (string, error) { return "", nil },
+		Repath:  func(context.Context, backend.Server, string, []call.Hop) error { return nil },
+	})
+	front := httptest.NewServer(f)
+	t.Cleanup(front.Close)
+	d.url = front.URL
+	return d
+}
+
+func readRequest(header http.Header) call.Request {
+	return call.Request{ID: header.Get("Id"), Key: header.Get("Key"), LastEvent: header.Get("Last-Event-Id")}
+}
+
+func writeForward(header http.Header, forward call.Forward) {
+	header.Del("Key")
+	header.Set("Workspace", forward.Workspace)
+	header.Set("Deadline", strconv.FormatInt(forward.Deadline.Milliseconds(), 10))
+	if forward.LastEvent != "" {
+		header.Set("Last-Event-Id", forward.LastEvent)
+	}
+}
+
+func readAnswer(_ int, header http.Header) call.Answer {
+	return call.Answer{ID: header.Get("Id"), NotRun: header.Get("Not-Run") != ""}
+}
+
+// newCatalog returns a catalog that has read the configuration and the servers once.
+func newCatalog(t *testing.T, d *desk, config route.Config, servers []*server) *catalog.Catalog {
+	t.Helper()
+	items := []store.Item{{Key: "config", Revision: 1}}
+	for i, s := range servers {
+		value, err := json.Marshal(backend.Server{ID: s.id, Service: "app", Address: s.address, Slots: 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		items = append(items, store.Item{Key: "servers/" + s.id, Value: value, Revision: uint64(i + 2)})
+	}
+	read := make(chan struct{})
+	var once sync.Once
+	known := catalog.New(catalog.Config{
+		Range: func(context.Context, string, string) (store.Page, error) {
+			return store.Page{Items: items, Revision: 10}, nil
+		},
+		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Changes, error) {
+			once.Do(func() { close(read) })
+			<-ctx.Done()
+			return store.Changes{}, ctx.Err()
+		},
+		Ask: func(context.Context, string, uint64) (catalog.Changes, error) {
+			return catalog.Changes{}, store.ErrUnavailable
+		},
+		ConfigKey:    "config",
+		DecodeConfig: func([]byte) (route.Config, error) { return config, nil },
+		ServerID:     func(key string) (string, bool) { return strings.CutPrefix(key, "servers/") },
+		DecodeServer: func(_ string, value []byte) (decoded backend.Server, err error) {
+			err = json.Unmarshal(value, &decoded)
+			return decoded, err
+		},
+		Pace: time.Millisecond, Log: logrus.NewEntry(logrus.New()),
+		Elapsed: func() time.Duration { return time.Duration(d.age.Load()) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = known.Serve(ctx) }()
+	<-read
+	return known
+}
+
+// ask sends a request and returns the status, the body and whether it was whole.
+func (d *desk) ask(t *testing.T, path, key string) (answer *http.Response, body string, whole bool) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, d.url+path, strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Key", key)
+	transport := &http.Transport{DisableKeepAlives: true}
+	answer, err = transport.RoundTrip(request)
+	if err != nil {
+		return &http.Response{}, "", false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	content, err := io.ReadAll(answer.Body)
+	return answer, string(content), err == nil
+}
+
+// What may run once reaches one server at most, and a refusal that promises "not run" is given only while that is sure.
+func TestPlainRequests(t *testing.T) {
+	tests := []struct {
+		name, path    string
+		first, second func(net.Conn, *http.Request, int)
+		status        int
+		runs          int // requests that reached both servers
+	}{
+		{"served", "/once/", serves, serves, 200, 1},
+		{"once: broken after it was sent", "/once/", breaks, breaks, 502, 1},
+		{"once: surely not run", "/once/", refuses, refuses, 503, 1},
+		{"once: another request's answer", "/once/", foreign, foreign, 502, 1},
+		{"once: not whole", "/once/", truncates, truncates, 502, 1},
+		{"once: no answer in time", "/once/", hangs, hangs, 504, 1},
+		{"safe: broken at both", "/safe/", breaks, breaks, 502, 2},
+		{"safe: refused by both", "/safe/", refuses, refuses, 503, 2},
+		{"safe: not whole at both", "/safe/", truncates, truncates, 502, 2},
+		{"no route", "/none/", serves, serves, 404, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := newServer(t, "first", test.first), newServer(t, "second", test.second)
+			answer, _, _ := newDesk(t, nil, first, second).ask(t, test.path, "")
+			if answer.StatusCode != test.status {
+				t.Errorf("got status %d, want %d", answer.StatusCode, test.status)
+			}
+			if got := first.runs() + second.runs(); got != test.runs {
+				t.Errorf("got %d requests at the servers, want %d", got, test.runs)
+			}
+			if got := answer.Header.Get("Retry-After") != ""; got != (test.status == http.StatusServiceUnavailable) {
+				t.Errorf("got Retry-After %v with status %d, want it where nothing ran", got, answer.StatusCode)
+			}
+		})
+	}
+}
+
+func TestSafeRequestsGoToAnotherServer(t *testing.T) {
+	for _, first := range []func(net.Conn, *http.Request, int){breaks, refuses, truncates, foreign} {
+		failed := false
+		var mu sync.Mutex
+		behave := func(conn net.Conn, request *http.Request, n int) {
+			mu.Lock()
+			fail := !failed
+			failed = true
+			mu.Unlock()
+			if fail {
+				first(conn, request, n)
+				return
+			}
+			serves(conn, request, n)
+		}
+		d := newDesk(t, nil, newServer(t, "first", behave), newServer(t, "second", behave))
+		if answer, body, _ := d.ask(t, "/safe/", ""); answer.StatusCode != http.StatusOK || body != "ok" {
+			t.Errorf("got status %d, body %q, want the second server's answer", answer.StatusCode, body)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	withKeys := func(config *route.Config) {
+		config.Workspaces = []route.Workspace{{Name: "mill", Keys: []string{"good"}}}
+		config.Routes[0].Public = true
+	}
+	tests := []struct {
+		name, path, key string
+		age             time.Duration
+		status, runs    int
+	}{
+		{"a key", "/safe/", "good", 0, 200, 1},
+		{"no key", "/safe/", "", 0, 401, 0},
+		{"an unknown key", "/safe/", "bad", 0, 401, 0},
+		{"a public route", "/once/", "", 0, 200, 1},
+		{"a key, the store silent for a while", "/safe/", "good", 3 * time.Second, 200, 1},
+		{"an unknown key then", "/safe/", "bad", 3 * time.Second, 503, 0},
+		{"an unknown route then", "/none/", "good", 3 * time.Second, 503, 0},
+		{"a key, the store silent for long", "/safe/", "good", 5 * time.Second, 503, 0},
+		{"a public route then", "/once/", "", 5 * time.Second, 200, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newServer(t, "only", serves)
+			d := newDesk(t, withKeys, s)
+			d.age.Add(int64(test.age))
+			answer, _, _ := d.ask(t, test.path, test.key)
+			if answer.StatusCode != test.status || s.runs() != test.runs {
+				t.Errorf("got status %d and %d runs, want %d and %d", answer.StatusCode, s.runs(), test.status, test.runs)
+			}
+			if s.runs() > 0 && s.request(0).Header.Get("Key") != "" {
+				t.Error("got the caller's key at the server, want it kept here")
+			}
+		})
+	}
+}
+
+// event writes one event as a chunk.
+func event(conn net.Conn, id int, text string) {
+	content := fmt.Sprintf("id: %d\ndata: %s\n\n", id, text)
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(content), content)
+}
+
+func beginStream(conn net.Conn, request *http.Request) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+}
+
+// counting streams events up to the fifth; a run that begins at the first breaks within the third.
+func counting(conn net.Conn, request *http.Request, _ int) {
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	beginStream(conn, request)
+	for id := last + 1; id <= 5; id++ {
+		if last == 0 && id == 3 {
+			_, _ = io.WriteString(conn, "5\r\nid: 3\r\n")
+			_ = conn.Close()
+			return
+		}
+		event(conn, id, strconv.Itoa(id))
+	}
+	_, _ = io.WriteString(conn, "0\r\n\r\n")
+}
+
+func TestStreamsGoOnAtAnotherServer(t *testing.T) {
+	d := newDesk(t, nil, newServer(t, "first", counting), newServer(t, "second", counting))
+	answer, body, whole := d.ask(t, "/stream/", "")
+	want := ""
+	for id := 1; id <= 5; id++ {
+		want += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+	}
+	if answer.StatusCode != http.StatusOK || body != want || !whole {
+		t.Errorf("got status %d, whole %v, body %q, want every event once: %q", answer.StatusCode, whole, body, want)
+	}
+}
+
+// A stream that may not be resumed runs once, and one that broke off never looks whole.
+func TestStreamsThatMayNotBeResumed(t *testing.T) {
+	first, second := newServer(t, "first", counting), newServer(t, "second", counting)
+	_, body, whole := newDesk(t, nil, first, second).ask(t, "/single/", "")
+	if got := first.runs() + second.runs(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+	if whole || strings.Contains(body, "id: 3") {
+		t.Errorf("got %q, whole %v, want it to break off after the second event", body, whole)
+	}
+}
+
+func TestTheServersHearThatTheCallerHasLeft(t *testing.T) {
+	left := make(chan struct{})
+	s := newServer(t, "only", func(conn net.Conn, request *http.Request, _ int) {
+		beginStream(conn, request)
+		event(conn, 1, "x")
+		_, _ = conn.Read(make([]byte, 1))
+		close(left)
+	})
+	d := newDesk(t, nil, s)
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/stream/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", "r1")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	_ = answer.Body.Close()
+	<-left
+}
+
+func TestARequestIsRefusedThatCannotEndBeforeTheStop(t *testing.T) {
+	f := &Forwarder{}
+	f.tokenTime.Store(int64(10 * time.Millisecond))
+	f.StopBy(time.Now().Add(4 * time.Second))
+	stream := &route.Route{Kind: route.Stream, Target: 500 * time.Millisecond}
+	tests := []struct {
+		tokens int
+		want   bool
+	}{{100, true}, {400, false}}
+	for _, test := range tests {
+		if got := f.endsInTime(&job{route: stream, request: call.Request{Hint: test.tokens}}); got != test.want {
+			t.Errorf("%d tokens: got %v, want %v", test.tokens, got, test.want)
+		}
+	}
+}
+
+func TestBudgetsBoundRepeats(t *testing.T) {
+	b := NewBudgets(BudgetConfig{Ratio: 0.2, Burst: 20, Window: time.Minute, Instances: func() int { return 2 }})
+	for range 100 {
+		b.Count("app")
+	}
+	allowed := 0
+	for range 1000 {
+		if b.Allow("app") {
+			allowed++
+		}
+	}
+	if want := 20 + 5; allowed != want {
+		t.Errorf("got %d repeats, want a fifth of the requests and a part of the burst: %d", allowed, want)
+	}
+}
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -33,37 +35,51 @@
 func (f *Forwarder) plain(ctx context.Context, w http.ResponseWriter, j *job) error {
 	var failed *whole
 	for j.sent < j.route.Attempts {
-		_, servers, _ := f.pickService(j)
-		server, ok := f.fleet.choosePlain(servers, j.avoid)
-		if !ok || j.sent > 0 && !f.config.Retries.Allow(server.Service) {
+		server, ok := f.nextPlain(j)
+		if !ok {
 			break
 		}
-		if j.sent == 0 {
-			f.config.Retries.Count(server.Service)
-		}
-		j.sent++
-		j.avoid = append(j.avoid, server.ID)
-		j.last = server.ID
 		answer, err := f.once(ctx, j, server)
-		if ctx.Err() != nil && err != nil {
+		if err != nil && ctx.Err() != nil {
 			return j.expired()
 		}
-		if err == nil && !answer.told.NotRun && answer.status < http.StatusInternalServerError {
+		if err == nil && answer.succeeded() {
 			return answer.send(w)
 		}
-		if err == nil {
+		if err == nil && !answer.told.NotRun {
 			failed = answer
 		}
 		if j.ran && j.route.Kind == route.Once {
 			break
 		}
 	}
-	if failed != nil && !failed.told.NotRun {
+	if failed != nil {
 		return failed.send(w)
 	}
 	return j.exhausted("no-server")
 }
 
+// nextPlain returns the server for the next attempt, and false if there is none or no more may be made.
+func (f *Forwarder) nextPlain(j *job) (server backend.Server, ok bool) {
+	_, servers, _ := f.pickService(j)
+	server, ok = f.fleet.choosePlain(servers, j.avoid)
+	if !ok {
+		return server, false
+	}
+	if j.sent == 0 {
+		f.config.Retries.Count(server.Service)
+	} else if !f.config.Retries.Allow(server.Service) {
+		return server, false
+	}
+	j.sent++
+	j.avoid = append(j.avoid, server.ID)
+	j.last = server.ID
+	return server, true
+}
+
+// succeeded reports whether the server ran the request and did not fail.
+func (a *whole) succeeded() bool { return !a.told.NotRun && a.status < http.StatusInternalServerError }
+
 // once sends the request to one server and reads the whole answer.
 func (f *Forwarder) once(ctx context.Context, j *job, server backend.Server) (result *whole, err error) {
 	f.fleet.startedPlain(server.ID)
@@ -95,7 +111,9 @@
 	}
 	if told.NotRun {
 		f.fleet.suspectPlain(server.ID)
-		f.config.Log.WithField("request", j.request.ID).WithField("server", server.ID).WithField("status", answer.Status).Info("the server did not run the request")
+		f.config.Log.WithFields(logrus.Fields{
+			logs.Request: j.request.ID, logs.Server: server.ID, "status": answer.Status,
+		}).Info("the server did not run the request")
 	} else {
 		j.ran = true
 	}
@@ -105,7 +123,9 @@
 // failed logs an attempt that failed and leaves the server alone for a while.
 func (f *Forwarder) failed(j *job, server backend.Server, err error) {
 	f.fleet.suspectPlain(server.ID)
-	f.config.Log.WithError(err).WithField("request", j.request.ID).WithField("server", server.ID).WithField("after", time.Since(j.began).String()).Info("attempt failed")
+	f.config.Log.WithError(err).WithFields(logrus.Fields{
+		logs.Request: j.request.ID, logs.Server: server.ID, "ran": j.ran, "after_ms": time.Since(j.began).Milliseconds(),
+	}).Info("attempt failed")
 }
 
 // send gives the answer to the caller.
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -140,7 +143,7 @@
 // open sends the request to the first server of the run's path.
 func (f *Forwarder) open(ctx context.Context, j *job, r *run, lastID string) (err error) {
 	first := r.path[0].Server
-	j.last = first.ID
+	j.last, j.path = first.ID, describePath(r.path)
 	request := f.outgoing(j, first, nil, lastID)
 	if r.service.Engine != nil {
 		request = f.outgoing(j, first, hops(r.path), lastID)
@@ -173,6 +176,18 @@
 	return nil
 }
 
+// describePath returns the engines of a path with their layers, for logs.
+func describePath(path pipeline.Path) string {
+	var text strings.Builder
+	for i, stage := range path {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%s=%d-%d", stage.Server.ID, stage.Layers.From, stage.Layers.To)
+	}
+	return text.String()
+}
+
 // part returns a part of a time.
 func part(of time.Duration, factor float64) time.Duration { return time.Duration(float64(of) * factor) }
 
@@ -217,7 +232,7 @@
 	r.moves++
 	culprit := r.path[stage].Server
 	log := f.config.Log.WithFields(logrus.Fields{
-		"request": j.request.ID, "first": r.path[0].Server.ID, "silent": culprit.ID, "waited": time.Since(r.since).Milliseconds(),
+		logs.Request: j.request.ID, "first": r.path[0].Server.ID, "silent": culprit.ID, "waited": time.Since(r.since).Milliseconds(),
 	})
 	path, ok := f.fleet.reroute(r, stage)
 	if !ok {
@@ -231,6 +246,7 @@
 		return
 	}
 	f.fleet.moved(r, path)
+	j.path = describePath(path)
 	log.Info("moved past a silent engine")
 }
 
@@ -242,25 +258,25 @@
 		j.avoid = append(j.avoid, first.ID)
 	} else {
 		if address == "" {
-			address = f.stalled(ctx, j, first)
+			address = f.stalled(ctx, first)
 		}
 		f.fleet.suspectEngine(r.service.Name, address)
 	}
 	f.config.Log.WithError(cause).WithFields(logrus.Fields{
-		"request": j.request.ID, "server": first.ID, "fault": address, "stages": len(r.path), "after": time.Since(j.began).Milliseconds(),
+		logs.Request: j.request.ID, logs.Server: first.ID, "fault": address, "path": j.path, "after_ms": time.Since(j.began).Milliseconds(),
 	}).Info("attempt failed")
 }
 
 // stalledTimeout is the longest time for asking who holds a request up.
 const stalledTimeout = 150 * time.Millisecond
 
-// stalled returns the address of the engine that holds the request up, the first one's if it does not say.
-func (f *Forwarder) stalled(ctx context.Context, j *job, first backend.Server) string {
+// stalled returns the address of an engine that holds requests up, the first one's if it does not say.
+func (f *Forwarder) stalled(ctx context.Context, first backend.Server) string {
 	ctx, cancel := context.WithTimeout(ctx, stalledTimeout)
 	defer cancel()
-	address, err := f.config.Stalled(ctx, first, j.request.ID)
+	address, err := f.config.Stalled(ctx, first)
 	if err != nil {
-		f.config.Log.WithError(err).WithField("server", first.ID).Info("the first engine does not say who stalls")
+		f.config.Log.WithError(err).WithField(logs.Server, first.ID).Info("the first engine does not say who stalls")
 		return first.Address
 	}
 	if address == "" {
@@ -290,7 +306,6 @@
 	silence := part(j.route.Gap, pauseSilence)
 	r.answer.Silent(func() time.Duration { return f.silent(ctx, j, r, patience) })
 	var buffer [4096]byte
-	j.stages = len(r.path)
 	f.progressed(r, 0)
 	for {
 		r.answer.SetReadDeadline(time.Now().Add(silence))
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -18,6 +18,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/platform"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
@@ -51,9 +52,9 @@
 		return nil, err
 	}
 	logger := logrus.New()
-	logger.SetOutput(os.Stdout)
+	logger.SetOutput(logs.NewWriter(os.Stdout))
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetFormatter(&logs.Budget{Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}, Now: time.Now})
 	return logger.WithFields(logrus.Fields{"instance": loaded.Name}), nil
 }
 
@@ -137,7 +138,7 @@
 		ConfirmWithin: confirmWithin(loaded), UnsureAfter: time.Duration(loaded.Key.Apply),
 		ReadRequest: platform.ReadRequest, WriteForward: platform.WriteForward, ReadAnswer: platform.ReadAnswer,
 		Repath: engines.Repath,
-		Stalled: func(ctx context.Context, server backend.Server, request string) (address string, err error) {
+		Stalled: func(ctx context.Context, server backend.Server) (address string, err error) {
 			state, err := engines.State(ctx, server)
 			if err != nil || len(state.Stalled) == 0 {
 				return "", err
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -167,7 +167,7 @@
 	if _, err = c.Write(encode(request)); err != nil {
 		return nil, &Error{Sent: true, Cause: err}
 	}
-	response, err := readResponse(c.reader, request.Method)
+	response, err := readResponse(c.reader, request.Method) //nolint:bodyclose // the Answer ends or keeps the connection
 	if err != nil {
 		return nil, &Error{Sent: true, Cause: err}
 	}
--- /dev/null
+++ b/comfreyrail/internal/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes structured log lines within a budget and without ever holding up whoever logs.
+package logs
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -128,10 +128,10 @@
 }
 
 // Progressed notes that a request on the path made progress after a pause; a pause of zero says nothing of its speed.
-func (c *Chooser) Progressed(now time.Time, path Path, pause time.Duration, request Request) {
+func (c *Chooser) Progressed(now time.Time, path Path, pause time.Duration) {
 	slowness := 0.0
 	if pause > 0 {
-		ratio := float64(pause) / float64(max(c.Expected(path, request), time.Millisecond))
+		ratio := float64(pause) / float64(max(c.Expected(path), time.Millisecond))
 		if c.usual == 0 {
 			c.usual = ratio
 		}
@@ -144,7 +144,7 @@
 }
 
 // Expected returns the expected pause between two events of a request on the path.
-func (c *Chooser) Expected(path Path, request Request) time.Duration {
+func (c *Chooser) Expected(path Path) time.Duration {
 	total := time.Duration(0)
 	for _, stage := range path {
 		card, _ := c.engine.Card(stage.Server.Card)
--- a/rail/pipeline/health_test.go
+++ b/rail/pipeline/health_test.go
@@ -24,7 +24,7 @@
 // progress lets a path make progress every interval until the end.
 func progress(c *Chooser, path Path, from time.Time, interval, length time.Duration) {
 	for at := time.Duration(0); at <= length; at += interval {
-		c.Progressed(from.Add(at), path, interval, usual)
+		c.Progressed(from.Add(at), path, interval)
 	}
 }
 
