Take everything within the balancer's lag, and end within the grace of a stop

A stopping instance takes all requests within the balancer's lag and afterwards what can end; stop.limit is the time until the process is gone.

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -59,6 +59,7 @@
 type Forwarder struct {
 	config    Config
 	fleet     *fleet
+	lagUntil  atomic.Int64 // Unix nanoseconds
 	stopBy    atomic.Int64 // Unix nanoseconds, zero while the instance does not stop
 	tokenTime atomic.Int64 // nanoseconds between tokens
 }
@@ -346,16 +347,20 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: "stopping", after: elsewhereAfter}
 }
 
-// StopBy tells that requests which are still in progress at the time are cut.
-func (f *Forwarder) StopBy(at time.Time) { f.stopBy.Store(at.UnixNano()) }
+// StopBy tells that requests which are still in progress at the time are cut, and until when the balancer may still send
+// new callers here, so that a refusal would meet them again.
+func (f *Forwarder) StopBy(lag, at time.Time) {
+	f.lagUntil.Store(lag.UnixNano())
+	f.stopBy.Store(at.UnixNano())
+}
 
 // stopMargin is how long before the cut a request must be expected to end.
 const stopMargin = time.Second
 
-// endsInTime reports whether a request is expected to end before the instance stops.
+// endsInTime reports whether a request is expected to end before the instance stops, or has nowhere else to go yet.
 func (f *Forwarder) endsInTime(j *job) bool {
 	at := f.stopBy.Load()
-	if at == 0 {
+	if at == 0 || time.Now().UnixNano() < f.lagUntil.Load() {
 		return true
 	}
 	expected := j.route.Target
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -406,18 +406,20 @@
 	<-left
 }
 
+// A stopping instance takes everything while the balancer may send a refused caller back to it, and then what can end.
 func TestARequestIsRefusedThatCannotEndBeforeTheStop(t *testing.T) {
 	f := &Forwarder{}
 	f.tokenTime.Store(int64(10 * time.Millisecond))
-	f.StopBy(time.Now().Add(4 * time.Second))
 	stream := &route.Route{Kind: route.Stream, Target: 500 * time.Millisecond}
 	tests := []struct {
+		lag    time.Duration
 		tokens int
 		want   bool
-	}{{100, true}, {400, false}}
+	}{{0, 100, true}, {0, 400, false}, {time.Minute, 400, true}}
 	for _, test := range tests {
+		f.StopBy(time.Now().Add(test.lag), time.Now().Add(4*time.Second))
 		if got := f.endsInTime(&job{route: stream, request: call.Request{Hint: test.tokens}}); got != test.want {
-			t.Errorf("%d tokens: got %v, want %v", test.tokens, got, test.want)
+			t.Errorf("%d tokens, lag %v: got %v, want %v", test.tokens, test.lag, got, test.want)
 		}
 	}
 }
--- a/comfreyrail/internal/gateway/process/entry.go
+++ b/comfreyrail/internal/gateway/process/entry.go
@@ -47,7 +47,10 @@
 		Stop: stop.Config{
 			Lag: time.Duration(loaded.Stop.Lag), Idle: time.Duration(loaded.Stop.Idle), Limit: time.Duration(loaded.Stop.Limit), Checker: checker,
 		},
-		Unready: func(context.Context) { forwarder.StopBy(time.Now().Add(time.Duration(loaded.Stop.Limit))) },
+		Unready: func(context.Context) {
+			now := time.Now()
+			forwarder.StopBy(now.Add(time.Duration(loaded.Stop.Lag)), now.Add(time.Duration(loaded.Stop.Limit)))
+		},
 		Release: lease.Release,
 		Log:     log,
 	})
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -51,7 +51,7 @@
 	// failureBackoff is the pause after a service has failed repeatedly.
 	failureBackoff = 500 * time.Millisecond
 	// stopTimeout is how long the services may take to end.
-	stopTimeout = time.Second
+	stopTimeout = 200 * time.Millisecond
 	// keepEvery is the time between two looks at idle connections.
 	keepEvery = time.Second
 )
--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -92,7 +92,9 @@
 	defaultEventDelay   = 100 * time.Millisecond
 	defaultGatewayLag   = 3 * time.Second
 	defaultGatewayIdle  = time.Second
-	defaultGatewayLimit = 7500 * time.Millisecond
+	defaultGatewayLimit = 8 * time.Second
+	// exitTime is the part of the time for a stop that ending the process takes.
+	exitTime = 700 * time.Millisecond
 )
 
 // DefaultGateway returns the settings that apply where the file sets none.
@@ -123,7 +125,11 @@
 	if err = decode(content, &parsed); err != nil {
 		return Gateway{}, err
 	}
-	return parsed, joined(parsed.problems())
+	if err = joined(parsed.problems()); err != nil {
+		return Gateway{}, err
+	}
+	parsed.Stop.Limit -= Duration(exitTime)
+	return parsed, nil
 }
 
 // problems returns a line for each invalid field, with its value and how to mend it.
@@ -154,8 +160,8 @@
 			report(limit.field, limit.value, "use a time above zero, such as \"1s\"")
 		}
 	}
-	if g.Stop.Limit <= g.Stop.Lag+g.Stop.Idle {
-		report("stop.limit", g.Stop.Limit, "use more than stop.lag and stop.idle together")
+	if g.Stop.Limit <= g.Stop.Lag+g.Stop.Idle+Duration(exitTime) {
+		report("stop.limit", g.Stop.Limit, "use at least a second more than stop.lag and stop.idle together")
 	}
 	if g.Repeat.Ratio < 0 || g.Repeat.Burst < 0 {
 		report("repeat", g.Repeat, "use no negative ratio or burst")
