--- a/comfreyctl/internal/command/explain.go
+++ b/comfreyctl/internal/command/explain.go
@@ -138,7 +138,7 @@
 	{"no-route", "no route of the configuration in force matches the host and the path"},
 	{"unknown-key", "the key is in no workspace of the configuration in force: never given out, or taken away"},
 	{"no-room", "no path of engines had room for the request and covered every layer"},
-	{"no-server", "no backend server took the request"},
+	{"no-server", "no backend server gave a whole answer, or none was left to ask"},
 	{"stream-failed", "every path that the route allows failed"},
 	{"timeout", "the time of the route or of the caller was up"},
 	{"stopping", "the instance was stopping and could not have finished the request"},
--- a/rail/drain/drain.go
+++ b/rail/drain/drain.go
@@ -138,13 +138,15 @@
 
 // observe records that this instance itself saw the sign; it makes a mark unless a young one stands.
 //
-// A peer may have ended an old mark by evidence from before the sign, so an old mark is replaced.
+// A peer may have ended an old mark by evidence from before the sign, so an old mark is replaced. A mark of another
+// instance does not stand for the sign: how old it is there is not known here, and its end may be on the way.
 func (s *State) observe(name string, source Source, now time.Time) {
 	found := s.find(name)
 	young := false
 	for id, held := range found.marks {
 		if held.mark.Source == source {
-			young = young || now.Sub(held.since) < s.renewal(source)
+			own := held.mark.Observer == s.config.Observer
+			young = young || own && now.Sub(held.since) < s.renewal(source)
 			held.at = later(held.at, now)
 			found.marks[id] = held
 		}
@@ -153,7 +155,7 @@
 		return
 	}
 	for _, held := range found.marks {
-		if held.mark.Source == source {
+		if held.mark.Source == source && held.mark.Observer == s.config.Observer {
 			s.end(held.mark, now)
 		}
 	}
