--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -36,6 +36,8 @@
 	unheardTime = 4 * time.Second
 	// freshMargin is how much older than the pace another instance's word may be.
 	freshMargin = 600 * time.Millisecond
+	// directPause is the time for which an instance that another one reads for leaves a failed store alone.
+	directPause = 1500 * time.Millisecond
 	// lapseTime is how long after the store's return an entry may take to come back.
 	lapseTime = 2500 * time.Millisecond
 )
@@ -107,6 +109,7 @@
 	connected bool
 	outage    bool
 	regained  time.Duration
+	failedAt  time.Duration            // when the store last failed to answer, zero if it answered
 	unheard   map[string]time.Duration // until when instances without news are not asked
 }
 
@@ -200,8 +203,7 @@
 		c.unheard[reader.Name] = c.config.Elapsed() + unheardTime
 		c.config.Log.WithField("reader", reader.Name).WithField("age", age.String()).Info("the instance that reads the store has no news")
 	}
-	err = c.read(ctx)
-	if err == nil || errors.Is(err, store.ErrCompacted) {
+	if err = c.read(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
 		return 0, err
 	}
 	if helper, ok := helperOf(c.Snapshot().Instances, c.config.Self); ok {
@@ -261,8 +263,25 @@
 	}
 }
 
-// read reads everything from the store, or what has changed there.
+// errAway means that the store did not answer just now and is left to those that read it for others.
+const errAway = errors.ConstError("the store did not answer just now")
+
+// read reads the store, which is not asked again at once by all instances after it has failed.
 func (c *Catalog) read(ctx context.Context) (err error) {
+	now := c.config.Elapsed()
+	if _, other := readerOf(c.Snapshot().Instances, c.config.Self); other && c.failedAt > 0 && now-c.failedAt < directPause {
+		return errAway
+	}
+	err = c.readStore(ctx)
+	c.failedAt = 0
+	if err != nil && !errors.Is(err, store.ErrCompacted) {
+		c.failedAt = now
+	}
+	return err
+}
+
+// readStore reads everything from the store, or what has changed there.
+func (c *Catalog) readStore(ctx context.Context) (err error) {
 	if c.revision == 0 {
 		return c.readAll(ctx)
 	}
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -296,3 +296,31 @@
 		}
 	}
 }
+
+// While the store is down the instances that do not read it for others ask it now and then only.
+func TestTheStoreIsLeftAloneWhileItIsDown(t *testing.T) {
+	instances := fleetOf("a", "b", "c", "d")
+	reader := highest(instances, 1)[0]
+	for _, self := range instances {
+		w := &world{now: time.Minute}
+		for i, instance := range instances {
+			w.items = append(w.items, record(t, instance, uint64(i+1)))
+		}
+		c := newCatalog(w, self)
+		turn(t, c, w)
+		w.err, w.peerErr = errDown, errDown
+		reads := w.reads
+		const turns = 20
+		for range turns {
+			w.now += 250 * time.Millisecond
+			turn(t, c, w)
+		}
+		got := w.reads - reads
+		if self.Name == reader.Name && got != turns {
+			t.Errorf("the reader asked %d times, want every time: %d", got, turns)
+		}
+		if self.Name != reader.Name && got > turns/4 {
+			t.Errorf("%s asked %d times in 5 s, want %d at most", self.Name, got, turns/4)
+		}
+	}
+}
