Soak the gateway as processes, with faults from outside

It checks what callers and servers see: once at most, refusals that are true, answers whole and their own, streams without gap or repeat, every layer once, keys that are gone.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Modules of the workspace that are programs.
-PROGRAMS := comfreyrail comfreyctl railload standin/platform standin/engine standin/plain
+PROGRAMS := comfreyrail comfreyctl railload soak standin/platform standin/engine standin/plain
 # Every module, as package patterns.
 PACKAGES := $(shell go list -f '{{.Dir}}/...' -m)
 
--- /dev/null
+++ b/soak/internal/soak/proxy.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// fault is what a proxy does to its connections.
+type fault int
+
+const (
+	none    fault = iota
+	delayed       // bytes take longer
+	silent        // bytes go nowhere, connections stay open
+	oneWay        // answers go nowhere
+	reset         // connections are reset
+)
+
+// proxyDelay is how much longer delayed bytes take.
+const proxyDelay = 60 * time.Millisecond
+
+// proxy passes connections on to an address, with a fault.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault fault
+	conns map[*net.TCPConn]bool
+}
+
+// newProxy returns a proxy on a free port of the loopback.
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: make(map[*net.TCPConn]bool)}
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the fault; a reset ends all connections at once.
+func (p *proxy) set(f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	if f != reset {
+		return
+	}
+	for conn := range p.conns {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func (p *proxy) now() fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) serve() {
+	for {
+		accepted, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(accepted.(*net.TCPConn))
+	}
+}
+
+func (p *proxy) keep(conn *net.TCPConn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[conn] = true
+		return
+	}
+	delete(p.conns, conn)
+}
+
+func (p *proxy) pass(caller *net.TCPConn) {
+	p.keep(caller, true)
+	defer p.keep(caller, false)
+	defer func() { _ = caller.Close() }()
+	if p.now() == reset {
+		_ = caller.SetLinger(0)
+		return
+	}
+	opened, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	server := opened.(*net.TCPConn)
+	defer func() { _ = server.Close() }()
+	done := make(chan struct{})
+	go func() {
+		p.copy(server, caller, false)
+		_ = server.CloseWrite()
+		close(done)
+	}()
+	p.copy(caller, server, true)
+	_ = caller.Close()
+	<-done
+}
+
+// copy passes bytes on until a side ends.
+func (p *proxy) copy(to io.Writer, from io.Reader, answers bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.write(to, buffer[:n], answers) {
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) write(to io.Writer, content []byte, answers bool) bool {
+	switch p.now() {
+	case silent:
+		return true
+	case oneWay:
+		if answers {
+			return true
+		}
+	case delayed:
+		time.Sleep(proxyDelay)
+	}
+	_, err := to.Write(content)
+	return err == nil
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/comfreyrail/comfreyrail/soak/internal/soak"
+)
+
+func main() {
+	var config soak.Config
+	root := &cobra.Command{
+		Use:           "soak",
+		Short:         "Run gateways as processes, inject faults from outside, and check what callers and servers see",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			report, err := soak.Run(command.Context(), config)
+			fmt.Fprintln(command.OutOrStdout(), report)
+			return err
+		},
+	}
+	flags := root.Flags()
+	flags.StringVar(&config.Program, "program", "build/comfreyrail", "program of the gateway")
+	flags.StringVar(&config.Logs, "logs", "", "folder for the logs of the processes; empty keeps none")
+	flags.Uint64Var(&config.Seed, "seed", 1, "seed of the faults")
+	flags.DurationVar(&config.Length, "length", 10*time.Second, "time with faults")
+	flags.IntVar(&config.Instances, "instances", 3, "number of gateways")
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
