--- a/soak/internal/soak/callers.go
+++ b/soak/internal/soak/callers.go
@@ -47,9 +47,9 @@
 const requestTimeout = 4 * time.Second
 
 // ask sends one request over a client that keeps its connections.
-func (c *callers) ask(client *http.Client, address, kind string, key fakeplatform.Key) {
+func (c *callers) ask(ctx context.Context, client *http.Client, address, kind string, key fakeplatform.Key) {
 	a := asked{id: c.next(), kind: kind, key: key, sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("question"))
 	if err != nil {
--- a/soak/internal/soak/instance.go
+++ b/soak/internal/soak/instance.go
@@ -1,8 +1,8 @@
 package soak
 
 import (
+	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,13 +25,13 @@
 }
 
 // newInstance writes the settings of a gateway and starts it.
-func newInstance(config Config, folder, name, zone, store string) (i *instance, err error) {
+func newInstance(ctx context.Context, config Config, folder, name, zone, store string) (i *instance, err error) {
 	defer errors.DeferredAnnotatef(&err, "start %s", name)
-	link, err := newProxy(store)
+	link, err := newProxy(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(3)
+	ports, err := freePorts(ctx, 3)
 	if err != nil {
 		return nil, err
 	}
@@ -51,9 +51,9 @@
 }
 
 // freePorts returns addresses of the loopback that are free now.
-func freePorts(count int) (addresses []string, err error) {
+func freePorts(ctx context.Context, count int) (addresses []string, err error) {
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := listen(ctx)
 		if err != nil {
 			return nil, err
 		}
--- a/soak/internal/soak/proxy.go
+++ b/soak/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -32,8 +33,8 @@
 }
 
 // newProxy returns a proxy on a free port of the loopback.
-func newProxy(target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func newProxy(ctx context.Context, target string) (*proxy, error) {
+	listener, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -42,6 +43,11 @@
 	return p, nil
 }
 
+// listen listens on a free port of the loopback.
+func listen(ctx context.Context) (net.Listener, error) {
+	return new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 // set changes the fault; a reset ends all connections at once.
@@ -92,7 +98,7 @@
 		_ = caller.SetLinger(0)
 		return
 	}
-	opened, err := net.Dial("tcp", p.target)
+	opened, err := new(net.Dialer).DialContext(context.Background(), "tcp", p.target)
 	if err != nil {
 		return
 	}
@@ -133,6 +139,7 @@
 		}
 	case delayed:
 		time.Sleep(proxyDelay)
+	default:
 	}
 	_, err := to.Write(content)
 	return err == nil
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -140,7 +139,7 @@
 	}
 	context.AfterFunc(ctx, func() { _ = os.RemoveAll(folder) })
 	for i := range w.config.Instances {
-		started, err := newInstance(w.config, folder, fmt.Sprintf("edge%d", i), string(rune('a'+i%3)), address)
+		started, err := newInstance(ctx, w.config, folder, fmt.Sprintf("edge%d", i), string(rune('a'+i%3)), address)
 		if err != nil {
 			return err
 		}
@@ -151,7 +150,7 @@
 
 // serve serves a handler on a free port of the loopback until the context ends.
 func serve(ctx context.Context, handler http.Handler) (address string, err error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	listener, err := listen(ctx)
 	if err != nil {
 		return "", err
 	}
@@ -171,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	link, err := newProxy(address)
+	link, err := newProxy(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -238,7 +237,7 @@
 	w.configureRead(func() { keys = append(keys, w.keys...) })
 	for ctx.Err() == nil {
 		instance := w.instances[random.IntN(len(w.instances))]
-		w.callers.ask(client, instance.caller, kinds[random.IntN(len(kinds))], keys[random.IntN(len(keys))])
+		w.callers.ask(context.WithoutCancel(ctx), client, instance.caller, kinds[random.IntN(len(kinds))], keys[random.IntN(len(keys))])
 		time.Sleep(askEvery)
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -20,7 +20,9 @@
 		SilenceErrors: true,
 		RunE: func(command *cobra.Command, _ []string) error {
 			report, err := soak.Run(command.Context(), config)
-			fmt.Fprintln(command.OutOrStdout(), report)
+			if _, failed := fmt.Fprintln(command.OutOrStdout(), report); failed != nil {
+				return failed
+			}
 			return err
 		},
 	}
