--- a/comfreyrail/internal/gateway/duty/duty_test.go
+++ b/comfreyrail/internal/gateway/duty/duty_test.go
@@ -33,13 +33,13 @@
 // engines are model engines that take orders as a test says.
 type engines struct {
 	mu     sync.Mutex
-	states map[string]EngineState
+	states map[string]backend.State
 	orders []string
 	mute   bool // orders are carried out, but not answered
 	late   bool // orders are neither answered nor carried out yet
 }
 
-func (e *engines) state(_ context.Context, server backend.Server) (EngineState, error) {
+func (e *engines) state(_ context.Context, server backend.Server) (backend.State, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.states[server.ID], nil
@@ -56,7 +56,7 @@
 	if state.Orders != orders {
 		return errRefused
 	}
-	e.states[server.ID] = EngineState{Orders: orders + 1, Layers: layers}
+	e.states[server.ID] = backend.State{Orders: orders + 1, Layers: layers}
 	if e.mute {
 		return errNoAnswer
 	}
@@ -73,14 +73,14 @@
 func newPlacer(t *testing.T, e *engines, holding int, leased bool) *Placer {
 	t.Helper()
 	engine := &backend.Engine{Layers: 80, LayerMemory: 1750, TokenBytes: 918000, Cards: []backend.Card{{Name: "small", Memory: 26600, Pace: 1, ReadFactor: 1}}}
-	e.states = make(map[string]EngineState)
+	e.states = make(map[string]backend.State)
 	items := []store.Item{{Key: "config", Revision: 1}}
 	for i := range 8 {
 		server := backend.Server{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: "x:1", Zone: "a", Card: "small"}
 		if i < holding {
 			server.Layers = backend.Range{From: i * 10, To: (i + 1) * 10}
 		}
-		e.states[server.ID] = EngineState{Layers: server.Layers}
+		e.states[server.ID] = backend.State{Layers: server.Layers}
 		value, err := json.Marshal(server)
 		if err != nil {
 			t.Fatal(err)
@@ -186,7 +186,7 @@
 		t.Fatalf("got %+v, want the second order carried out", held)
 	}
 	err := e.place(context.Background(), backend.Server{ID: "e7"}, 0, backend.Range{From: 0, To: 10})
-	if !errors.Is(err, errRefused) || e.states["e7"] != held {
+	if !errors.Is(err, errRefused) || e.states["e7"].Layers != held.Layers || e.states["e7"].Orders != held.Orders {
 		t.Errorf("got %v and %+v, want the late order refused", err, e.states["e7"])
 	}
 }
--- a/comfreyrail/internal/gateway/duty/placer.go
+++ b/comfreyrail/internal/gateway/duty/placer.go
@@ -27,18 +27,6 @@
 	entryLag = 5 * time.Second
 )
 
-// EngineState is what an engine reports of itself.
-type EngineState struct {
-	// Born is the start of the incarnation in Unix milliseconds.
-	Born int64
-	// Orders is the number of orders that it has accepted.
-	Orders int64
-	// Busy tells that it carries out an order.
-	Busy bool
-	// Layers is the range that it holds.
-	Layers backend.Range
-}
-
 // PlacerConfig configures a Placer.
 type PlacerConfig struct {
 	// Name is the name of this instance.
@@ -50,7 +38,7 @@
 	// Commit carries out a transaction.
 	Commit func(ctx context.Context, transaction store.Transaction) (uint64, error)
 	// State asks an engine for its state.
-	State func(ctx context.Context, server backend.Server) (EngineState, error)
+	State func(ctx context.Context, server backend.Server) (backend.State, error)
 	// Place orders an engine that has accepted so many orders to hold layers.
 	Place func(ctx context.Context, server backend.Server, orders int64, layers backend.Range) error
 	// Refused reports whether an error of Place says that nothing has begun.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -99,7 +99,6 @@
 	route    *route.Route
 	space    string
 	priority int
-	deadline time.Time
 	limit    time.Time // end of the route's timeout or of the caller's wait, whichever is first
 	method   string
 	target   string
@@ -279,7 +278,6 @@
 		wait = defaultDeadline
 	}
 	j.limit = j.began.Add(wait)
-	j.deadline = j.limit
 }
 
 // readBody reads the whole body.
@@ -316,7 +314,7 @@
 func (f *Forwarder) outgoing(j *job, server backend.Server, hops []call.Hop, lastEvent string) upstream.Request {
 	header := j.header.Clone()
 	f.config.WriteForward(header, call.Forward{
-		Deadline: time.Until(j.deadline), Workspace: j.space, Server: server.ID, Priority: j.priority, Hops: hops, LastEvent: lastEvent,
+		Deadline: time.Until(j.limit), Workspace: j.space, Server: server.ID, Priority: j.priority, Hops: hops, LastEvent: lastEvent,
 	})
 	return upstream.Request{
 		Address: server.Address, Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body,
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -24,6 +24,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/retry"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -147,7 +148,7 @@
 	f := New(Config{
 		Catalog: known, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: logrus.NewEntry(logger), Metrics: registry,
 		ConfirmWithin: 4 * time.Second, UnsureAfter: 2 * time.Second,
-		Retries: NewBudgets(BudgetConfig{Ratio: 1, Burst: 100, Window: 10 * time.Second, Instances: func() int { return 1 }}),
+		Retries: NewBudgets(BudgetConfig{Window: retry.WindowConfig{Ratio: 1, Burst: 100, Period: 10 * time.Second}, Instances: func() int { return 1 }}),
 		Others: func(time.Time, int) func(string) (pipeline.Use, bool) {
 			return func(string) (pipeline.Use, bool) { return pipeline.Use{}, true }
 		},
@@ -425,7 +426,7 @@
 }
 
 func TestBudgetsBoundRepeats(t *testing.T) {
-	b := NewBudgets(BudgetConfig{Ratio: 0.2, Burst: 20, Window: time.Minute, Instances: func() int { return 2 }})
+	b := NewBudgets(BudgetConfig{Window: retry.WindowConfig{Ratio: 0.2, Burst: 20, Period: time.Minute}, Instances: func() int { return 2 }})
 	for range 100 {
 		b.Count("app")
 	}
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -24,6 +24,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/retry"
 )
 
 // Times and counts of connections.
@@ -109,10 +110,7 @@
 func providePlacer(loaded settings.Gateway, known *catalog.Catalog, lease *duty.Lease, store *platform.Store, engines *platform.Engines, log *logrus.Entry) *duty.Placer {
 	return duty.NewPlacer(duty.PlacerConfig{
 		Name: loaded.Name, Catalog: known, Lease: lease, Commit: store.Commit, Place: engines.Place,
-		State: func(ctx context.Context, server backend.Server) (state duty.EngineState, err error) {
-			told, err := engines.State(ctx, server)
-			return duty.EngineState{Born: told.Born, Orders: told.Orders, Busy: told.Busy, Layers: told.Layers}, err
-		},
+		State: engines.State,
 		Refused: func(err error) bool {
 			return errors.Is(err, platform.ErrMoved) || errors.Is(err, platform.ErrGone) || errors.Is(err, platform.ErrInvalid)
 		},
@@ -127,7 +125,9 @@
 
 func provideBudgets(loaded settings.Gateway, known *catalog.Catalog) *forward.Budgets {
 	return forward.NewBudgets(forward.BudgetConfig{
-		Ratio: loaded.Repeat.Ratio, Burst: loaded.Repeat.Burst, Window: time.Duration(loaded.Repeat.Window),
+		Window: retry.WindowConfig{
+			Ratio: loaded.Repeat.Ratio, Burst: loaded.Repeat.Burst, Period: time.Duration(loaded.Repeat.Window),
+		},
 		Instances: func() int { return len(known.Snapshot().Instances) },
 	})
 }
@@ -143,7 +143,7 @@
 			if err != nil || len(state.Stalled) == 0 {
 				return "", err
 			}
-			return state.Stalled[0].Address, nil
+			return state.Stalled[0], nil
 		},
 	})
 }
--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -23,8 +23,6 @@
 	Key Key `toml:"key"`
 	// Repeat bounds the requests that are sent to a second backend server.
 	Repeat Repeat `toml:"repeat"`
-	// Event configures the passing on of events.
-	Event Event `toml:"event"`
 	// Stop configures the planned stop of the instance.
 	Stop Stop `toml:"stop"`
 	// Memory bounds the memory of the process.
@@ -69,12 +67,6 @@
 	Window Duration `toml:"window"`
 }
 
-// Event configures the passing on of events.
-type Event struct {
-	// Delay is the greatest time from an event's arrival to its sending.
-	Delay Duration `toml:"delay"`
-}
-
 // Memory bounds the memory of the process.
 type Memory struct {
 	// Limit is the memory that the process may take, in megabytes; zero sets no limit.
@@ -89,7 +81,6 @@
 	defaultRepeatRatio  = 0.1
 	defaultRepeatBurst  = 20
 	defaultRepeatWindow = 10 * time.Second
-	defaultEventDelay   = 100 * time.Millisecond
 	defaultGatewayLag   = 3 * time.Second
 	defaultGatewayIdle  = time.Second
 	defaultGatewayLimit = 8 * time.Second
@@ -103,7 +94,6 @@
 		Store:  Store{Pace: Duration(defaultPace)},
 		Key:    Key{Revoke: Duration(defaultRevoke), Apply: Duration(defaultApply)},
 		Repeat: Repeat{Ratio: defaultRepeatRatio, Burst: defaultRepeatBurst, Window: Duration(defaultRepeatWindow)},
-		Event:  Event{Delay: Duration(defaultEventDelay)},
 		Stop:   Stop{Lag: Duration(defaultGatewayLag), Idle: Duration(defaultGatewayIdle), Limit: Duration(defaultGatewayLimit)},
 		Log:    Log{Level: logrus.InfoLevel.String()},
 	}
--- a/rail/backend/backend.go
+++ b/rail/backend/backend.go
@@ -36,12 +36,18 @@
 	Card string
 	// Layers is the range of layers that it holds; empty if none.
 	Layers Range
-	// Weights is the version of the weights that it holds.
-	Weights int
-	// Busy tells that it carries out an order, as far as it says so.
-	Busy bool
+}
+
+// State is what an engine reports of itself; it is some hundred milliseconds old.
+type State struct {
 	// Orders is the number of orders that this incarnation has accepted.
 	Orders int64
+	// Busy tells that it carries out an order.
+	Busy bool
+	// Layers is the range that it holds.
+	Layers Range
+	// Stalled lists the addresses of engines that hold up its requests.
+	Stalled []string
 }
 
 // Card describes one kind of accelerator.
@@ -66,8 +72,6 @@
 
 // Engine describes the model engines of a service; times are for all layers on an accelerator of pace 1.
 type Engine struct {
-	// Model names the model.
-	Model string
 	// Layers is the number of layers.
 	Layers int
 	// LayerMemory is the memory of one layer's weights in megabytes.
@@ -82,22 +86,14 @@
 	PerContext time.Duration
 	// PerPromptToken is the time of reading one token of a prompt.
 	PerPromptToken time.Duration
-	// Chunk is the greatest number of prompt tokens in one step.
-	Chunk int
 	// Stride is the number of steps in one pass.
 	Stride int
 	// Load is the time of loading all layers.
 	Load time.Duration
-	// LoadsAtOnce is the number of loads that run at full speed.
-	LoadsAtOnce int
-	// StateLag is the age of what an engine reports of itself.
-	StateLag time.Duration
 	// ActivationBytes is what one token sends from stage to stage in bytes.
 	ActivationBytes float64
 	// ZoneMegabits is the rate between availability zones in megabits per second.
 	ZoneMegabits float64
-	// UsualPrompt is the mean number of prompt tokens.
-	UsualPrompt int
 	// UsualAnswer is the mean number of tokens in an answer.
 	UsualAnswer int
 	// Cards lists the kinds of accelerators.
--- a/rail/route/route.go
+++ b/rail/route/route.go
@@ -66,8 +66,6 @@
 type Service struct {
 	// Name identifies the service.
 	Name string
-	// Connections is the greatest number of connections that each backend server accepts from all callers.
-	Connections int
 	// Engine describes the model engines of the service; nil means plain servers.
 	Engine *backend.Engine
 }
--- a/soak/internal/soak/proxy.go
+++ b/soak/internal/soak/proxy.go
@@ -39,7 +39,7 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, target: target, conns: make(map[*net.TCPConn]bool)}
-	go p.serve()
+	go p.serve(ctx)
 	return p, nil
 }
 
@@ -70,13 +70,13 @@
 	return p.fault
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(ctx context.Context) {
 	for {
 		accepted, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		go p.pass(accepted.(*net.TCPConn))
+		go p.pass(ctx, accepted.(*net.TCPConn))
 	}
 }
 
@@ -90,7 +90,7 @@
 	delete(p.conns, conn)
 }
 
-func (p *proxy) pass(caller *net.TCPConn) {
+func (p *proxy) pass(ctx context.Context, caller *net.TCPConn) {
 	p.keep(caller, true)
 	defer p.keep(caller, false)
 	defer func() { _ = caller.Close() }()
@@ -98,7 +98,7 @@
 		_ = caller.SetLinger(0)
 		return
 	}
-	opened, err := new(net.Dialer).DialContext(context.Background(), "tcp", p.target)
+	opened, err := new(net.Dialer).DialContext(ctx, "tcp", p.target)
 	if err != nil {
 		return
 	}
