--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -58,6 +58,7 @@
 // Forwarder passes requests on.
 type Forwarder struct {
 	config    Config
+	began     time.Time
 	fleet     *fleet
 	lagUntil  atomic.Int64 // Unix nanoseconds
 	stopBy    atomic.Int64 // Unix nanoseconds, zero while the instance does not stop
@@ -66,7 +67,7 @@
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
-	f := &Forwarder{config: config, fleet: newFleet(config)}
+	f := &Forwarder{config: config, fleet: newFleet(config), began: time.Now()}
 	f.tokenTime.Store(int64(firstTokenTime))
 	return f
 }
@@ -77,6 +78,8 @@
 	retryAfter = 300 * time.Millisecond
 	// elsewhereAfter is when a caller may come back if another instance can serve the request now.
 	elsewhereAfter = 50 * time.Millisecond
+	// mostUnconfigured bounds when a caller may come back while no configuration is known.
+	mostUnconfigured = 3 * time.Second
 	// defaultDeadline holds for callers that name none, on routes without one.
 	defaultDeadline = 30 * time.Second
 	// defaultBody is the greatest body in bytes if the configuration names none.
@@ -218,11 +221,16 @@
 	_, _ = io.WriteString(w, refused.code+"\n")
 }
 
+// untilConfigured returns when a caller may come back while no configuration is known: after as long as that has lasted.
+func (f *Forwarder) untilConfigured() time.Duration {
+	return min(max(time.Since(f.began), elsewhereAfter), mostUnconfigured)
+}
+
 // accept reads a request and finds its route and workspace.
 func (f *Forwarder) accept(j *job, r *http.Request) (err error) {
 	snapshot := f.config.Catalog.Snapshot()
 	if snapshot.Table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: elsewhereAfter}
+		return &refusal{status: http.StatusServiceUnavailable, code: "no-configuration", after: f.untilConfigured()}
 	}
 	age, _ := f.config.Catalog.Age()
 	unsure := age > f.config.UnsureAfter
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -334,6 +334,26 @@
 	}
 }
 
+// An instance that knows no configuration refuses for a while, longer the longer that has lasted.
+func TestNoConfiguration(t *testing.T) {
+	known := catalog.New(catalog.Config{Log: logrus.NewEntry(logrus.New())})
+	tests := []struct {
+		since time.Duration
+		want  string
+	}{{0, "0.05"}, {time.Second, "1.00"}, {time.Minute, "3.00"}}
+	for _, test := range tests {
+		logger := logrus.New()
+		logger.SetOutput(io.Discard)
+		f := New(Config{Catalog: known, ReadRequest: readRequest, Log: logrus.NewEntry(logger), Metrics: metrics.NewRegistry()})
+		f.began = time.Now().Add(-test.since)
+		recorder := httptest.NewRecorder()
+		f.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/safe/", http.NoBody))
+		if got := recorder.Header().Get("Retry-After"); recorder.Code != http.StatusServiceUnavailable || got != test.want {
+			t.Errorf("after %v: got status %d, Retry-After %q, want 503 and %q", test.since, recorder.Code, got, test.want)
+		}
+	}
+}
+
 // event writes one event as a chunk.
 func event(conn net.Conn, id int, text string) {
 	content := fmt.Sprintf("id: %d\ndata: %s\n\n", id, text)
--- a/comfreyrail/internal/gateway/process/entry.go
+++ b/comfreyrail/internal/gateway/process/entry.go
@@ -25,11 +25,13 @@
 	defaultHeaderTimeout = 5 * time.Second
 	// defaultIdleTimeout is the longest time that a connection may stay idle.
 	defaultIdleTimeout = 30 * time.Second
+	// limitsWait is how long the listener waits for the limits of a configuration.
+	limitsWait = 1500 * time.Millisecond
 	// tableWait is the time between two looks for the first configuration.
 	tableWait = 20 * time.Millisecond
 )
 
-// Entry serves callers once a configuration is known.
+// Entry serves callers.
 type Entry struct {
 	server  *graceful.Server
 	catalog *catalog.Catalog
@@ -41,7 +43,7 @@
 	e := &Entry{catalog: known, within: confirmWithin(loaded)}
 	e.server = graceful.New(graceful.Config{
 		Listen:  loaded.Listen.Caller,
-		HTTP:    func() *http.Server { return newServer(known.Snapshot().Table.Config.Limits, log) },
+		HTTP:    func() *http.Server { return newServer(limitsOf(known.Snapshot().Table), log) },
 		Handler: forwarder,
 		Refuse:  forwarder.ServeStopping,
 		Stop: stop.Config{
@@ -57,6 +59,14 @@
 	return e
 }
 
+// limitsOf returns the limits of a configuration, none if it is not known.
+func limitsOf(table *route.Table) route.Limits {
+	if table == nil {
+		return route.Limits{}
+	}
+	return table.Config.Limits
+}
+
 // newServer returns a server with the limits of the configuration.
 func newServer(limits route.Limits, log *logrus.Entry) *http.Server {
 	server := &http.Server{
@@ -75,10 +85,12 @@
 	return server
 }
 
-// Serve waits for a configuration and then serves callers.
+// Serve waits a while for a configuration, whose limits then hold, and serves callers; without one they are told to come
+// back.
 func (e *Entry) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(tableWait)
-	for e.catalog.Snapshot().Table == nil && !e.server.Stopping() {
+	begin := time.Now()
+	for time.Since(begin) < limitsWait && e.catalog.Snapshot().Table == nil && !e.server.Stopping() {
 		select {
 		case <-ctx.Done():
 			ticker.Stop()
