Keep a request's attempts at the service that it was first sent to

Cause: found on reading: a route with two services drew anew for each attempt, and a stream's repeat was taken from the budget of the route's first service. The test fails without the change.

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -100,6 +100,7 @@
 type job struct {
 	request  call.Request
 	route    *route.Route
+	service  string
 	space    string
 	priority int
 	limit    time.Time // end of the route's timeout or of the caller's wait, whichever is first
@@ -307,15 +308,17 @@
 	return nil
 }
 
-// pickService returns the servers of the service that the request goes to.
+// pickService returns the servers of the service that the request goes to; all its attempts go to the same one.
 func (f *Forwarder) pickService(j *job) (service *route.Service, servers []backend.Server, snapshot *catalog.Snapshot) {
 	snapshot = f.config.Catalog.Snapshot()
-	name := j.route.Pick(rand.Float64())
-	service, ok := snapshot.Table.Service(name)
+	if j.service == "" {
+		j.service = j.route.Pick(rand.Float64())
+	}
+	service, ok := snapshot.Table.Service(j.service)
 	if !ok {
-		service = &route.Service{Name: name}
+		service = &route.Service{Name: j.service}
 	}
-	return service, snapshot.Servers[name], snapshot
+	return service, snapshot.Servers[j.service], snapshot
 }
 
 // outgoing returns the request for one server.
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -298,6 +298,21 @@
 	}
 }
 
+// A request of a route with two services stays at the one that it was first sent to, whose budget bounds its repeats.
+func TestAttemptsStayAtOneService(t *testing.T) {
+	split := func(config *route.Config) {
+		config.Services = append(config.Services, route.Service{Name: "empty"})
+		config.Routes[1].Shares = []route.Share{{Service: "app", Weight: 1}, {Service: "empty", Weight: 1}}
+	}
+	for range 20 {
+		first, second := newServer(t, "first", breaks), newServer(t, "second", breaks)
+		newDesk(t, split, first, second).ask(t, "/safe/", "")
+		if got := first.runs() + second.runs(); got == 1 {
+			t.Error("got one attempt, want none or both at the service's two servers")
+		}
+	}
+}
+
 func TestKeys(t *testing.T) {
 	withKeys := func(config *route.Config) {
 		config.Workspaces = []route.Workspace{{Name: "mill", Keys: []string{"good"}}}
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -84,7 +84,7 @@
 	if j.sent >= j.route.Attempts || j.ran && !j.route.Resumable {
 		return false
 	}
-	return f.config.Retries.Allow(j.route.Shares[0].Service)
+	return f.config.Retries.Allow(j.service)
 }
 
 // relayFailure gives the caller the answer of a server that ran the request and failed.
