--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -109,16 +109,16 @@
 
 func hangs(net.Conn, *http.Request, int) { time.Sleep(time.Second) }
 
-// desk is a Forwarder behind a listener, with the store's word as old as a test says.
-type desk struct {
+// gateway is a Forwarder behind a listener, with the store's word as old as a test says.
+type gateway struct {
 	url string
 	age atomic.Int64
 }
 
-// newDesk returns a desk with a route of each kind to the servers.
-func newDesk(t *testing.T, change func(*route.Config), servers ...*server) *desk {
+// newGateway returns a gateway with a route of each kind to the servers.
+func newGateway(t *testing.T, change func(*route.Config), servers ...*server) *gateway {
 	t.Helper()
-	d := &desk{}
+	g := &gateway{}
 	config := route.Config{
 		Version: 1,
 		Routes: []route.Route{
@@ -141,7 +141,7 @@
 	if change != nil {
 		change(&config)
 	}
-	known := newCatalog(t, d, config, servers)
+	known := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -158,8 +158,8 @@
 	})
 	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
-	d.url = front.URL
-	return d
+	g.url = front.URL
+	return g
 }
 
 func readRequest(header http.Header) call.Request {
@@ -180,7 +180,7 @@
 }
 
 // newCatalog returns a catalog that has read the configuration and the servers once.
-func newCatalog(t *testing.T, d *desk, config route.Config, servers []*server) *catalog.Catalog {
+func newCatalog(t *testing.T, g *gateway, config route.Config, servers []*server) *catalog.Catalog {
 	t.Helper()
 	items := []store.Item{{Key: "config", Revision: 1}}
 	for i, s := range servers {
@@ -212,7 +212,7 @@
 			return decoded, err
 		},
 		Pace: time.Millisecond, Log: logrus.NewEntry(logrus.New()),
-		Elapsed: func() time.Duration { return time.Duration(d.age.Load()) },
+		Elapsed: func() time.Duration { return time.Duration(g.age.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -222,9 +222,9 @@
 }
 
 // ask sends a request and returns the status, the body and whether it was whole.
-func (d *desk) ask(t *testing.T, path, key string) (answer *http.Response, body string, whole bool) {
+func (g *gateway) ask(t *testing.T, path, key string) (answer *http.Response, body string, whole bool) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, d.url+path, strings.NewReader("question"))
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.url+path, strings.NewReader("question"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -262,7 +262,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			first, second := newServer(t, "first", test.first), newServer(t, "second", test.second)
-			answer, _, _ := newDesk(t, nil, first, second).ask(t, test.path, "")
+			answer, _, _ := newGateway(t, nil, first, second).ask(t, test.path, "")
 			if answer.StatusCode != test.status {
 				t.Errorf("got status %d, want %d", answer.StatusCode, test.status)
 			}
@@ -291,8 +291,8 @@
 			}
 			serves(conn, request, n)
 		}
-		d := newDesk(t, nil, newServer(t, "first", behave), newServer(t, "second", behave))
-		if answer, body, _ := d.ask(t, "/safe/", ""); answer.StatusCode != http.StatusOK || body != "ok" {
+		g := newGateway(t, nil, newServer(t, "first", behave), newServer(t, "second", behave))
+		if answer, body, _ := g.ask(t, "/safe/", ""); answer.StatusCode != http.StatusOK || body != "ok" {
 			t.Errorf("got status %d, body %q, want the second server's answer", answer.StatusCode, body)
 		}
 	}
@@ -306,7 +306,7 @@
 	}
 	for range 20 {
 		first, second := newServer(t, "first", breaks), newServer(t, "second", breaks)
-		newDesk(t, split, first, second).ask(t, "/safe/", "")
+		newGateway(t, split, first, second).ask(t, "/safe/", "")
 		if got := first.runs() + second.runs(); got == 1 {
 			t.Error("got one attempt, want none or both at the service's two servers")
 		}
@@ -336,9 +336,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := newServer(t, "only", serves)
-			d := newDesk(t, withKeys, s)
-			d.age.Add(int64(test.age))
-			answer, _, _ := d.ask(t, test.path, test.key)
+			g := newGateway(t, withKeys, s)
+			g.age.Add(int64(test.age))
+			answer, _, _ := g.ask(t, test.path, test.key)
 			if answer.StatusCode != test.status || s.runs() != test.runs {
 				t.Errorf("got status %d and %d runs, want %d and %d", answer.StatusCode, s.runs(), test.status, test.runs)
 			}
@@ -395,8 +395,8 @@
 }
 
 func TestStreamsGoOnAtAnotherServer(t *testing.T) {
-	d := newDesk(t, nil, newServer(t, "first", counting), newServer(t, "second", counting))
-	answer, body, whole := d.ask(t, "/stream/", "")
+	g := newGateway(t, nil, newServer(t, "first", counting), newServer(t, "second", counting))
+	answer, body, whole := g.ask(t, "/stream/", "")
 	want := ""
 	for id := 1; id <= 5; id++ {
 		want += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
@@ -409,7 +409,7 @@
 // A stream that may not be resumed runs once, and one that broke off never looks whole.
 func TestStreamsThatMayNotBeResumed(t *testing.T) {
 	first, second := newServer(t, "first", counting), newServer(t, "second", counting)
-	_, body, whole := newDesk(t, nil, first, second).ask(t, "/single/", "")
+	_, body, whole := newGateway(t, nil, first, second).ask(t, "/single/", "")
 	if got := first.runs() + second.runs(); got != 1 {
 		t.Errorf("got %d runs, want 1", got)
 	}
@@ -426,9 +426,9 @@
 		_, _ = conn.Read(make([]byte, 1))
 		close(left)
 	})
-	d := newDesk(t, nil, s)
+	g := newGateway(t, nil, s)
 	ctx, cancel := context.WithCancel(context.Background())
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/stream/", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+"/stream/", http.NoBody)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/internal/soak/callers.go
+++ b/soak/internal/soak/callers.go
@@ -51,17 +51,11 @@
 	a := asked{id: c.next(), kind: kind, key: key, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("question"))
+	request, err := fakeplatform.NewRequest(ctx, address, "/"+kind+"/x", a.id, key)
 	if err != nil {
 		c.fault("%s: %v", a.id, err)
 		return
 	}
-	request.Host = "soak.example"
-	request.GetBody = nil // net/http must not repeat a request by itself
-	request.Header.Set("X-Comfreyrail-Attempt-Id", a.id)
-	request.Header.Set("X-Comfreyrail-Credential", key.Key)
-	request.Header.Set("X-Comfreyrail-Deadline-Ms", "3000")
-	request.Header.Set("X-Comfreyrail-Tokens", "100,15")
 	response, err := client.Do(request)
 	if err == nil {
 		c.read(&a, response)
@@ -78,7 +72,7 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		a.refused = true
 	case http.StatusOK:
-		if response.Header.Get("X-Comfreyrail-Server-Seal") == "" {
+		if !fakeplatform.Sealed(response.Header) {
 			c.fault("%s: success without a server's signature", a.id)
 		}
 		if a.kind == "stream" {
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -189,11 +189,11 @@
 	for ctx.Err() == nil {
 		if s.Down() {
 			if missed++; missed == 3 {
-				w.store.Delete("servers/" + s.ID)
+				w.store.Remove(s)
 			}
 		} else {
 			missed = 0
-			w.store.Put("servers/"+s.ID, s.Entry())
+			w.store.Enter(s)
 		}
 		select {
 		case <-ctx.Done():
@@ -208,7 +208,7 @@
 	defer w.mu.Unlock()
 	change()
 	w.version++
-	w.store.Put("op/config", fakeplatform.Config(w.version, w.keys))
+	w.store.Configure(w.version, w.keys)
 }
 
 // play lets callers call while faults are injected, and then heals everything.
