--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -102,6 +102,7 @@
 	table     *route.Table
 	servers   map[string]backend.Server
 	lapsed    map[string]time.Duration
+	malformed map[string]bool // entries that were logged as naming no server
 	instances map[string]Instance
 	placer    store.Item
 	changed   bool
@@ -115,7 +116,7 @@
 // New returns a Catalog that knows nothing.
 func New(config Config) *Catalog {
 	c := &Catalog{
-		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration),
+		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration), malformed: make(map[string]bool),
 		instances: make(map[string]Instance), unheard: make(map[string]time.Duration), log: newChangeLog(),
 	}
 	c.confirmed.Store(-1)
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -135,6 +135,24 @@
 	}
 }
 
+// An entry that names no server is written again with each heartbeat, and logged once.
+func TestMalformedEntriesAreLoggedOnce(t *testing.T) {
+	w := &world{items: []store.Item{item("servers/bad", "bad", 1)}}
+	c := newCatalog(w, Instance{Name: "a"})
+	logger := logrus.New()
+	var out strings.Builder
+	logger.SetOutput(&out)
+	c.config.Log = logrus.NewEntry(logger)
+	turn(t, c, w)
+	for revision := uint64(20); revision < 25; revision++ {
+		w.changes = []store.Item{item("servers/bad", "bad", revision)}
+		turn(t, c, w)
+	}
+	if got := strings.Count(out.String(), "entry names no server"); got != 1 {
+		t.Errorf("got %d lines, want 1", got)
+	}
+}
+
 // Entries lapse while the store is away; those that do not come back soon after its return are gone.
 func TestEntriesThatLapseWithTheStore(t *testing.T) {
 	w := &world{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -13,19 +14,21 @@
 // the store, or from any other instance.
 func (c *Catalog) step(ctx context.Context) (age time.Duration, err error) {
 	if reader, ok := readerOf(c.asked(), c.config.Self); ok && c.revision > 0 {
-		age, asked := c.ask(ctx, reader)
-		if asked == nil && age <= c.freshEnough() {
+		age, askErr := c.ask(ctx, reader)
+		if askErr == nil && age <= c.freshEnough() {
 			return age, nil
 		}
 		c.unheard[reader.Name] = c.config.Elapsed() + unheardTime
-		c.config.Log.WithField("reader", reader.Name).WithField("age", age.String()).Info("the instance that reads the store has no news")
+		c.config.Log.WithError(askErr).WithFields(logrus.Fields{
+			"reader": reader.Name, "age": age.String(),
+		}).Info("the instance that reads the store has no news")
 	}
 	if err = c.read(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
 		return 0, err
 	}
 	if helper, ok := helperOf(c.Snapshot().Instances, c.config.Self); ok {
-		age, asked := c.ask(ctx, helper)
-		if asked == nil && age <= c.freshEnough() {
+		age, askErr := c.ask(ctx, helper)
+		if askErr == nil && age <= c.freshEnough() {
 			return age, nil
 		}
 	}
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -89,15 +89,20 @@
 // entry takes the entry of a backend server and reports whether it says anything new.
 func (c *Catalog) entry(id string, item store.Item) (changed bool) {
 	if item.Deleted {
+		delete(c.malformed, id)
 		return c.remove(id)
 	}
 	before, known := c.servers[id]
 	server, err := c.config.DecodeServer(id, item.Value)
 	if err != nil {
 		delete(c.servers, id)
-		c.config.Log.WithError(err).Warn("entry names no server")
+		if !c.malformed[id] {
+			c.malformed[id] = true
+			c.config.Log.WithError(err).Warn("entry names no server")
+		}
 		return known
 	}
+	delete(c.malformed, id)
 	delete(c.lapsed, id)
 	c.servers[id] = server
 	if known && before == server {
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -406,6 +406,30 @@
 	}
 }
 
+// A server that begins anew instead of going on makes no event come twice.
+func TestResumedStreamsRepeatNoEvent(t *testing.T) {
+	var runs atomic.Int32
+	behave := func(conn net.Conn, request *http.Request, _ int) {
+		first := runs.Add(1) == 1
+		beginStream(conn, request)
+		for id := 1; id <= 5; id++ {
+			if first && id == 3 {
+				_ = conn.Close()
+				return
+			}
+			event(conn, id, "x")
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	g := newGateway(t, nil, newServer(t, "first", behave), newServer(t, "second", behave))
+	_, body, whole := g.ask(t, "/stream/", "")
+	for id := 1; id <= 5; id++ {
+		if got := strings.Count(body, fmt.Sprintf("id: %d\n", id)); got != 1 || !whole {
+			t.Errorf("got event %d %d times, whole %v, want once: %q", id, got, whole, body)
+		}
+	}
+}
+
 // A stream that may not be resumed runs once, and one that broke off never looks whole.
 func TestStreamsThatMayNotBeResumed(t *testing.T) {
 	first, second := newServer(t, "first", counting), newServer(t, "second", counting)
