--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
@@ -81,16 +82,6 @@
 	Changed uint64
 }
 
-// Server returns the backend server of that name.
-func (s *Snapshot) Server(service, id string) (found backend.Server, ok bool) {
-	for _, server := range s.Servers[service] {
-		if server.ID == id {
-			return server, true
-		}
-	}
-	return found, false
-}
-
 // Catalog reads the store, or asks an instance that does.
 type Catalog struct {
 	config    Config
@@ -141,20 +132,20 @@
 	for ctx.Err() == nil {
 		began := c.config.Elapsed()
 		age, err := c.step(ctx)
-		pause := c.config.Pace - (c.config.Elapsed() - began)
+		rest := c.config.Pace - (c.config.Elapsed() - began)
 		switch {
 		case err == nil:
 			c.reached(began - age)
 		case errors.Is(err, store.ErrCompacted):
 			c.config.Log.WithError(err).Info("the store's history is gone: reading everything again")
 			c.revision = 0
-			pause = 0
+			rest = 0
 		default:
 			c.lost(ctx, err)
-			pause = retryPause
+			rest = retryPause
 		}
 		c.expire()
-		sleep(ctx, pause)
+		_ = pause.For(ctx, rest)
 	}
 	return ctx.Err()
 }
@@ -180,18 +171,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Changes returns what changed after a revision, for another instance.
 func (c *Catalog) Changes(after uint64) (changes Changes, ok bool) {
 	age, ok := c.Age()
--- a/comfreyrail/internal/gateway/catalog/instance.go
+++ b/comfreyrail/internal/gateway/catalog/instance.go
@@ -1,8 +1,10 @@
 package catalog
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -62,33 +64,15 @@
 	return chosen[xxhash.Sum64String(self.Name)%uint64(len(chosen))], true
 }
 
-// highest returns so many instances with the highest hashes of their names.
-func highest(instances []Instance, count int) (chosen []Instance) {
-	for range count {
-		best := -1
-		for i, instance := range instances {
-			if !contains(chosen, instance) && (best < 0 || rank(instance) > rank(instances[best])) {
-				best = i
-			}
-		}
-		if best >= 0 {
-			chosen = append(chosen, instances[best])
-		}
-	}
-	return chosen
+// highest returns so many instances with the highest hashes of their names, the highest first.
+func highest(instances []Instance, count int) []Instance {
+	ranked := slices.Clone(instances)
+	slices.SortStableFunc(ranked, func(a, b Instance) int { return cmp.Compare(rank(b), rank(a)) })
+	return ranked[:min(count, len(ranked))]
 }
 
 func rank(instance Instance) uint64 { return xxhash.Sum64String(instance.Zone + "/" + instance.Name) }
 
-func contains(instances []Instance, wanted Instance) bool {
-	for _, instance := range instances {
-		if instance.Name == wanted.Name {
-			return true
-		}
-	}
-	return false
-}
-
 // helperOf returns any other instance, for one that does not reach the store.
 func helperOf(instances []Instance, self Instance) (helper Instance, ok bool) {
 	var others []Instance
--- a/comfreyrail/internal/gateway/duty/lease.go
+++ b/comfreyrail/internal/gateway/duty/lease.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
@@ -68,7 +69,7 @@
 		if err := l.step(ctx); err != nil && ctx.Err() == nil {
 			l.config.Log.WithError(err).Warn("the lease was not renewed")
 		}
-		wait(ctx, renewEvery)
+		_ = pause.For(ctx, renewEvery)
 	}
 	return ctx.Err()
 }
@@ -133,12 +134,3 @@
 		l.config.Log.WithError(err).Warn("the lease was not ended: it lapses by itself")
 	}
 }
-
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/comfreyrail/internal/gateway/duty/placer.go
+++ b/comfreyrail/internal/gateway/duty/placer.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/placement"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -84,7 +85,7 @@
 		if p.onDuty(ctx) {
 			p.place(ctx)
 		}
-		wait(ctx, placeEvery)
+		_ = pause.For(ctx, placeEvery)
 	}
 	return ctx.Err()
 }
@@ -110,7 +111,7 @@
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		p.config.Log.WithError(err).Info("the duty of placing layers was not taken")
 	}
-	wait(ctx, placeEvery)
+	_ = pause.For(ctx, placeEvery)
 	return false
 }
 
@@ -194,7 +195,7 @@
 	state, err := p.config.State(ctx, server)
 	if err != nil {
 		log.WithError(err).Info("the engine does not tell its state: no order")
-		wait(ctx, orderTimeout)
+		_ = pause.For(ctx, orderTimeout)
 		p.forget(server.ID)
 		return
 	}
--- a/rail/balance/balance.go
+++ b/rail/balance/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
@@ -58,20 +59,11 @@
 	return held
 }
 
-// Retain forgets the servers that are gone.
-func (b *Balancer) Retain(present func(id string) bool) {
-	for id, held := range b.loads {
-		if !present(id) && held.own == 0 {
-			delete(b.loads, id)
-		}
-	}
-}
-
 // Choose returns the server that is least loaded and nearest, and false if none takes work.
 func (b *Balancer) Choose(now time.Time, servers []backend.Server, zone string, avoid []string) (chosen backend.Server, ok bool) {
 	least := 0.0
 	for _, server := range servers {
-		if server.Draining || contains(avoid, server.ID) {
+		if server.Draining || slices.Contains(avoid, server.ID) {
 			continue
 		}
 		held := b.load(server.ID)
@@ -93,15 +85,6 @@
 	return chosen, ok
 }
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // Started counts a request that was sent to the server.
 func (b *Balancer) Started(id string) { b.load(id).own++ }
 
