Ask engines in doubt for their speed, and send them what they can carry

A path does not tell which of its engines is slow, so the guess from events needed every stream through an engine to be slow for 0.8 s, and an engine's use was counted at its usual speed: at 0.07 of its time it was full, and passed for idle. Ruled out: death (the engines answer), the link between zones (other zones' paths were late alike), recovery of the instances (a restarted instance serves 0.3 s after its machine is back). Change: an engine that no fast event passes is asked for its report, at most 40 questions a second over all instances; its word holds 2 s, is told to others, counts in its use and in the expected pause. A datagram holds 95 engines instead of 100 until it is packed.

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -150,6 +150,32 @@
 	f.engines[r.service.Name].chooser.Progressed(time.Now(), r.path, pause)
 }
 
+// waited notes that a run waits unusually long for its first event.
+func (f *fleet) waited(r *run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[r.service.Name].chooser.Waited(r.path)
+}
+
+// doubtful returns up to so many engines of each service that should be asked for their speed now.
+func (f *fleet) doubtful(most int) (asked []backend.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, held := range f.engines {
+		asked = append(asked, held.chooser.Doubtful(time.Now(), most)...)
+	}
+	return asked
+}
+
+// told notes how fast an engine says that it is.
+func (f *fleet) told(server backend.Server, slowness float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.engines[server.Service]; held != nil {
+		held.chooser.Reported(time.Now(), server.ID, slowness)
+	}
+}
+
 // silent returns the stage that holds up a run, if it has been silent for so long at least.
 func (f *fleet) silent(r *run, least time.Duration) (stage int, ok bool) {
 	f.mu.Lock()
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -42,8 +42,8 @@
 	WriteForward func(header http.Header, forward call.Forward)
 	// ReadAnswer reads what a backend server says.
 	ReadAnswer func(status int, header http.Header) call.Answer
-	// Stalled asks the first engine of a path for the address of an engine that holds requests up, empty for none.
-	Stalled func(ctx context.Context, server backend.Server) (address string, err error)
+	// State asks an engine for its state.
+	State func(ctx context.Context, server backend.Server) (state backend.State, err error)
 	// Repath orders the first engine of a request to go on along other engines.
 	Repath func(ctx context.Context, first backend.Server, request string, path []call.Hop) error
 	// Log receives the log.
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -153,8 +153,8 @@
 			return func(string) (pipeline.Use, bool) { return pipeline.Use{}, true }
 		},
 		ReadRequest: readRequest, WriteForward: writeForward, ReadAnswer: readAnswer,
-		Stalled: func(context.Context, backend.Server) (string, error) { return "", nil },
-		Repath:  func(context.Context, backend.Server, string, []call.Hop) error { return nil },
+		State:  func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, nil },
+		Repath: func(context.Context, backend.Server, string, []call.Hop) error { return nil },
 	})
 	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -204,6 +204,9 @@
 	if r.service.Engine == nil {
 		return patience - waited
 	}
+	if r.answer == nil {
+		f.fleet.waited(r)
+	}
 	stage, ok := f.fleet.silent(r, part(j.route.Gap, pauseSilence))
 	if !ok || r.moves >= maxMoves {
 		return min(silenceStep, patience-waited)
@@ -274,15 +277,15 @@
 func (f *Forwarder) stalled(ctx context.Context, first backend.Server) string {
 	ctx, cancel := context.WithTimeout(ctx, stalledTimeout)
 	defer cancel()
-	address, err := f.config.Stalled(ctx, first)
+	state, err := f.config.State(ctx, first)
 	if err != nil {
 		f.config.Log.WithError(err).WithField(logs.Server, first.ID).Info("the first engine does not say who stalls")
 		return first.Address
 	}
-	if address == "" {
+	if len(state.Stalled) == 0 {
 		return first.Address
 	}
-	return address
+	return state.Stalled[0]
 }
 
 // end gives back what the run took.
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/survey.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+// Bounds of asking engines for their speed.
+const (
+	// surveyEvery is the time between two looks at which engines are in doubt.
+	surveyEvery = 50 * time.Millisecond
+	// surveyTimeout is the longest time for an engine's answer.
+	surveyTimeout = 200 * time.Millisecond
+	// surveyRate is the number of questions a second that all instances ask together.
+	surveyRate = 40.0
+	// surveyBurst is the greatest number of questions that an instance saves up.
+	surveyBurst = 8.0
+)
+
+// Survey asks engines whose events are slow for their speed, as a path does not tell which of its engines is the slow one.
+type Survey struct {
+	forwarder *Forwarder
+	asking    sync.WaitGroup
+	allowed   float64 // questions that may be asked now
+}
+
+// NewSurvey returns a Survey of the engines that the Forwarder uses.
+func NewSurvey(forwarder *Forwarder) *Survey {
+	return &Survey{forwarder: forwarder, allowed: surveyBurst}
+}
+
+// Serve asks until the context ends.
+func (s *Survey) Serve(ctx context.Context) error {
+	defer s.asking.Wait()
+	ticker := time.NewTicker(surveyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.step(ctx)
+		}
+	}
+}
+
+// step asks the engines that are in doubt now, as many as the rate allows.
+func (s *Survey) step(ctx context.Context) {
+	instances := float64(max(len(s.forwarder.config.Catalog.Snapshot().Instances), 1))
+	s.allowed = min(s.allowed+surveyRate*surveyEvery.Seconds()/instances, surveyBurst)
+	for _, server := range s.forwarder.fleet.doubtful(int(s.allowed)) {
+		s.allowed--
+		s.asking.Add(1)
+		go s.ask(ctx, server)
+	}
+}
+
+// ask takes one engine's word on its speed.
+func (s *Survey) ask(ctx context.Context, server backend.Server) {
+	defer s.asking.Done()
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	log := s.forwarder.config.Log.WithField(logs.Server, server.ID)
+	state, err := s.forwarder.config.State(ctx, server)
+	if err != nil {
+		log.WithError(err).Info("the engine does not tell its speed")
+		return
+	}
+	if state.Slowness <= 0 {
+		log.Debug("the engine's report does not hold its speed")
+		return
+	}
+	log.WithFields(logrus.Fields{"slowness": state.Slowness, "address": server.Address}).Info("speed of an engine")
+	s.forwarder.fleet.told(server, state.Slowness)
+}
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/duty"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/share"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
@@ -28,6 +29,8 @@
 	Mirror *mirror.Server
 	// Share tells other instances of the work of this one.
 	Share *share.Share
+	// Survey asks engines for their speed.
+	Survey *forward.Survey
 	// Upstream keeps connections to backend servers.
 	Upstream *upstream.Pool
 	// Entry serves callers.
@@ -70,6 +73,7 @@
 	traffic := suture.New("traffic", spec)
 	traffic.Add(branches.Entry)
 	traffic.Add(branches.Share)
+	traffic.Add(branches.Survey)
 	traffic.Add(&keeper{pool: branches.Upstream, catalog: branches.Catalog})
 	root.Add(control)
 	root.Add(traffic)
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"os"
@@ -21,7 +20,6 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/platform"
-	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/retry"
@@ -137,14 +135,7 @@
 		Catalog: known, Upstream: pool, Others: others.Others, Zone: loaded.Zone, Retries: budgets, Log: log, Metrics: registry,
 		ConfirmWithin: confirmWithin(loaded), UnsureAfter: time.Duration(loaded.Key.Apply),
 		ReadRequest: platform.ReadRequest, WriteForward: platform.WriteForward, ReadAnswer: platform.ReadAnswer,
-		Repath: engines.Repath,
-		Stalled: func(ctx context.Context, server backend.Server) (address string, err error) {
-			state, err := engines.State(ctx, server)
-			if err != nil || len(state.Stalled) == 0 {
-				return "", err
-			}
-			return state.Stalled[0], nil
-		},
+		Repath: engines.Repath, State: engines.State,
 	})
 }
 
--- a/comfreyrail/internal/gateway/process/wire.go
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/google/wire"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 )
 
@@ -26,6 +27,7 @@
 		provideHearing,
 		provideForwarder,
 		provideShare,
+		forward.NewSurvey,
 		NewEntry,
 		provideOperate,
 		wire.Struct(new(Branches), "*"), New,
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -7,6 +7,7 @@
 package process
 
 import (
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 )
 
@@ -31,6 +32,7 @@
 	budgets := provideBudgets(loaded, catalog)
 	forwarder := provideForwarder(loaded, catalog, processHearing, pool, engines, budgets, entry, registry)
 	share := provideShare(loaded, catalog, forwarder, processHearing, entry)
+	survey := forward.NewSurvey(forwarder)
 	checker := provideChecker(entry, registry)
 	processEntry := NewEntry(loaded, catalog, forwarder, lease, checker, entry)
 	operate := provideOperate(loaded, processEntry, catalog, registry, entry)
@@ -40,6 +42,7 @@
 		Placer:   placer,
 		Mirror:   server,
 		Share:    share,
+		Survey:   survey,
 		Upstream: pool,
 		Entry:    processEntry,
 		Operate:  operate,
--- a/comfreyrail/internal/gateway/share/share.go
+++ b/comfreyrail/internal/gateway/share/share.go
@@ -26,11 +26,13 @@
 	// tellTo is the greatest number of instances that are told at a time.
 	tellTo = 8
 	// maxEngines is the greatest number of engines in a datagram, so that it is never fragmented.
-	maxEngines = 100
+	maxEngines = 95
 	// maxDatagram is the greatest size of a datagram in bytes.
 	maxDatagram = 1400
 	// rateScale is the number of steps in one second of work a second.
 	rateScale = 1000
+	// slowScale is the number of steps in one usual time.
+	slowScale = 10
 	// tokenScale is the number of tokens in one step.
 	tokenScale = 64
 )
@@ -77,6 +79,7 @@
 	Tokens  uint16
 	Rate    uint16
 	Suspect bool
+	Slow    uint8 // tenths of the usual time, zero if unknown
 }
 
 // New returns a Share that has heard nothing.
@@ -154,6 +157,7 @@
 		}
 		told.Engines = append(told.Engines, entry{
 			Engine: hash(id), Tokens: steps(use.Tokens / tokenScale), Rate: steps(use.Rate * rateScale), Suspect: use.Suspect,
+			Slow: uint8(min(math.Round(use.Slowness*slowScale), math.MaxUint8)),
 		})
 	}
 	return cbor.Marshal(told)
@@ -174,7 +178,10 @@
 	}
 	uses := make(map[uint32]pipeline.Use, len(told.Engines))
 	for _, engine := range told.Engines {
-		uses[engine.Engine] = pipeline.Use{Tokens: float64(engine.Tokens) * tokenScale, Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect}
+		uses[engine.Engine] = pipeline.Use{
+			Tokens: float64(engine.Tokens) * tokenScale, Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect,
+			Slowness: float64(engine.Slow) / slowScale,
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,7 +203,10 @@
 		heard++
 		for engine, use := range told.uses {
 			sum := total[engine]
-			total[engine] = pipeline.Use{Tokens: sum.Tokens + use.Tokens, Rate: sum.Rate + use.Rate, Suspect: sum.Suspect || use.Suspect}
+			total[engine] = pipeline.Use{
+				Tokens: sum.Tokens + use.Tokens, Rate: sum.Rate + use.Rate, Suspect: sum.Suspect || use.Suspect,
+				Slowness: max(sum.Slowness, use.Slowness),
+			}
 		}
 	}
 	scale := 1.0
@@ -205,6 +215,7 @@
 	}
 	return func(id string) (pipeline.Use, bool) {
 		use := total[hash(id)]
-		return pipeline.Use{Tokens: use.Tokens * scale, Rate: use.Rate * scale, Suspect: use.Suspect}, heard > 0
+		use.Tokens, use.Rate = use.Tokens*scale, use.Rate*scale
+		return use, heard > 0
 	}
 }
--- a/rail/backend/backend.go
+++ b/rail/backend/backend.go
@@ -46,6 +46,8 @@
 	Busy bool
 	// Layers is the range that it holds.
 	Layers Range
+	// Slowness is how many times the usual time its work takes, zero if it does not say.
+	Slowness float64
 	// Stalled lists the addresses of engines that hold up its requests.
 	Stalled []string
 }
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -39,6 +39,8 @@
 	Rate float64
 	// Suspect tells that the engine failed or fell silent just now.
 	Suspect bool
+	// Slowness is how many times the usual time the engine says that its work takes, zero if it has not been asked.
+	Slowness float64
 }
 
 // Config configures a Chooser.
@@ -76,6 +78,7 @@
 	at     time.Time
 	tokens float64 // tokens x layers promised
 	health health
+	speed  speed
 }
 
 // Chooser chooses paths; it is not safe for concurrent use.
@@ -208,7 +211,10 @@
 	uses := make(map[string]Use)
 	for id, held := range c.loads {
 		use := Use{Tokens: held.tokens, Rate: held.rate(now), Suspect: held.health.fresh(now)}
-		if use.Tokens > 0 || use.Rate > leastRate || use.Suspect {
+		if now.Sub(held.speed.reportedAt) < reportMemory {
+			use.Slowness = held.speed.reported
+		}
+		if use.Tokens > 0 || use.Rate > leastRate || use.Suspect || use.Slowness > 1 {
 			uses[id] = use
 		}
 	}
@@ -273,12 +279,13 @@
 		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > maxFill {
 			continue
 		}
-		use := min(taken.Rate, maxUse)
+		slowness := c.slowness(now, server.ID)
+		use := min(taken.Rate*slowness, maxUse)
 		read, write := c.work(card, server.Layers.Len(), request)
 		step := float64(c.engine.Step) * card.Pace * float64(server.Layers.Len()) / float64(c.engine.Layers) * float64(c.engine.Stride)
 		cost := (passesAhead*step + float64(read+write)) / float64(time.Second)
 		cost *= 1 + spreadNoise*c.config.Random()
-		cost *= held.health.slowness(now) / ((1 - use) * (1 - fill))
+		cost *= slowness / ((1 - use) * (1 - fill))
 		fixed := hopCost.Seconds()
 		if held.health.suspected(now) || taken.Suspect {
 			fixed += suspectCost.Seconds()
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -12,12 +12,6 @@
 	trialTime = 500 * time.Millisecond
 	// freshTime is how long a failure is told to other instances.
 	freshTime = 800 * time.Millisecond
-	// slowWindow is the time over which the least slowness of an engine is taken.
-	slowWindow = 400 * time.Millisecond
-	// slowMemory is how long a slow engine without events counts as slow.
-	slowMemory = 3 * time.Second
-	// slowFrom is the slowness from which an engine counts as slow.
-	slowFrom = 1.6
 	// silenceMemory is how long a silence that ended is remembered.
 	silenceMemory = 6 * time.Second
 	// silenceFactor is how many times the longest remembered silence an engine is silent before it counts as dead.
@@ -28,8 +22,6 @@
 	usualMemory = 256
 	// maxUsual bounds the weight of a single long pause in the usual one.
 	maxUsual = 3.0
-	// maxSlow bounds what a slow engine costs more.
-	maxSlow = 20.0
 )
 
 // health is what this instance saw of one engine lately.
@@ -42,10 +34,6 @@
 	tried     time.Time
 	longest   time.Duration // longest silence lately that an event ended
 	longestAt time.Time
-	slow      float64 // least slowness in the window before the present one
-	slowSeen  time.Time
-	least     float64 // least slowness in the present window
-	leastFrom time.Time
 }
 
 func (h *health) started(now time.Time) {
@@ -78,8 +66,8 @@
 // fresh reports whether the engine has failed just now.
 func (h *health) fresh(now time.Time) bool { return h.failures > 0 && now.Sub(h.failed) < freshTime }
 
-// progressed notes an event after a pause of its request, which took so many times the expected time.
-func (h *health) progressed(now time.Time, pause time.Duration, slowness float64) {
+// progressed notes an event after a pause of its request.
+func (h *health) progressed(now time.Time, pause time.Duration) {
 	if silence := now.Sub(h.event); pause > 0 && (silence > h.longest || now.Sub(h.longestAt) > silenceMemory) {
 		h.longest, h.longestAt = silence, now
 	}
@@ -87,15 +75,6 @@
 	if h.failures > 0 && now.Sub(h.failed) > trialTime {
 		h.failures, h.until = 0, time.Time{}
 	}
-	if slowness <= 0 {
-		return
-	}
-	if now.Sub(h.leastFrom) >= slowWindow {
-		h.slow, h.slowSeen = h.least, now
-		h.least, h.leastFrom = slowness, now
-		return
-	}
-	h.least = min(h.least, slowness)
 }
 
 // dead reports whether several requests pass through the engine of which none has made progress for so long that it cannot
@@ -110,14 +89,6 @@
 	return now.Sub(h.event) >= least
 }
 
-// slowness returns how many times the expected time the engine takes, 1 unless every request through it is slow.
-func (h *health) slowness(now time.Time) float64 {
-	if h.slow < slowFrom || now.Sub(h.slowSeen) > slowMemory {
-		return 1
-	}
-	return min(h.slow, maxSlow)
-}
-
 // Suspect leaves the engine at the address alone for a while.
 func (c *Chooser) Suspect(now time.Time, address string) {
 	for _, server := range c.servers {
@@ -131,7 +102,7 @@
 func (c *Chooser) Progressed(now time.Time, path Path, pause time.Duration) {
 	slowness := 0.0
 	if pause > 0 {
-		ratio := float64(pause) / float64(max(c.Expected(path), time.Millisecond))
+		ratio := float64(pause) / float64(max(c.Expected(now, path), time.Millisecond))
 		if c.usual == 0 {
 			c.usual = ratio
 		}
@@ -139,17 +110,20 @@
 		c.usual += (min(ratio, maxUsual*c.usual) - c.usual) / usualMemory
 	}
 	for _, stage := range path {
-		c.load(stage.Server.ID).health.progressed(now, pause, slowness)
+		held := c.load(stage.Server.ID)
+		held.health.progressed(now, pause)
+		held.speed.progressed(now, slowness)
 	}
 }
 
-// Expected returns the expected pause between two events of a request on the path.
-func (c *Chooser) Expected(path Path) time.Duration {
+// Expected returns the expected pause between two events of a request on the path, given what is known of its engines' speed.
+func (c *Chooser) Expected(now time.Time, path Path) time.Duration {
 	total := time.Duration(0)
 	for _, stage := range path {
 		card, _ := c.engine.Card(stage.Server.Card)
 		share := float64(stage.Layers.Len()) / float64(c.engine.Layers)
-		total += time.Duration(float64(c.engine.Step) * card.Pace * share * float64(c.engine.Stride))
+		slowness, _ := c.reported(now, stage.Server.ID)
+		total += time.Duration(float64(c.engine.Step) * card.Pace * share * float64(c.engine.Stride) * slowness)
 		total += hopCost
 	}
 	return total
--- a/rail/pipeline/health_test.go
+++ b/rail/pipeline/health_test.go
@@ -151,7 +151,7 @@
 	if !h.suspected(trial.Add(100 * time.Millisecond)) {
 		t.Error("got a second request at once, want one trial at a time")
 	}
-	h.progressed(trial.Add(200*time.Millisecond), 0, 0)
+	h.progressed(trial.Add(200*time.Millisecond), 0)
 	if h.suspected(trial.Add(200 * time.Millisecond)) {
 		t.Error("got suspected after the trial made progress, want trusted")
 	}
