Tell fewer bytes to other zones: packed datagrams, peers drawn by zone and scaled by zone

Ruled out: the mirror's answers (own zone only). What is left is requests sent to engines of other zones.

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -102,7 +102,7 @@
 		held.chooser.SetFleet(service.Engine, snapshot.Servers[service.Name], len(snapshot.Instances))
 	}
 	if now := time.Now(); now.Sub(held.heard) > sumEvery {
-		held.heard, held.others = now, f.config.Others(now, len(snapshot.Instances)-1)
+		held.heard, held.others = now, f.config.Others(now)
 	}
 	return held.chooser
 }
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -34,8 +34,8 @@
 	UnsureAfter time.Duration
 	// Retries bounds what is sent to a second server.
 	Retries *Budgets
-	// Others returns the work of so many other instances at engines.
-	Others func(now time.Time, others int) func(id string) (use pipeline.Use, known bool)
+	// Others returns the work of the other instances at engines.
+	Others func(now time.Time) func(id string) (use pipeline.Use, known bool)
 	// ReadRequest reads what a caller says.
 	ReadRequest func(header http.Header) call.Request
 	// WriteForward writes what a backend server is told.
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -149,7 +149,7 @@
 		Catalog: known, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: logrus.NewEntry(logger), Metrics: registry,
 		ConfirmWithin: 4 * time.Second, UnsureAfter: 2 * time.Second,
 		Retries: NewBudgets(BudgetConfig{Window: retry.WindowConfig{Ratio: 1, Burst: 100, Period: 10 * time.Second}, Instances: func() int { return 1 }}),
-		Others: func(time.Time, int) func(string) (pipeline.Use, bool) {
+		Others: func(time.Time) func(string) (pipeline.Use, bool) {
 			return func(string) (pipeline.Use, bool) { return pipeline.Use{}, true }
 		},
 		ReadRequest: readRequest, WriteForward: writeForward, ReadAnswer: readAnswer,
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -142,20 +142,20 @@
 // hearing passes on what other instances told; the Share that hears them needs the Forwarder first.
 type hearing struct{ share *share.Share }
 
-// Others returns the work of so many other instances at engines.
-func (h *hearing) Others(now time.Time, others int) func(id string) (use pipeline.Use, known bool) {
-	return h.share.Others(now, others)
+// Others returns the work of the other instances at engines.
+func (h *hearing) Others(now time.Time) func(id string) (use pipeline.Use, known bool) {
+	return h.share.Others(now)
 }
 
 func provideHearing() *hearing { return &hearing{} }
 
 func provideShare(loaded settings.Gateway, known *catalog.Catalog, forwarder *forward.Forwarder, heard *hearing, log *logrus.Entry) *share.Share {
 	heard.share = share.New(share.Config{
-		Name: loaded.Name, Listen: loaded.Listen.Peer, Uses: forwarder.Uses, Log: log,
-		Peers: func() (peers []string) {
+		Name: loaded.Name, Zone: loaded.Zone, Listen: loaded.Listen.Peer, Uses: forwarder.Uses, Log: log,
+		Peers: func() (peers []share.Peer) {
 			for _, instance := range known.Snapshot().Instances {
 				if instance.Peer != loaded.Listen.Peer {
-					peers = append(peers, instance.Peer)
+					peers = append(peers, share.Peer{Address: instance.Peer, Zone: instance.Zone})
 				}
 			}
 			return peers
--- /dev/null
+++ b/comfreyrail/internal/gateway/share/datagram.go
@@ -0,0 +1,92 @@
+package share
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+)
+
+// Steps in which numbers are told.
+const (
+	// rateScale is the number of steps in one second of work a second.
+	rateScale = 1000
+	// tokenScale is the number of tokens in one step.
+	tokenScale = 64
+	// slowScale is the number of steps in one usual time.
+	slowScale = 10
+)
+
+// message is a datagram.
+type message struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Zone    string
+	Engines []byte // entries, one after the other
+}
+
+// entry is the work at one engine, in a fixed number of bytes.
+type entry struct {
+	Engine  uint32
+	Tokens  uint16
+	Rate    uint16
+	Slow    uint8 // zero if unknown
+	Suspect bool
+}
+
+// errMalformed means that a datagram was not written by an instance.
+const errMalformed = errors.ConstError("malformed datagram")
+
+func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// encode writes a datagram of the engines that have work.
+func encode(name, zone string, uses map[string]pipeline.Use) (datagram []byte, err error) {
+	defer errors.DeferredAnnotatef(&err, "write datagram")
+	entries := make([]entry, 0, min(len(uses), maxEngines))
+	for id, use := range uses {
+		if len(entries) == maxEngines {
+			break
+		}
+		entries = append(entries, entry{
+			Engine: hash(id), Tokens: steps(use.Tokens / tokenScale), Rate: steps(use.Rate * rateScale),
+			Slow: uint8(min(math.Round(use.Slowness*slowScale), math.MaxUint8)), Suspect: use.Suspect,
+		})
+	}
+	packed, err := binary.Append(nil, binary.BigEndian, entries)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(message{Name: name, Zone: zone, Engines: packed})
+}
+
+// steps returns a number of steps, at most what an entry holds.
+func steps(n float64) uint16 { return uint16(min(math.Ceil(n), math.MaxUint16)) }
+
+// decode reads a datagram.
+func decode(datagram []byte) (name string, told report, err error) {
+	var read message
+	if err = cbor.Unmarshal(datagram, &read); err != nil {
+		return "", told, err
+	}
+	size := binary.Size(entry{})
+	if read.Name == "" || len(read.Engines)%size != 0 || len(read.Engines) > maxEngines*size {
+		return "", told, errMalformed
+	}
+	entries := make([]entry, len(read.Engines)/size)
+	if err = binary.Read(bytes.NewReader(read.Engines), binary.BigEndian, entries); err != nil {
+		return "", told, err
+	}
+	told = report{zone: read.Zone, uses: make(map[uint32]pipeline.Use, len(entries))}
+	for _, engine := range entries {
+		told.uses[engine.Engine] = pipeline.Use{
+			Tokens: float64(engine.Tokens) * tokenScale, Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect,
+			Slowness: float64(engine.Slow) / slowScale,
+		}
+	}
+	return read.Name, told, nil
+}
--- a/comfreyrail/internal/gateway/share/share.go
+++ b/comfreyrail/internal/gateway/share/share.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
@@ -23,28 +20,34 @@
 	tellEvery = 200 * time.Millisecond
 	// heardFor is how long a datagram counts.
 	heardFor = 1200 * time.Millisecond
-	// tellTo is the greatest number of instances that are told at a time.
-	tellTo = 8
-	// maxEngines is the greatest number of engines in a datagram, so that it is never fragmented.
-	maxEngines = 95
-	// maxDatagram is the greatest size of a datagram in bytes.
+	// tellNear is the greatest number of instances of the own availability zone that are told at a time.
+	tellNear = 5
+	// tellFar is the greatest number of instances of other availability zones that are told at a time.
+	tellFar = 3
+	// maxDatagram is the greatest size of a datagram in bytes, so that it is never fragmented.
 	maxDatagram = 1400
-	// rateScale is the number of steps in one second of work a second.
-	rateScale = 1000
-	// slowScale is the number of steps in one usual time.
-	slowScale = 10
-	// tokenScale is the number of tokens in one step.
-	tokenScale = 64
+	// maxEngines is the greatest number of engines in a datagram.
+	maxEngines = 130
 )
 
+// Peer is another instance.
+type Peer struct {
+	// Address is its UDP host and port.
+	Address string
+	// Zone is its availability zone.
+	Zone string
+}
+
 // Config configures a Share.
 type Config struct {
 	// Name is the name of this instance.
 	Name string
+	// Zone is the availability zone of this instance.
+	Zone string
 	// Listen is the UDP host and port of this instance.
 	Listen string
-	// Peers returns the addresses of the other instances.
-	Peers func() []string
+	// Peers returns the other instances.
+	Peers func() []Peer
 	// Uses returns what this instance has at each engine.
 	Uses func() map[string]pipeline.Use
 	// Log receives the log.
@@ -62,26 +65,10 @@
 // report is what another instance told last.
 type report struct {
 	at   time.Time
+	zone string
 	uses map[uint32]pipeline.Use
 }
 
-// message is a datagram.
-type message struct {
-	_       struct{} `cbor:",toarray"`
-	Name    string
-	Engines []entry
-}
-
-// entry is the work at one engine.
-type entry struct {
-	_       struct{} `cbor:",toarray"`
-	Engine  uint32
-	Tokens  uint16
-	Rate    uint16
-	Suspect bool
-	Slow    uint8 // tenths of the usual time, zero if unknown
-}
-
 // New returns a Share that has heard nothing.
 func New(config Config) *Share { return &Share{config: config, heard: make(map[string]report)} }
 
@@ -120,20 +107,36 @@
 			return
 		case <-ticker.C:
 		}
-		peers := s.config.Peers()
+		peers := s.pick(s.config.Peers())
 		if len(peers) == 0 {
 			continue
 		}
-		datagram, err := encode(s.config.Name, s.config.Uses())
+		datagram, err := encode(s.config.Name, s.config.Zone, s.config.Uses())
 		if err != nil {
 			s.config.Log.WithError(err).Error("datagram not written")
 			continue
 		}
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, peer := range peers[:min(len(peers), tellTo)] {
-			s.send(socket, peer, datagram)
+		for _, peer := range peers {
+			s.send(socket, peer.Address, datagram)
+		}
+	}
+}
+
+// pick draws the instances that are told next: a few of the own availability zone, and fewer of the others, as bytes
+// between zones are dear.
+func (s *Share) pick(peers []Peer) (picked []Peer) {
+	near, far := tellNear, tellFar
+	for _, i := range rand.Perm(len(peers)) {
+		left := &far
+		if peers[i].Zone == s.config.Zone {
+			left = &near
+		}
+		if *left > 0 {
+			*left--
+			picked = append(picked, peers[i])
 		}
 	}
+	return picked
 }
 
 func (s *Share) send(socket *net.UDPConn, peer string, datagram []byte) {
@@ -146,76 +149,54 @@
 	}
 }
 
-func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
-
-// encode writes a datagram of the engines that have work.
-func encode(name string, uses map[string]pipeline.Use) ([]byte, error) {
-	told := message{Name: name}
-	for id, use := range uses {
-		if len(told.Engines) == maxEngines {
-			break
-		}
-		told.Engines = append(told.Engines, entry{
-			Engine: hash(id), Tokens: steps(use.Tokens / tokenScale), Rate: steps(use.Rate * rateScale), Suspect: use.Suspect,
-			Slow: uint8(min(math.Round(use.Slowness*slowScale), math.MaxUint8)),
-		})
-	}
-	return cbor.Marshal(told)
-}
-
-// steps returns a number of steps, at most what an entry holds.
-func steps(n float64) uint16 { return uint16(min(math.Ceil(n), math.MaxUint16)) }
-
 // hear takes a datagram.
 func (s *Share) hear(now time.Time, datagram []byte) (err error) {
 	defer errors.DeferredAnnotatef(&err, "read datagram")
-	var told message
-	if err = cbor.Unmarshal(datagram, &told); err != nil {
+	name, told, err := decode(datagram)
+	if err != nil {
 		return err
 	}
-	if told.Name == s.config.Name || told.Name == "" || len(told.Engines) > maxEngines {
+	if name == s.config.Name {
 		return errors.New("not from another instance")
 	}
-	uses := make(map[uint32]pipeline.Use, len(told.Engines))
-	for _, engine := range told.Engines {
-		uses[engine.Engine] = pipeline.Use{
-			Tokens: float64(engine.Tokens) * tokenScale, Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect,
-			Slowness: float64(engine.Slow) / slowScale,
-		}
-	}
+	told.at = now
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard[told.Name] = report{at: now, uses: uses}
+	s.heard[name] = told
 	return nil
 }
 
-// Others returns the work of all other instances at an engine, scaled from those that were heard lately.
-func (s *Share) Others(now time.Time, others int) func(id string) (use pipeline.Use, known bool) {
+// Others returns the work of all other instances at an engine. Those of an availability zone that were not heard lately
+// count as much each as those of the zone that were.
+func (s *Share) Others(now time.Time) func(id string) (use pipeline.Use, known bool) {
+	members := make(map[string]int)
+	for _, peer := range s.config.Peers() {
+		members[peer.Zone]++
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := make(map[uint32]pipeline.Use)
-	heard := 0
+	heard := make(map[string]int)
 	for name, told := range s.heard {
 		if now.Sub(told.at) > heardFor {
 			delete(s.heard, name)
 			continue
 		}
-		heard++
-		for engine, use := range told.uses {
-			sum := total[engine]
-			total[engine] = pipeline.Use{
-				Tokens: sum.Tokens + use.Tokens, Rate: sum.Rate + use.Rate, Suspect: sum.Suspect || use.Suspect,
-				Slowness: max(sum.Slowness, use.Slowness),
-			}
-		}
+		heard[told.zone]++
 	}
-	scale := 1.0
-	if heard > 0 && others > heard {
-		scale = float64(others) / float64(heard)
+	total := make(map[uint32]pipeline.Use)
+	for _, told := range s.heard {
+		add(total, told.uses, max(float64(members[told.zone])/float64(heard[told.zone]), 1))
 	}
-	return func(id string) (pipeline.Use, bool) {
-		use := total[hash(id)]
-		use.Tokens, use.Rate = use.Tokens*scale, use.Rate*scale
-		return use, heard > 0
+	return func(id string) (pipeline.Use, bool) { return total[hash(id)], len(heard) > 0 }
+}
+
+// add counts the uses so many times in the total.
+func add(total, uses map[uint32]pipeline.Use, times float64) {
+	for engine, use := range uses {
+		sum := total[engine]
+		total[engine] = pipeline.Use{
+			Tokens: sum.Tokens + times*use.Tokens, Rate: sum.Rate + times*use.Rate, Suspect: sum.Suspect || use.Suspect,
+			Slowness: max(sum.Slowness, use.Slowness),
+		}
 	}
 }
--- a/comfreyrail/internal/gateway/share/share_test.go
+++ b/comfreyrail/internal/gateway/share/share_test.go
@@ -9,9 +9,9 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-func tell(t *testing.T, s *Share, at time.Time, name string, uses map[string]pipeline.Use) {
+func tell(t *testing.T, s *Share, at time.Time, name, zone string, uses map[string]pipeline.Use) {
 	t.Helper()
-	datagram, err := encode(name, uses)
+	datagram, err := encode(name, zone, uses)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -20,38 +20,72 @@
 	}
 }
 
+// peersOf returns so many instances in each of two availability zones.
+func peersOf(near, far int) (peers []Peer) {
+	for range near {
+		peers = append(peers, Peer{Zone: "a"})
+	}
+	for range far {
+		peers = append(peers, Peer{Zone: "b"})
+	}
+	return peers
+}
+
 func TestOthers(t *testing.T) {
 	tests := []struct {
-		name   string
-		after  time.Duration
-		others int
-		want   float64
-		known  bool
+		name      string
+		after     time.Duration
+		near, far int
+		want      float64
+		known     bool
 	}{
-		{"the sum of all that told", 0, 2, 3200, true},
-		{"scaled to those that did not", 0, 4, 6400, true},
-		{"nothing once they are silent", 2 * time.Second, 2, 0, false},
+		{"the sum of all that told", 0, 1, 1, 3200, true},
+		{"those of the zone that did not count like those that did", 0, 3, 1, 5760, true},
+		{"those of the other zone like those of that zone", 0, 1, 3, 7040, true},
+		{"one that the store does not list", 0, 0, 0, 3200, true},
+		{"nothing once they are silent", 2 * time.Second, 1, 1, 0, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := New(Config{Name: "me"})
-			tell(t, s, start, "first", map[string]pipeline.Use{"engine": {Tokens: 640, Rate: 0.5}})
-			tell(t, s, start, "first", map[string]pipeline.Use{"engine": {Tokens: 1280, Rate: 0.5}})
-			tell(t, s, start, "second", map[string]pipeline.Use{"engine": {Tokens: 1920, Rate: 0.25}})
-			got, known := s.Others(start.Add(test.after), test.others)("engine")
+			s := New(Config{Name: "me", Zone: "a", Peers: func() []Peer { return peersOf(test.near, test.far) }})
+			tell(t, s, start, "first", "a", map[string]pipeline.Use{"engine": {Tokens: 640, Rate: 0.5}})
+			tell(t, s, start, "first", "a", map[string]pipeline.Use{"engine": {Tokens: 1280, Rate: 0.5}})
+			tell(t, s, start, "second", "b", map[string]pipeline.Use{"engine": {Tokens: 1920, Rate: 0.25, Slowness: 12}})
+			got, known := s.Others(start.Add(test.after))("engine")
 			if got.Tokens != test.want || known != test.known {
 				t.Errorf("got %v tokens, known %v, want %v, %v", got.Tokens, known, test.want, test.known)
 			}
+			if known && got.Slowness != 12 {
+				t.Errorf("got slowness %v, want 12 however many there are", got.Slowness)
+			}
 		})
 	}
 }
 
+func TestPickPrefersTheOwnZone(t *testing.T) {
+	tests := []struct{ near, far, wantNear, wantFar int }{{22, 45, tellNear, tellFar}, {1, 4, 1, 3}, {0, 2, 0, 2}, {0, 0, 0, 0}}
+	for _, test := range tests {
+		s := New(Config{Zone: "a"})
+		near, far := 0, 0
+		for _, peer := range s.pick(peersOf(test.near, test.far)) {
+			if peer.Zone == "a" {
+				near++
+			} else {
+				far++
+			}
+		}
+		if near != test.wantNear || far != test.wantFar {
+			t.Errorf("of %d and %d: got %d and %d, want %d and %d", test.near, test.far, near, far, test.wantNear, test.wantFar)
+		}
+	}
+}
+
 func TestDatagramFitsOnePacket(t *testing.T) {
 	uses := make(map[string]pipeline.Use)
 	for i := range 2 * maxEngines {
 		uses[string(rune('a'+i%26))+string(rune('a'+i/26))] = pipeline.Use{Tokens: 4e9, Rate: 60}
 	}
-	datagram, err := encode("an-instance-with-a-long-name-in-a-zone-1", uses)
+	datagram, err := encode("an-instance-with-a-long-name-in-a-zone-1", "a-zone-with-a-long-name", uses)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +95,7 @@
 }
 
 func FuzzHear(f *testing.F) {
-	datagram, err := encode("peer", map[string]pipeline.Use{"engine": {Tokens: 1, Rate: 1}})
+	datagram, err := encode("peer", "a", map[string]pipeline.Use{"engine": {Tokens: 1, Rate: 1}})
 	if err != nil {
 		f.Fatal(err)
 	}
