Make fewer calls to the store: few try for the duty of placing, a large fleet leaves a store that is down alone

Change: two instances on average try at each look, and again after 1 s; the pause of those that others read for grows with the fleet, 25 calls a second for all.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -36,8 +36,10 @@
 	unheardTime = 4 * time.Second
 	// freshMargin is how much older than the pace another instance's word may be.
 	freshMargin = 600 * time.Millisecond
-	// directPause is the time for which an instance that another one reads for leaves a failed store alone.
+	// directPause is the least time for which an instance that another one reads for leaves a failed store alone.
 	directPause = 1500 * time.Millisecond
+	// directShare is that time for each instance of the fleet, so that all together call at a bounded rate.
+	directShare = 40 * time.Millisecond
 	// lapseTime is how long after the store's return an entry may take to come back.
 	lapseTime = 2500 * time.Millisecond
 )
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"strings"
@@ -342,3 +343,37 @@
 		}
 	}
 }
+
+// A large fleet calls a store that is down no more often than a rate that does not grow with the fleet.
+func TestALargeFleetLeavesTheStoreAloneWhileItIsDown(t *testing.T) {
+	var names []string
+	for i := range 60 {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	instances := fleetOf(names...)
+	var records []store.Item
+	for i, instance := range instances {
+		records = append(records, record(t, instance, uint64(i+1)))
+	}
+	const seconds = 10
+	reads := 0
+	for _, self := range instances {
+		w := &world{now: time.Minute, items: records}
+		c := newCatalog(w, self)
+		turn(t, c, w)
+		if _, other := readerOf(instances, self); !other {
+			continue
+		}
+		w.err, w.peerErr = errDown, errDown
+		before := w.reads
+		for range seconds * 4 {
+			w.now += 250 * time.Millisecond
+			turn(t, c, w)
+		}
+		reads += w.reads - before
+	}
+	first := len(instances)
+	if got, want := float64(reads-first)/seconds, 1/directShare.Seconds(); got > want {
+		t.Errorf("got %.1f calls a second after the first of each, want %.1f at most", got, want)
+	}
+}
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -88,8 +88,9 @@
 
 // read reads the store, which is not asked again at once by all instances after it has failed.
 func (c *Catalog) read(ctx context.Context) (err error) {
-	now := c.config.Elapsed()
-	if _, other := readerOf(c.Snapshot().Instances, c.config.Self); other && c.failedAt > 0 && now-c.failedAt < directPause {
+	now, instances := c.config.Elapsed(), c.Snapshot().Instances
+	alone := max(directPause, time.Duration(len(instances))*directShare)
+	if _, other := readerOf(instances, c.config.Self); other && c.failedAt > 0 && now-c.failedAt < alone {
 		return errAway
 	}
 	err = c.readStore(ctx)
--- a/comfreyrail/internal/gateway/duty/duty_test.go
+++ b/comfreyrail/internal/gateway/duty/duty_test.go
@@ -110,6 +110,7 @@
 			<-ctx.Done()
 			return store.Changes{}, ctx.Err()
 		},
+		Ask:       func(context.Context, string, uint64) (catalog.Changes, error) { return catalog.Changes{}, errNoAnswer },
 		ConfigKey: "config",
 		DecodeConfig: func([]byte) (route.Config, error) {
 			return route.Config{Version: 1, Services: []route.Service{{Name: "llm", Engine: engine}}}, nil
@@ -191,6 +192,52 @@
 	}
 }
 
+// A free duty is tried for by a few instances of a large fleet only, and by a lone one at once.
+func TestFewTryForTheDuty(t *testing.T) {
+	tests := []struct {
+		name      string
+		instances int
+		draw      float64
+		want      bool
+	}{
+		{"a lone one", 1, 0.99, true},
+		{"one of 68 that is drawn", 68, 0.01, true},
+		{"one of 68 that is not", 68, 0.5, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var items []store.Item
+			items = append(items, store.Item{Key: "config", Revision: 1})
+			for i := range test.instances {
+				self := catalog.Instance{Name: fmt.Sprintf("i%d", i), Zone: "a", Peer: "x:1"}
+				value, err := self.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				items = append(items, store.Item{Key: catalog.InstancePrefix + self.Name, Value: value, Revision: uint64(i + 2)})
+			}
+			tries := 0
+			lease := NewLease(LeaseConfig{Elapsed: func() time.Duration { return time.Hour }})
+			lease.extend(7, 2*time.Hour)
+			p := NewPlacer(PlacerConfig{
+				Name: "i0", Catalog: newCatalog(t, items, nil), Lease: lease, Log: quiet(), Random: func() float64 { return test.draw },
+				Commit: func(context.Context, store.Transaction) (uint64, error) {
+					tries++
+					return 0, store.ErrConflict
+				},
+			})
+			for range 3 {
+				if p.onDuty(context.Background()) {
+					t.Error("got the duty after a conflict, want it left to the other instance")
+				}
+			}
+			if got := tries == 1; got != test.want || tries > 1 {
+				t.Errorf("got %d tries, want one: %v, and no second one at once", tries, test.want)
+			}
+		})
+	}
+}
+
 func TestLeaseIsNotReliedOnNearItsEnd(t *testing.T) {
 	now := time.Hour
 	lease := NewLease(LeaseConfig{
--- a/comfreyrail/internal/gateway/duty/placer.go
+++ b/comfreyrail/internal/gateway/duty/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,10 +25,16 @@
 	orderTimeout = time.Second
 	// settleTime is how long the number of empty engines must stay the same before the first of them is given layers.
 	settleTime = 1500 * time.Millisecond
+	// tryAgain is the time after which an instance tries again to take the duty.
+	tryAgain = time.Second
 	// entryLag is how long after a load an engine's entry may still show nothing.
 	entryLag = 5 * time.Second
 )
 
+// candidates is the number of instances that try on average to take a free duty at each look; more would only make
+// conflicting calls to the store.
+const candidates = 2.0
+
 // PlacerConfig configures a Placer.
 type PlacerConfig struct {
 	// Name is the name of this instance.
@@ -44,6 +51,8 @@
 	Place func(ctx context.Context, server backend.Server, orders int64, layers backend.Range) error
 	// Refused reports whether an error of Place says that nothing has begun.
 	Refused func(err error) bool
+	// Random draws numbers in [0, 1); nil takes the global source.
+	Random func() float64
 	// Log receives the log.
 	Log *logrus.Entry
 }
@@ -54,6 +63,7 @@
 	orders sync.WaitGroup
 
 	arrivals map[string]arrival
+	tryAfter time.Time // when the duty may be tried for again
 
 	mu       sync.Mutex
 	promised map[string]promise
@@ -75,6 +85,9 @@
 
 // NewPlacer returns a Placer without the duty.
 func NewPlacer(config PlacerConfig) *Placer {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
 	return &Placer{config: config, promised: make(map[string]promise), arrivals: make(map[string]arrival)}
 }
 
@@ -90,7 +103,7 @@
 	return ctx.Err()
 }
 
-// onDuty reports whether this instance is the placer, and takes the duty if nobody has it.
+// onDuty reports whether this instance is the placer, and may try to take the duty if nobody has it.
 func (p *Placer) onDuty(ctx context.Context) bool {
 	id, ok := p.config.Lease.Held()
 	item := p.config.Catalog.Snapshot().Placer
@@ -99,20 +112,30 @@
 		p.held = held
 		p.config.Log.WithField("held", held).WithField("lease", id).Info("duty of placing layers")
 	}
-	if held || !ok || item.Revision != 0 || p.config.Catalog.Snapshot().Table == nil {
-		return held
+	if !held && ok && item.Revision == 0 && p.config.Catalog.Snapshot().Table != nil && p.mayTry(time.Now()) {
+		p.try(ctx, id)
 	}
+	return held
+}
+
+// mayTry reports whether this instance is one of the few that try to take a free duty now.
+func (p *Placer) mayTry(now time.Time) bool {
+	instances := float64(len(p.config.Catalog.Snapshot().Instances))
+	return now.After(p.tryAfter) && p.config.Random()*instances < candidates
+}
+
+// try takes the duty, if nobody else has taken it meanwhile.
+func (p *Placer) try(ctx context.Context, lease uint64) {
+	p.tryAfter = time.Now().Add(tryAgain)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := p.config.Commit(ctx, store.Transaction{
 		Conditions: []store.Condition{{Key: catalog.PlacerKey}},
-		Writes:     []store.Write{{Key: catalog.PlacerKey, Value: []byte(p.config.Name), Lease: id}},
+		Writes:     []store.Write{{Key: catalog.PlacerKey, Value: []byte(p.config.Name), Lease: lease}},
 	})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		p.config.Log.WithError(err).Info("the duty of placing layers was not taken")
 	}
-	_ = pause.For(ctx, placeEvery)
-	return false
 }
 
 // place orders the engines that hold nothing.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -57,9 +57,8 @@
 	config    Config
 	began     time.Time
 	fleet     *fleet
-	lagUntil  atomic.Int64 // Unix nanoseconds
-	stopBy    atomic.Int64 // Unix nanoseconds, zero while the instance does not stop
-	tokenTime atomic.Int64 // nanoseconds between tokens
+	stop      atomic.Pointer[stop] // nil while the instance does not stop
+	tokenTime atomic.Int64         // nanoseconds between tokens
 }
 
 // New returns a Forwarder.
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -467,6 +467,19 @@
 }
 
 // A stopping instance takes everything while the balancer may send a refused caller back to it, and then what can end.
+// A jump of the time of day must neither cut a stop short nor draw it out: its times keep the steady clock's reading.
+func TestStopKeepsTheSteadyClock(t *testing.T) {
+	f := &Forwarder{}
+	now := time.Now()
+	f.StopBy(now, now.Add(time.Minute))
+	planned := f.stop.Load()
+	for _, at := range []time.Time{planned.lag, planned.cut} {
+		if got, want := at.String(), " m="; !strings.Contains(got, want) {
+			t.Errorf("got %s, want a reading of the steady clock", got)
+		}
+	}
+}
+
 func TestARequestIsRefusedThatCannotEndBeforeTheStop(t *testing.T) {
 	f := &Forwarder{}
 	f.tokenTime.Store(int64(10 * time.Millisecond))
--- a/comfreyrail/internal/gateway/forward/stop.go
+++ b/comfreyrail/internal/gateway/forward/stop.go
@@ -14,27 +14,30 @@
 	return &refusal{status: http.StatusServiceUnavailable, code: "stopping", after: elsewhereAfter}
 }
 
+// stop is when a planned stop of the instance takes effect; the times keep their reading of the steady clock.
+type stop struct {
+	lag time.Time // until when the balancer may still send new callers here
+	cut time.Time // when requests in progress are cut
+}
+
 // StopBy tells that requests which are still in progress at the time are cut, and until when the balancer may still send
 // new callers here, so that a refusal would meet them again.
-func (f *Forwarder) StopBy(lag, at time.Time) {
-	f.lagUntil.Store(lag.UnixNano())
-	f.stopBy.Store(at.UnixNano())
-}
+func (f *Forwarder) StopBy(lag, at time.Time) { f.stop.Store(&stop{lag: lag, cut: at}) }
 
 // stopMargin is how long before the cut a request must be expected to end.
 const stopMargin = time.Second
 
 // endsInTime reports whether a request is expected to end before the instance stops, or has nowhere else to go yet.
 func (f *Forwarder) endsInTime(j *job) bool {
-	at := f.stopBy.Load()
-	if at == 0 || time.Now().UnixNano() < f.lagUntil.Load() {
+	planned := f.stop.Load()
+	if planned == nil || time.Now().Before(planned.lag) {
 		return true
 	}
 	expected := j.route.Target
 	if j.route.Kind == route.Stream {
 		expected += time.Duration(max(j.request.Hint, j.request.MaxAnswer/2)) * time.Duration(f.tokenTime.Load())
 	}
-	return time.Until(time.Unix(0, at)) > expected+stopMargin
+	return time.Until(planned.cut) > expected+stopMargin
 }
 
 // firstTokenTime is the time between tokens that is expected before any has been seen.
