Ask the engines of a silent stream whether they live, and go past those that do not

The guess wanted an engine silent since before the stream's own last event, which only the stream that was served last saw; it also wanted two streams through the engine, and an instance of 68 has less than one. With a dark first engine the restarts went back to it: three others were full, as an instance without power was counted twice by its neighbour, and a detour over a full link cost more than a suspect; a begun stream without a path span through its repeats. Change: a stream silent for 0.45 of the allowed pause has its silent engines asked for their report, 80 ms at most, answers shared; the one that the first engine names for the request, or that does not answer, is passed by; slow ones answer and are left alone. Engines that do not answer get no request until a question finds them back. Where everybody of a zone would have been heard, a silent instance counts as gone. A begun stream waits 40 ms for room without using up repeats.

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -20,26 +20,6 @@
 	mu      sync.Mutex
 	plain   *balance.Balancer
 	engines map[string]*engines
-	moves   float64 // moves past silent engines that are allowed now
-}
-
-// Bounds of the moves past silent engines, as each makes other engines read the request again.
-const (
-	// moveShare is the number of moves allowed for each request.
-	moveShare = 0.05
-	// moveBurst is the greatest number of moves that are saved up.
-	moveBurst = 12
-)
-
-// mayMove reports whether a request may be moved past a silent engine, and counts it.
-func (f *fleet) mayMove() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.moves < 1 {
-		return false
-	}
-	f.moves--
-	return true
 }
 
 // engines is the chooser of one service with the snapshot that it was told.
@@ -56,7 +36,7 @@
 const sumEvery = 50 * time.Millisecond
 
 func newFleet(config Config) *fleet {
-	return &fleet{config: config, plain: balance.New(balance.Config{}), engines: make(map[string]*engines), moves: moveBurst}
+	return &fleet{config: config, plain: balance.New(balance.Config{}), engines: make(map[string]*engines)}
 }
 
 func (f *fleet) choosePlain(servers []backend.Server, avoid []string) (backend.Server, bool) {
@@ -127,7 +107,6 @@
 	now := time.Now()
 	if path, ok = chooser.Choose(now, request); ok {
 		chooser.Started(now, path, request)
-		f.moves = min(f.moves+moveShare, moveBurst)
 	}
 	return path, ok
 }
@@ -176,11 +155,27 @@
 	}
 }
 
-// silent returns the stage that holds up a run, if it has been silent for so long at least.
-func (f *fleet) silent(r *run, least time.Duration) (stage int, ok bool) {
+// mute returns the stages of a run through which nothing has passed for a time.
+func (f *fleet) mute(r *run, least time.Duration) []int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.engines[r.service.Name].chooser.Silent(time.Now(), r.path, r.since, least)
+	return f.engines[r.service.Name].chooser.Mute(time.Now(), r.path, least)
+}
+
+// dead returns the first stage of a run whose engine is known not to answer.
+func (f *fleet) dead(r *run, least time.Duration) (stage int, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[r.service.Name].chooser.Dead(time.Now(), r.path, least)
+}
+
+// unanswered notes that an engine did not answer a question.
+func (f *fleet) unanswered(server backend.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.engines[server.Service]; held != nil {
+		held.chooser.Unanswered(time.Now(), server.ID)
+	}
 }
 
 // reroute returns the path of a run without the engine of one stage, which is left alone from now on.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -57,13 +57,14 @@
 	config    Config
 	began     time.Time
 	fleet     *fleet
+	examiner  *examiner
 	stop      atomic.Pointer[stop] // nil while the instance does not stop
 	tokenTime atomic.Int64         // nanoseconds between tokens
 }
 
 // New returns a Forwarder.
 func New(config Config) *Forwarder {
-	f := &Forwarder{config: config, fleet: newFleet(config), began: time.Now()}
+	f := &Forwarder{config: config, fleet: newFleet(config), examiner: newExaminer(config), began: time.Now()}
 	f.tokenTime.Store(int64(firstTokenTime))
 	return f
 }
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -32,6 +33,8 @@
 	leastPatience = 300 * time.Millisecond
 	// silenceStep is the time between two looks at the engines.
 	silenceStep = 30 * time.Millisecond
+	// roomPause is the time after which a stream that has begun looks again for a path with room.
+	roomPause = 40 * time.Millisecond
 	// repathTimeout is the longest time for the order to go on along other engines.
 	repathTimeout = 100 * time.Millisecond
 )
@@ -47,6 +50,9 @@
 	answer  *upstream.Answer
 	since   time.Time // when it began, or made progress last
 	moves   int
+
+	examined time.Time // when its engines were examined last
+	culprit  string    // address of the engine for which it was given up, empty if none is known
 }
 
 // stream passes on a request whose answer is a stream of events.
@@ -70,6 +76,8 @@
 			return err
 		case errors.Is(err, errNoPath) && !out.begun:
 			return j.exhausted("no-room")
+		case errors.Is(err, errNoPath):
+			_ = pause.For(ctx, roomPause)
 		case !f.mayGoOn(j):
 			if out.begun {
 				return err
@@ -157,7 +165,10 @@
 	if err != nil {
 		var failure *upstream.Error
 		j.ran = j.ran || !errors.As(err, &failure) || failure.Sent
-		f.blame(ctx, j, r, "", err)
+		if failure != nil && !failure.Sent {
+			r.culprit = first.Address
+		}
+		f.blame(ctx, j, r, r.culprit, err)
 		return err
 	}
 	r.answer = answer
@@ -207,21 +218,27 @@
 	if r.answer == nil {
 		f.fleet.waited(r)
 	}
-	stage, ok := f.fleet.silent(r, part(j.route.Gap, pauseSilence))
-	if !ok || r.moves >= maxMoves {
+	if r.moves >= maxMoves {
 		return min(silenceStep, patience-waited)
 	}
-	if stage == 0 {
-		if !f.mayStartAgain(j) {
-			return silenceStep
-		}
-		f.fleet.suspectEngine(r.service.Name, r.path[0].Server.Address)
-		return 0
+	least := part(j.route.Gap, pauseSilence)
+	stage, ok := f.fleet.dead(r, least)
+	if !ok && time.Since(r.examined) >= examineEvery {
+		r.examined = time.Now()
+		stage, ok = f.examine(ctx, j, r, least)
 	}
-	if f.fleet.mayMove() {
+	if !ok {
+		return min(silenceStep, max(patience-time.Since(r.since), time.Millisecond))
+	}
+	if stage > 0 {
 		f.move(ctx, j, r, stage)
+		return silenceStep
+	}
+	if !f.mayStartAgain(j) {
+		return silenceStep
 	}
-	return min(silenceStep, patience-waited)
+	r.culprit = r.path[0].Server.Address
+	return 0
 }
 
 // mayStartAgain reports whether the stream could be sent to one more path, as far as its route says.
@@ -285,7 +302,7 @@
 	if len(state.Stalled) == 0 {
 		return first.Address
 	}
-	return state.Stalled[0]
+	return state.Stalled[0].Address
 }
 
 // end gives back what the run took.
@@ -330,7 +347,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				f.blame(ctx, j, r, "", err)
+				f.blame(ctx, j, r, r.culprit, err)
 			}
 			return err
 		}
--- a/comfreyrail/internal/gateway/forward/survey.go
+++ b/comfreyrail/internal/gateway/forward/survey.go
@@ -23,7 +23,8 @@
 	surveyBurst = 8.0
 )
 
-// Survey asks engines whose events are slow for their speed, as a path does not tell which of its engines is the slow one.
+// Survey asks engines whose events are slow for their speed, as a path does not tell which of its engines is the slow one, and
+// engines that did not answer whether they are back.
 type Survey struct {
 	forwarder *Forwarder
 	asking    sync.WaitGroup
@@ -69,7 +70,8 @@
 	log := s.forwarder.config.Log.WithField(logs.Server, server.ID)
 	state, err := s.forwarder.config.State(ctx, server)
 	if err != nil {
-		log.WithError(err).Info("the engine does not tell its speed")
+		log.WithError(err).Info("the engine does not answer")
+		s.forwarder.fleet.unanswered(server)
 		return
 	}
 	if state.Slowness <= 0 {
--- a/comfreyrail/internal/gateway/share/share.go
+++ b/comfreyrail/internal/gateway/share/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -166,12 +167,16 @@
 	return nil
 }
 
-// Others returns the work of all other instances at an engine. Those of an availability zone that were not heard lately
-// count as much each as those of the zone that were.
+// Others returns the work of all other instances at an engine. Of each availability zone only some were told to tell this
+// instance lately: those that were heard stand for as many more as are to be expected.
 func (s *Share) Others(now time.Time) func(id string) (use pipeline.Use, known bool) {
 	members := make(map[string]int)
+	far := 0
 	for _, peer := range s.config.Peers() {
 		members[peer.Zone]++
+		if peer.Zone != s.config.Zone {
+			far++
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,11 +190,23 @@
 	}
 	total := make(map[uint32]pipeline.Use)
 	for _, told := range s.heard {
-		add(total, told.uses, max(float64(members[told.zone])/float64(heard[told.zone]), 1))
+		chance := chanceHeard(tellFar, far)
+		if told.zone == s.config.Zone {
+			chance = chanceHeard(tellNear, members[told.zone])
+		}
+		listed := max(float64(members[told.zone])/float64(heard[told.zone]), 1)
+		add(total, told.uses, min(listed, 1/chance))
 	}
 	return func(id string) (pipeline.Use, bool) { return total[hash(id)], len(heard) > 0 }
 }
 
+// chanceHeard returns the chance that one of so many instances, each of which tells a few at a time, was heard lately.
+func chanceHeard(told, among int) float64 {
+	const rounds = float64(heardFor) / float64(tellEvery)
+	missed := 1 - min(float64(told)/float64(max(among, 1)), 1)
+	return 1 - math.Pow(missed, rounds)
+}
+
 // add counts the uses so many times in the total.
 func add(total, uses map[uint32]pipeline.Use, times float64) {
 	for engine, use := range uses {
--- a/rail/backend/backend.go
+++ b/rail/backend/backend.go
@@ -48,8 +48,16 @@
 	Layers Range
 	// Slowness is how many times the usual time its work takes, zero if it does not say.
 	Slowness float64
-	// Stalled lists the addresses of engines that hold up its requests.
-	Stalled []string
+	// Stalled lists the requests that it was sent first and that another engine holds up.
+	Stalled []Stall
+}
+
+// Stall is a request that an engine of its path holds up.
+type Stall struct {
+	// Request is the id of the request.
+	Request string
+	// Address is the engine that holds it up.
+	Address string
 }
 
 // Card describes one kind of accelerator.
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -64,8 +64,8 @@
 	spreadNoise = 0.15
 	// hopCost is what one more stage costs.
 	hopCost = time.Millisecond
-	// suspectCost is what a path over a suspect costs more.
-	suspectCost = 10 * time.Second
+	// suspectCost is what a path over a suspect costs more: more than any detour, over links that are full too.
+	suspectCost = time.Hour
 	// leastRate is the rate of work below which an engine counts as unused.
 	leastRate = 0.001
 	// passesAhead is the number of passes that a token waits for at a stage on average.
@@ -265,14 +265,14 @@
 	return "", false
 }
 
-// candidates returns the engines that have room for the request.
+// candidates returns the engines that live and have room for the request.
 func (c *Chooser) candidates(now time.Time, request Request, banned map[string]bool) (found []candidate) {
 	for _, server := range c.servers {
-		if banned[server.ID] {
+		held := c.load(server.ID)
+		if banned[server.ID] || held.health.isDead(now) {
 			continue
 		}
 		card, _ := c.engine.Card(server.Card)
-		held := c.load(server.ID)
 		room := c.engine.Room(card, server.Layers.Len()) * float64(server.Layers.Len())
 		taken := c.taken(now, server.ID, held)
 		fill := taken.Tokens / max(room, 1)
--- a/rail/pipeline/chooser_test.go
+++ b/rail/pipeline/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +148,35 @@
 		t.Errorf("the link is taken for %.2f of the time, want 0.8 at most", got)
 	}
 }
+
+// Nobody else holds a dead engine's layers: a request is refused at once rather than sent to the dead one.
+func TestChooseNeverTakesADeadEngine(t *testing.T) {
+	c := newChooser(engines("a", "large", 4), 1)
+	c.Unanswered(start, "a-large-1")
+	if path, ok := c.Choose(start, usual); ok {
+		t.Errorf("got %+v, want no path over an engine that does not answer", path)
+	}
+	if _, ok := c.Choose(start.Add(deadTime), usual); !ok {
+		t.Error("got no path, want one once the engine has not been asked for long")
+	}
+}
+
+// Links between zones are full: a detour over them is still better than an engine that failed.
+func TestChooseTakesAnyDetourBeforeASuspect(t *testing.T) {
+	here, there := engines("a", "large", 4), engines("b", "large", 4)
+	c := newChooser(append(here, there...), 1)
+	c.load(pipeID("a", "b")).add(start, 100)
+	suspects := []string{"a-large-1", "b-large-0", "b-large-2", "b-large-3"}
+	for _, id := range suspects {
+		c.Suspect(start, id)
+	}
+	path, ok := c.Choose(start, usual)
+	if !ok {
+		t.Fatal("got no path")
+	}
+	for _, stage := range path {
+		if slices.Contains(suspects, stage.Server.ID) {
+			t.Errorf("path uses %s, want the detour over the full link", stage.Server.ID)
+		}
+	}
+}
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -12,12 +12,8 @@
 	trialTime = 500 * time.Millisecond
 	// freshTime is how long a failure is told to other instances.
 	freshTime = 800 * time.Millisecond
-	// silenceMemory is how long a silence that ended is remembered.
-	silenceMemory = 6 * time.Second
-	// silenceFactor is how many times the longest remembered silence an engine is silent before it counts as dead.
-	silenceFactor = 2
-	// enoughStreams is the number of requests whose common silence says something of an engine.
-	enoughStreams = 2
+	// deadTime is how long an engine that did not answer counts as dead unless it is asked again.
+	deadTime = time.Second
 	// usualMemory is the number of events over which the usual pause is taken.
 	usualMemory = 256
 	// maxUsual bounds the weight of a single long pause in the usual one.
@@ -26,14 +22,13 @@
 
 // health is what this instance saw of one engine lately.
 type health struct {
-	streams   int       // requests in progress
-	event     time.Time // when a request through the engine last made progress
-	failed    time.Time
-	until     time.Time // until when it is left alone
-	failures  int
-	tried     time.Time
-	longest   time.Duration // longest silence lately that an event ended
-	longestAt time.Time
+	streams  int       // requests in progress
+	event    time.Time // when a request through the engine last made progress
+	failed   time.Time
+	until    time.Time // until when it is left alone
+	failures int
+	tried    time.Time
+	dead     time.Time // when it last did not answer a question, zero if it has answered since
 }
 
 func (h *health) started(now time.Time) {
@@ -66,29 +61,30 @@
 // fresh reports whether the engine has failed just now.
 func (h *health) fresh(now time.Time) bool { return h.failures > 0 && now.Sub(h.failed) < freshTime }
 
-// progressed notes an event after a pause of its request.
-func (h *health) progressed(now time.Time, pause time.Duration) {
-	if silence := now.Sub(h.event); pause > 0 && (silence > h.longest || now.Sub(h.longestAt) > silenceMemory) {
-		h.longest, h.longestAt = silence, now
-	}
+// progressed notes an event of a request.
+func (h *health) progressed(now time.Time) {
 	h.event = now
 	if h.failures > 0 && now.Sub(h.failed) > trialTime {
 		h.failures, h.until = 0, time.Time{}
 	}
 }
 
-// dead reports whether several requests pass through the engine of which none has made progress for so long that it cannot
-// be slow alone; least is the shortest such time.
-func (h *health) dead(now time.Time, least time.Duration) bool {
-	if h.streams < enoughStreams || h.event.IsZero() {
-		return false
+// answered notes that the engine answered a question, which ends what was concluded from its silence.
+func (h *health) answered() {
+	if !h.dead.IsZero() {
+		h.dead, h.failures, h.until = time.Time{}, 0, time.Time{}
 	}
-	if now.Sub(h.longestAt) < silenceMemory {
-		least = max(least, silenceFactor*h.longest)
-	}
-	return now.Sub(h.event) >= least
 }
 
+// unanswered leaves an engine that did not answer a question alone, but not longer each time: it is asked again.
+func (h *health) unanswered(now time.Time) {
+	h.failures = max(h.failures, 1)
+	h.failed, h.dead, h.until = now, now, now.Add(deadTime)
+}
+
+// isDead reports whether the engine did not answer a question just now.
+func (h *health) isDead(now time.Time) bool { return now.Sub(h.dead) < deadTime }
+
 // Suspect leaves the engine at the address alone for a while.
 func (c *Chooser) Suspect(now time.Time, address string) {
 	for _, server := range c.servers {
@@ -111,7 +107,7 @@
 	}
 	for _, stage := range path {
 		held := c.load(stage.Server.ID)
-		held.health.progressed(now, pause)
+		held.health.progressed(now)
 		held.speed.progressed(now, slowness)
 	}
 }
@@ -129,30 +125,29 @@
 	return total
 }
 
-// Silent returns the stage that holds up a request on the path which has made no progress since a time: the one that
-// counts as dead after least, and through which most requests pass if there are several.
-func (c *Chooser) Silent(now time.Time, path Path, since time.Time, least time.Duration) (stage int, ok bool) {
-	most, tied := 0, false
-	for i := range path {
-		held := &c.load(path[i].Server.ID).health
-		enough := least
-		if i == 0 {
-			enough *= firstStageFactor
-		}
-		if held.event.After(since) || !held.dead(now, enough) {
-			continue
-		}
-		if held.streams > most {
-			stage, most, ok, tied = i, held.streams, true, false
-			continue
+// Unanswered notes that an engine did not answer a question.
+func (c *Chooser) Unanswered(now time.Time, id string) { c.load(id).health.unanswered(now) }
+
+// Dead returns the first stage of a path whose engine did not answer a question just now, and through which nothing has
+// passed for a time.
+func (c *Chooser) Dead(now time.Time, path Path, least time.Duration) (stage int, ok bool) {
+	for _, i := range c.Mute(now, path, least) {
+		if c.load(path[i].Server.ID).health.isDead(now) {
+			return i, true
 		}
-		tied = tied || held.streams == most
 	}
-	return stage, ok && !tied
+	return 0, false
 }
 
-// firstStageFactor is how much longer the first engine has to be silent, as a request leaves it only by starting again.
-const firstStageFactor = 3
+// Mute returns the stages of a path through which no request has made progress for a time.
+func (c *Chooser) Mute(now time.Time, path Path, least time.Duration) (stages []int) {
+	for i := range path {
+		if now.Sub(c.load(path[i].Server.ID).health.event) >= least {
+			stages = append(stages, i)
+		}
+	}
+	return stages
+}
 
 // Reroute returns the path with the part of one stage given to other engines; the first stage has to stay.
 func (c *Chooser) Reroute(now time.Time, path Path, stage int, request Request) (rerouted Path, ok bool) {
--- a/rail/pipeline/speed.go
+++ b/rail/pipeline/speed.go
@@ -24,6 +24,8 @@
 	reaskSlow = 600 * time.Millisecond
 	// reaskUnanswered is the time after which an engine that did not answer is asked again.
 	reaskUnanswered = 500 * time.Millisecond
+	// reaskDead is the time after which an engine that did not answer is asked whether it is back.
+	reaskDead = 400 * time.Millisecond
 	// enoughDoubts is the number of slow events in succession after which an engine is asked for its speed.
 	enoughDoubts = 3
 )
@@ -99,8 +101,9 @@
 
 // Reported notes that an engine says how many times the usual time its work takes.
 func (c *Chooser) Reported(now time.Time, id string, slowness float64) {
-	held := &c.load(id).speed
-	held.reported, held.reportedAt, held.doubts = min(max(slowness, 1), maxSlow), now, 0
+	held := c.load(id)
+	held.health.answered()
+	held.speed.reported, held.speed.reportedAt, held.speed.doubts = min(max(slowness, 1), maxSlow), now, 0
 }
 
 // Waited notes that a request on the path has waited unusually long for its first event.
@@ -110,19 +113,27 @@
 	}
 }
 
-// Doubtful returns up to so many engines that should be asked for their speed now, the most doubtful first.
+// inDoubt reports whether an engine should be asked now: one that did not answer, or one whose speed nobody has told lately.
+func (c *Chooser) inDoubt(now time.Time, id string, held *load) bool {
+	if !held.health.dead.IsZero() {
+		return now.Sub(held.health.dead) >= reaskDead && now.Sub(held.speed.asked) >= reaskDead
+	}
+	if !held.speed.doubtful(now) {
+		return false
+	}
+	if now.Sub(held.speed.reportedAt) < reportMemory {
+		return true
+	}
+	_, told := c.reported(now, id)
+	return !told
+}
+
+// Doubtful returns up to so many engines that should be asked now, the most doubtful first.
 func (c *Chooser) Doubtful(now time.Time, most int) (doubtful []backend.Server) {
 	for _, server := range c.servers {
-		held := c.loads[server.ID]
-		if held == nil || !held.speed.doubtful(now) {
-			continue
-		}
-		if now.Sub(held.speed.reportedAt) >= reportMemory {
-			if _, known := c.reported(now, server.ID); known {
-				continue
-			}
+		if held := c.loads[server.ID]; held != nil && c.inDoubt(now, server.ID, held) {
+			doubtful = append(doubtful, server)
 		}
-		doubtful = append(doubtful, server)
 	}
 	slices.SortFunc(doubtful, func(a, b backend.Server) int {
 		return cmp.Compare(c.loads[b.ID].speed.doubts, c.loads[a.ID].speed.doubts)
