Keep no more idle connections to a server than this instance's share

A request that runs once goes over a fresh connection, so it was the one that was reset, and a reset after sending promises nothing. Ruled out: crashes (the servers answered others), old entries (address and id were right).

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -224,13 +224,32 @@
 	return service, snapshot.Servers[j.service], snapshot
 }
 
+// mostKept is the greatest number of idle connections that are kept to a server.
+const mostKept = 64
+
+// keep returns the number of idle connections that may be kept to each server of a service: this instance's share of those that
+// the server takes, without the one for the next request. A server resets what comes beyond, also a request that may not be
+// repeated.
+func (f *Forwarder) keep(service *route.Service, instances int) int {
+	if service.Connections <= 0 {
+		return mostKept
+	}
+	return min(max(service.Connections/max(instances, 1)-1, 0), mostKept)
+}
+
 // outgoing returns the request for one server.
 func (f *Forwarder) outgoing(j *job, server backend.Server, hops []call.Hop, lastEvent string) upstream.Request {
 	header := j.header.Clone()
 	f.config.WriteForward(header, call.Forward{
 		Deadline: time.Until(j.limit), Workspace: j.space, Server: server.ID, Priority: j.priority, Hops: hops, LastEvent: lastEvent,
 	})
+	snapshot := f.config.Catalog.Snapshot()
+	service, ok := snapshot.Table.Service(j.service)
+	if !ok {
+		service = &route.Service{}
+	}
 	return upstream.Request{
+		Keep:    f.keep(service, len(snapshot.Instances)),
 		Address: server.Address, Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body,
 		Fresh: !j.route.Repeatable(),
 	}
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -467,6 +467,23 @@
 }
 
 // A stopping instance takes everything while the balancer may send a refused caller back to it, and then what can end.
+// A server takes so many connections from all instances and resets the others: what instances keep idle must leave each of
+// them one for the next request.
+func TestKeepSharesTheConnectionsOfAServer(t *testing.T) {
+	tests := []struct{ connections, instances, want int }{
+		{110, 72, 0}, {52, 9, 4}, {96, 6, 15}, {1058, 6, mostKept}, {96, 0, mostKept}, {0, 72, mostKept}, {10, 72, 0},
+	}
+	for _, test := range tests {
+		got := (&Forwarder{}).keep(&route.Service{Connections: test.connections}, test.instances)
+		if got != test.want {
+			t.Errorf("%d connections, %d instances: got %d, want %d", test.connections, test.instances, got, test.want)
+		}
+		if all := (got + 1) * test.instances; test.connections >= test.instances && test.connections > 0 && all > test.connections {
+			t.Errorf("%d instances with %d each make %d connections, want %d at most", test.instances, got+1, all, test.connections)
+		}
+	}
+}
+
 // A jump of the time of day must neither cut a stop short nor draw it out: its times keep the steady clock's reading.
 func TestStopKeepsTheSteadyClock(t *testing.T) {
 	f := &Forwarder{}
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -94,6 +94,8 @@
 	Body []byte
 	// Fresh demands a connection that has not been used.
 	Fresh bool
+	// Keep is the greatest number of idle connections to the address that are kept.
+	Keep int
 	// Patience is how long the answer may take until Silent is asked; zero means forever.
 	Patience time.Duration
 	// Silent is asked whenever nothing has come for the time given last; it returns how long to wait on, zero to give up.
@@ -132,6 +134,7 @@
 	pool    *Pool
 	conn    *conn
 	address string
+	keep    int // idle connections to the address
 	closing bool
 	whole   bool
 	release func() bool
@@ -176,7 +179,7 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, body: response.Body,
-		pool: p, conn: c, address: request.Address, closing: response.Close, release: release, ctx: ctx,
+		pool: p, conn: c, address: request.Address, keep: request.Keep, closing: response.Close, release: release, ctx: ctx,
 	}, nil
 }
 
@@ -241,6 +244,17 @@
 	return c
 }
 
+// push keeps an idle connection, unless so many to the address are kept already.
+func (p *Pool) push(address string, c *conn, most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= most {
+		return false
+	}
+	p.idle[address] = append(p.idle[address], c)
+	return true
+}
+
 // Keep closes the idle connections that are due, and all to addresses that are no longer wanted.
 func (p *Pool) Keep(now time.Time, wanted func(address string) bool) {
 	p.mu.Lock()
@@ -298,9 +312,9 @@
 	a.conn.silent = nil
 	_ = a.conn.SetDeadline(time.Time{})
 	a.conn.until = time.Now().Add(keep)
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
-	a.pool.idle[a.address] = append(a.pool.idle[a.address], a.conn)
+	if !a.pool.push(a.address, a.conn, a.keep) {
+		_ = a.conn.Close()
+	}
 }
 
 // Discard ends the connection.
--- a/rail/route/route.go
+++ b/rail/route/route.go
@@ -68,6 +68,8 @@
 	Name string
 	// Engine describes the model engines of the service; nil means plain servers.
 	Engine *backend.Engine
+	// Connections is the greatest number of connections that each of its servers takes from all callers, zero for no bound.
+	Connections int
 }
 
 // Workspace is a group of callers that share keys.
