Share scarce memory out by rank and workspace, type the log's events, and ask engines less

Cause: where engines are full, each request was refused by chance alike, so a large workspace's burst refused small ones as often as itself. Change: rail/headroom keeps a little memory for a kind of request with each one refused, urgent ranks first and workspaces within their share first, and forgets it in 10 s; nothing is kept while nobody is refused.

The fields of lines stood as text in three places, and explain could not tell a slow engine from a dead one. They are types in rail/event now, written by the gateway and read by comfreyctl; explain tells what was wrong with the engines of the request's path at the time, from their own reports.

--- a/comfreyctl/internal/command/explain.go
+++ b/comfreyctl/internal/command/explain.go
@@ -2,42 +2,26 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/comfreyrail/comfreyrail/rail/event"
 )
 
 // maxLine is the greatest length of a log line in bytes.
 const maxLine = 1 << 20
 
-// logLine is a line of an instance's log with the fields that an explanation needs.
-type logLine struct {
-	Time     string `json:"time"`
-	Instance string `json:"instance"`
-	Message  string `json:"msg"`
-	Error    string `json:"error"`
-	Request  string `json:"request"`
-	Server   string `json:"server"`
-	Fault    string `json:"fault"`
-	Silent   string `json:"silent"`
-	Code     string `json:"code"`
-	Path     string `json:"path"`
-	Status   int    `json:"status"`
-	Sent     int    `json:"sent"`
-	Ran      bool   `json:"ran"`
-	Age      int64  `json:"config_age_ms"`
-	First    int64  `json:"first_ms"`
-	Gap      int64  `json:"gap_ms"`
-	After    int64  `json:"after_ms"`
-	Events   int    `json:"events"`
-
-	raw string
+// story is what the logs tell of a request.
+type story struct {
+	lines   []event.Line // of the request
+	engines []event.Line // of engines that were slow, did not answer or went, whatever request they served
 }
 
 // explainCommand returns the command that tells a request's story from logs.
@@ -49,69 +33,122 @@
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, args []string) (err error) {
 			defer errors.DeferredAnnotatef(&err, "explain %q", args[0])
-			lines, err := readLines(command.InOrStdin(), args[1:], args[0])
+			told, err := readLogs(command.InOrStdin(), args[1:], args[0])
 			if err != nil {
 				return err
 			}
-			return explain(command.OutOrStdout(), lines)
+			return told.explain(command.OutOrStdout())
 		},
 	}
 }
 
-// readLines returns the lines of a request from the files, or from the input without any.
-func readLines(input io.Reader, files []string, id string) (lines []logLine, err error) {
+// readLogs reads what the files tell of a request, or the input without any.
+func readLogs(input io.Reader, files []string, id string) (told *story, err error) {
+	told = &story{}
 	if len(files) == 0 {
-		return scanLines(input, id)
+		return told, told.scan(input, id)
 	}
 	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
+		if err = told.scanFile(name, id); err != nil {
 			return nil, err
 		}
-		found, err := scanLines(file, id)
-		_ = file.Close()
-		if err != nil {
-			return nil, errors.Annotatef(err, "read %s", name)
-		}
-		lines = append(lines, found...)
 	}
-	return lines, nil
+	return told, nil
 }
 
-// scanLines returns the lines of a request; whatever stands before the JSON of a line is passed over.
-func scanLines(input io.Reader, id string) (lines []logLine, err error) {
+func (s *story) scanFile(name, id string) (err error) {
+	defer errors.DeferredAnnotatef(&err, "read %s", name)
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	return s.scan(file, id)
+}
+
+// scan takes the lines of a request and of engines in trouble; other texts are passed over.
+func (s *story) scan(input io.Reader, id string) (err error) {
 	scanner := bufio.NewScanner(input)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
-		text := scanner.Text()
-		start := strings.IndexByte(text, '{')
-		if start < 0 || !strings.Contains(text, id) {
-			continue
-		}
-		line := logLine{raw: text[start:]}
-		if err := json.Unmarshal([]byte(line.raw), &line); err != nil || line.Request != id {
+		line, err := event.Parse(scanner.Text())
+		switch {
+		case err != nil:
 			continue
+		case line.Request == id:
+			s.lines = append(s.lines, line)
+		case line.Message == event.Speed && line.Slowness >= slowFrom, line.Message == event.NoAnswer, line.Message == event.Gone:
+			s.engines = append(s.engines, line)
 		}
-		lines = append(lines, line)
 	}
-	return lines, scanner.Err()
+	return scanner.Err()
 }
 
-// explain prints the lines in order of time, and the likeliest cause.
-func explain(out io.Writer, lines []logLine) error {
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
-	for _, line := range lines {
-		if _, err := fmt.Fprintln(out, line.story()); err != nil {
+// Bounds of what is told of engines.
+const (
+	// slowFrom is the slowness from which an engine is worth telling of.
+	slowFrom = 1.5
+	// engineTime is how long before or after a request's lines an engine's trouble is told.
+	engineTime = 2 * time.Second
+)
+
+// explain prints the lines in order of time, what was wrong with the engines that they name, and the likeliest cause.
+func (s *story) explain(out io.Writer) (err error) {
+	sort.SliceStable(s.lines, func(i, j int) bool { return s.lines[i].Time.Before(s.lines[j].Time) })
+	for _, line := range s.lines {
+		if _, err = fmt.Fprintln(out, describe(line)); err != nil {
+			return err
+		}
+	}
+	for _, trouble := range s.troubles() {
+		if _, err = fmt.Fprintln(out, trouble); err != nil {
 			return err
 		}
 	}
-	_, err := fmt.Fprintln(out, "likeliest cause: "+cause(lines))
+	_, err = fmt.Fprintln(out, "likeliest cause: "+cause(s.lines))
 	return err
 }
 
-// story returns the line for a reader.
-func (l logLine) story() string {
-	text := []string{l.Time, l.Instance, l.Message}
+// troubles tells what was wrong, while the request ran, with engines that its lines name.
+func (s *story) troubles() (texts []string) {
+	if len(s.lines) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, line := range s.lines {
+		for _, server := range append(line.Engines(), line.Server, line.Silent) {
+			named[server] = true
+		}
+	}
+	from, to := s.lines[0].Time.Add(-engineTime), s.lines[len(s.lines)-1].Time.Add(engineTime)
+	told := make(map[string]bool)
+	for _, line := range s.engines {
+		if !named[line.Server] || line.Time.Before(from) || line.Time.After(to) {
+			continue
+		}
+		text := "engine " + line.Server + ": " + trouble(line)
+		if !told[text] {
+			told[text] = true
+			texts = append(texts, text)
+		}
+	}
+	return texts
+}
+
+func trouble(line event.Line) string {
+	switch line.Message {
+	case event.Speed:
+		return fmt.Sprintf("said that its work took %.1f times the usual time: slow, not dead", line.Slowness)
+	case event.Gone:
+		return "went from the list of backend servers"
+	default:
+		return "did not answer"
+	}
+}
+
+// describe returns a line for a reader.
+func describe(l event.Line) string {
+	text := []string{l.Time.Format(time.RFC3339Nano), l.Instance, l.Message}
 	fields := []struct {
 		name, value string
 	}{
@@ -128,6 +165,9 @@
 	if l.After > 0 {
 		text = append(text, fmt.Sprintf("after %d ms", l.After))
 	}
+	if l.Waited > 0 {
+		text = append(text, fmt.Sprintf("%d ms after the last event", l.Waited))
+	}
 	return strings.Join(text, "  ")
 }
 
@@ -146,39 +186,39 @@
 }
 
 // cause returns the likeliest cause of how a request ended.
-func cause(lines []logLine) string {
+func cause(lines []event.Line) string {
 	if len(lines) == 0 {
 		return "no line names the request: it reached no instance whose log was given, or its lines were left out under load"
 	}
 	last := lines[len(lines)-1]
 	text := "the request is not finished in these logs"
 	switch {
-	case last.Message == "done":
+	case last.Message == event.Done:
 		text = "none: the request was served"
-	case last.Message == "the caller has left":
+	case last.Message == event.Left:
 		text = "the caller left before the answer was whole"
-	case last.Message == "broken off":
+	case last.Message == event.Broken:
 		text = "the answer broke off after its beginning had been sent: " + last.Error
 	case last.Code != "":
 		text = refusalCause(last)
 	}
 	for i := len(lines) - 1; i >= 0; i-- {
-		if line := lines[i]; line.Message == "attempt failed" {
-			return text + "; the last attempt failed at " + line.blamed() + ": " + line.Error
+		if line := lines[i]; line.Message == event.Failed {
+			return text + "; the last attempt failed at " + blamed(line) + ": " + line.Error
 		}
 	}
 	return text
 }
 
 // blamed returns the server that an attempt failed at.
-func (l logLine) blamed() string {
+func blamed(l event.Line) string {
 	if l.Fault != "" {
 		return l.Fault
 	}
 	return l.Server
 }
 
-func refusalCause(line logLine) string {
+func refusalCause(line event.Line) string {
 	text := "refused with " + line.Code
 	for _, known := range causes {
 		if known.code == line.Code {
--- a/comfreyrail/internal/gateway/forward/examine.go
+++ b/comfreyrail/internal/gateway/forward/examine.go
@@ -5,10 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/event"
 )
 
 // Bounds of examining the engines of a silent run.
@@ -119,9 +117,8 @@
 	}
 	for _, i := range silent {
 		f.fleet.unanswered(r.path[i].Server)
-		f.config.Log.WithError(findings[i].err).WithFields(logrus.Fields{
-			logs.Request: j.request.ID, logs.Server: r.path[i].Server.ID, "waited_ms": time.Since(r.since).Milliseconds(),
-		}).Info("an engine of a silent run does not answer")
+		told := event.Engine{Server: r.path[i].Server.ID, Address: r.path[i].Server.Address, Request: j.request.ID}
+		f.config.Log.WithError(findings[i].err).WithFields(told.Fields()).Info(event.NoAnswer)
 	}
 	return silent[0], true
 }
--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/balance"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/headroom"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
@@ -25,6 +26,7 @@
 // engines is the chooser of one service with the snapshot that it was told.
 type engines struct {
 	chooser *pipeline.Chooser
+	holders *headroom.Ledger
 	changed uint64
 	others  func(id string) (pipeline.Use, bool)
 	heard   time.Time
@@ -32,6 +34,9 @@
 
 func (e *engines) othersAt(id string) (pipeline.Use, bool) { return e.others(id) }
 
+// scarcity is how memory is shared out while there is not enough for all.
+var scarcity = headroom.Config{Most: pipeline.MaxFill, Step: 0.01, MostKept: 0.6, Memory: 10 * time.Second}
+
 // sumEvery is the time for which the sum of what other instances told is used.
 const sumEvery = 50 * time.Millisecond
 
@@ -69,11 +74,11 @@
 	f.plain.Suspect(time.Now(), id)
 }
 
-// of returns the chooser of a service, told of the newest snapshot.
-func (f *fleet) of(service *route.Service, snapshot *catalog.Snapshot) *pipeline.Chooser {
+// of returns the engines of a service, told of the newest snapshot.
+func (f *fleet) of(service *route.Service, snapshot *catalog.Snapshot) *engines {
 	held := f.engines[service.Name]
 	if held == nil {
-		held = &engines{}
+		held = &engines{holders: headroom.New(scarcity)}
 		held.chooser = pipeline.New(pipeline.Config{Others: held.othersAt})
 		f.engines[service.Name] = held
 	}
@@ -84,7 +89,7 @@
 	if now := time.Now(); now.Sub(held.heard) > sumEvery {
 		held.heard, held.others = now, f.config.Others(now)
 	}
-	return held.chooser
+	return held
 }
 
 // Uses returns how much of each engine this instance takes.
@@ -99,23 +104,27 @@
 }
 
 // choosePath returns a path and counts the request there.
-func (f *fleet) choosePath(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request) (path pipeline.Path, ok bool) {
+func (f *fleet) choosePath(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request, holder headroom.Holder) (path pipeline.Path, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	held, now := f.of(service, snapshot), time.Now()
 	request.Zone = f.config.Zone
-	chooser := f.of(service, snapshot)
-	now := time.Now()
-	if path, ok = chooser.Choose(now, request); ok {
-		chooser.Started(now, path, request)
+	request.Fill = held.holders.Limit(now, holder)
+	if path, ok = held.chooser.Choose(now, request); !ok {
+		held.holders.Refused(now, holder)
+		return nil, false
 	}
-	return path, ok
+	held.chooser.Started(now, path, request)
+	held.holders.Started(holder, request.Tokens())
+	return path, true
 }
 
-func (f *fleet) endPath(service string, path pipeline.Path, request pipeline.Request) {
+func (f *fleet) endPath(r *run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if held := f.engines[service]; held != nil {
-		held.chooser.Ended(path, request)
+	if held := f.engines[r.service.Name]; held != nil {
+		held.chooser.Ended(r.path, r.cost)
+		held.holders.Ended(r.holder, r.cost.Tokens())
 	}
 }
 
@@ -155,6 +164,13 @@
 	}
 }
 
+// pause returns the usual pause between two events of a run.
+func (f *fleet) pause(r *run) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines[r.service.Name].chooser.Pause(time.Now(), r.path)
+}
+
 // mute returns the stages of a run through which nothing has passed for a time.
 func (f *fleet) mute(r *run, least time.Duration) []int {
 	f.mu.Lock()
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -9,9 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
+	"github.com/comfreyrail/comfreyrail/rail/event"
 )
 
 // refusal is an answer of the instance itself.
@@ -42,7 +41,7 @@
 
 // finish answers a request that failed, and logs how each ended.
 func (f *Forwarder) finish(w http.ResponseWriter, r *http.Request, j *job, err error) {
-	line := f.config.Log.WithFields(f.describe(j))
+	line := f.config.Log.WithFields(f.describe(j).Fields())
 	var refused *refusal
 	switch {
 	case err == nil:
@@ -50,42 +49,37 @@
 		metrics.GetOrRegisterCounter("requests.done", f.config.Metrics).Inc(1)
 		f.time("requests.first", j.first)
 		f.time("requests.whole", time.Since(j.began))
-		line.Info(logs.SuccessMessage)
+		line.Info(event.Done)
 	case r.Context().Err() != nil:
 		metrics.GetOrRegisterCounter("requests.left", f.config.Metrics).Inc(1)
-		line.WithError(err).Info("the caller has left")
+		line.WithError(err).Info(event.Left)
 		panic(http.ErrAbortHandler)
 	case errors.As(err, &refused):
 		metrics.GetOrRegisterCounter("requests.refused."+refused.code, f.config.Metrics).Inc(1)
-		line.WithFields(logrus.Fields{"status": refused.status, "code": refused.code, "ran": j.ran}).Info("refused: " + refused.code)
+		told := event.Refusal{Status: refused.status, Code: refused.code, Ran: j.ran}
+		line.WithFields(told.Fields()).Info(event.Refused + refused.code)
 		refuse(w, refused)
 	default:
 		metrics.GetOrRegisterCounter("requests.broken", f.config.Metrics).Inc(1)
-		line.WithError(err).Info("broken off")
+		line.WithError(err).Info(event.Broken)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // describe returns what the line for the end of a request tells.
-func (f *Forwarder) describe(j *job) logrus.Fields {
+func (f *Forwarder) describe(j *job) event.Ended {
 	age, _ := f.config.Catalog.Age()
-	fields := logrus.Fields{
-		logs.Request: j.request.ID, "ms": time.Since(j.began).Milliseconds(), "sent": j.sent, "config_age_ms": age.Milliseconds(),
+	ended := event.Ended{
+		Request: j.request.ID, Workspace: j.space, Server: j.last, Took: time.Since(j.began), Sent: j.sent, Age: age,
+		First: j.first, Gap: j.gap, Events: j.events, Path: j.path,
 	}
 	if table := f.config.Catalog.Snapshot().Table; table != nil {
-		fields["config"] = table.Config.Version
+		ended.Version = table.Config.Version
 	}
 	if j.route != nil {
-		fields["route"], fields["kind"], fields["workspace"] = j.route.Name, j.route.Kind.String(), j.space
+		ended.Route, ended.Kind = j.route.Name, j.route.Kind.String()
 	}
-	if j.last != "" {
-		fields[logs.Server] = j.last
-	}
-	if j.events > 0 {
-		fields["first_ms"], fields["gap_ms"] = j.first.Milliseconds(), j.gap.Milliseconds()
-		fields["events"], fields["path"] = j.events, j.path
-	}
-	return fields
+	return ended
 }
 
 // Sizes of the histograms of times.
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -8,12 +8,11 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -111,9 +110,10 @@
 	}
 	if told.NotRun {
 		f.fleet.suspectPlain(server.ID)
-		f.config.Log.WithFields(logrus.Fields{
-			logs.Request: j.request.ID, logs.Server: server.ID, "status": answer.Status,
-		}).Info("the server did not run the request")
+		declined := event.Attempt{
+			Request: j.request.ID, Server: server.ID, Ran: j.ran, Status: answer.Status, After: time.Since(j.began),
+		}
+		f.config.Log.WithFields(declined.Fields()).Info(event.Declined)
 	} else {
 		j.ran = true
 	}
@@ -123,9 +123,8 @@
 // failed logs an attempt that failed and leaves the server alone for a while.
 func (f *Forwarder) failed(j *job, server backend.Server, err error) {
 	f.fleet.suspectPlain(server.ID)
-	f.config.Log.WithError(err).WithFields(logrus.Fields{
-		logs.Request: j.request.ID, logs.Server: server.ID, "ran": j.ran, "after_ms": time.Since(j.began).Milliseconds(),
-	}).Info("attempt failed")
+	told := event.Attempt{Request: j.request.ID, Server: server.ID, Ran: j.ran, After: time.Since(j.began)}
+	f.config.Log.WithError(err).WithFields(told.Fields()).Info(event.Failed)
 }
 
 // send gives the answer to the caller.
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/headroom"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
@@ -27,6 +27,9 @@
 	firstPatience = 3.0
 	// pauseSilence is the part of the longest pause after which the engines are looked at.
 	pauseSilence = 0.45
+	// unusualPause is how many times the usual pause of a path, whose engines may be known to be slow, a pause may last before
+	// the engines are looked at.
+	unusualPause = 1.5
 	// pausePatience is how many times that pause may last before another path is tried.
 	pausePatience = 6.0
 	// leastPatience bounds how soon another path is tried.
@@ -47,12 +50,14 @@
 	service *route.Service
 	path    pipeline.Path
 	cost    pipeline.Request
+	holder  headroom.Holder
 	answer  *upstream.Answer
 	since   time.Time // when it began, or made progress last
 	moves   int
 
-	examined time.Time // when its engines were examined last
-	culprit  string    // address of the engine for which it was given up, empty if none is known
+	examined time.Time     // when its engines were examined last
+	again    time.Duration // time after which they are examined again
+	culprit  string        // address of the engine for which it was given up, empty if none is known
 }
 
 // stream passes on a request whose answer is a stream of events.
@@ -111,7 +116,7 @@
 // begin sends the request along a path and waits for the beginning of the answer.
 func (f *Forwarder) begin(ctx context.Context, j *job, lastID string) (r *run, err error) {
 	service, servers, snapshot := f.pickService(j)
-	r = &run{service: service, cost: j.cost(service)}
+	r = &run{service: service, cost: j.cost(service), holder: headroom.Holder{Workspace: j.space, Priority: j.priority}}
 	if service.Engine == nil {
 		server, ok := f.fleet.choosePlain(servers, j.avoid)
 		if !ok {
@@ -119,7 +124,7 @@
 		}
 		r.path = pipeline.Path{{Server: server}}
 	} else {
-		path, ok := f.fleet.choosePath(service, snapshot, r.cost)
+		path, ok := f.fleet.choosePath(service, snapshot, r.cost, r.holder)
 		if !ok {
 			return nil, errNoPath
 		}
@@ -221,10 +226,13 @@
 	if r.moves >= maxMoves {
 		return min(silenceStep, patience-waited)
 	}
-	least := part(j.route.Gap, pauseSilence)
+	least := max(part(j.route.Gap, pauseSilence), part(f.fleet.pause(r), unusualPause))
+	if waited < least {
+		return least - waited
+	}
 	stage, ok := f.fleet.dead(r, least)
-	if !ok && time.Since(r.examined) >= examineEvery {
-		r.examined = time.Now()
+	if !ok && time.Since(r.examined) >= r.again {
+		r.examined, r.again = time.Now(), max(2*r.again, examineEvery)
 		stage, ok = f.examine(ctx, j, r, least)
 	}
 	if !ok {
@@ -251,23 +259,22 @@
 func (f *Forwarder) move(ctx context.Context, j *job, r *run, stage int) {
 	r.moves++
 	culprit := r.path[stage].Server
-	log := f.config.Log.WithFields(logrus.Fields{
-		logs.Request: j.request.ID, "first": r.path[0].Server.ID, "silent": culprit.ID, "waited": time.Since(r.since).Milliseconds(),
-	})
+	told := event.Move{Request: j.request.ID, First: r.path[0].Server.ID, Silent: culprit.ID, Waited: time.Since(r.since)}
+	log := f.config.Log.WithFields(told.Fields())
 	path, ok := f.fleet.reroute(r, stage)
 	if !ok {
-		log.Info("no other engines for the silent one's layers")
+		log.WithError(errNoPath).Info(event.NotMoved)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
 	if err := f.config.Repath(ctx, r.path[0].Server, j.request.ID, hops(path)); err != nil {
-		log.WithError(err).Info("the first engine did not take the other path")
+		log.WithError(err).Info(event.NotMoved)
 		return
 	}
 	f.fleet.moved(r, path)
 	j.path = describePath(path)
-	log.Info("moved past a silent engine")
+	log.Info(event.Moved)
 }
 
 // blame leaves the engine at fault alone for a while, the first one if none is named.
@@ -282,9 +289,10 @@
 		}
 		f.fleet.suspectEngine(r.service.Name, address)
 	}
-	f.config.Log.WithError(cause).WithFields(logrus.Fields{
-		logs.Request: j.request.ID, logs.Server: first.ID, "fault": address, "path": j.path, "after_ms": time.Since(j.began).Milliseconds(),
-	}).Info("attempt failed")
+	told := event.Attempt{
+		Request: j.request.ID, Server: first.ID, Fault: address, Path: j.path, Ran: j.ran, After: time.Since(j.began),
+	}
+	f.config.Log.WithError(cause).WithFields(told.Fields()).Info(event.Failed)
 }
 
 // stalledTimeout is the longest time for asking who holds a request up.
@@ -296,7 +304,8 @@
 	defer cancel()
 	state, err := f.config.State(ctx, first)
 	if err != nil {
-		f.config.Log.WithError(err).WithField(logs.Server, first.ID).Info("the first engine does not say who stalls")
+		told := event.Engine{Server: first.ID, Address: first.Address}
+		f.config.Log.WithError(err).WithFields(told.Fields()).Info(event.NoAnswer)
 		return first.Address
 	}
 	if len(state.Stalled) == 0 {
@@ -315,7 +324,7 @@
 		}
 	}
 	if r.service.Engine != nil {
-		f.fleet.endPath(r.service.Name, r.path, r.cost)
+		f.fleet.endPath(r)
 	}
 }
 
@@ -357,7 +366,7 @@
 // progressed notes that a run made progress after a pause.
 func (f *Forwarder) progressed(r *run, pause time.Duration) {
 	f.fleet.progressed(r, pause)
-	r.since = time.Now()
+	r.since, r.again = time.Now(), 0
 }
 
 // note takes the time of events that have arrived.
--- a/comfreyrail/internal/gateway/forward/survey.go
+++ b/comfreyrail/internal/gateway/forward/survey.go
@@ -5,10 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/event"
 )
 
 // Bounds of asking engines for their speed.
@@ -18,7 +16,7 @@
 	// surveyTimeout is the longest time for an engine's answer.
 	surveyTimeout = 200 * time.Millisecond
 	// surveyRate is the number of questions a second that all instances ask together.
-	surveyRate = 40.0
+	surveyRate = 25.0
 	// surveyBurst is the greatest number of questions that an instance saves up.
 	surveyBurst = 8.0
 )
@@ -67,10 +65,11 @@
 	defer s.asking.Done()
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
-	log := s.forwarder.config.Log.WithField(logs.Server, server.ID)
+	told := event.Engine{Server: server.ID, Address: server.Address}
+	log := s.forwarder.config.Log.WithFields(told.Fields())
 	state, err := s.forwarder.config.State(ctx, server)
 	if err != nil {
-		log.WithError(err).Info("the engine does not answer")
+		log.WithError(err).Info(event.NoAnswer)
 		s.forwarder.fleet.unanswered(server)
 		return
 	}
@@ -78,6 +77,7 @@
 		log.Debug("the engine's report does not hold its speed")
 		return
 	}
-	log.WithFields(logrus.Fields{"slowness": state.Slowness, "address": server.Address}).Info("speed of an engine")
+	told.Slowness = state.Slowness
+	s.forwarder.config.Log.WithFields(told.Fields()).Info(event.Speed)
 	s.forwarder.fleet.told(server, state.Slowness)
 }
--- a/comfreyrail/internal/logs/budget.go
+++ b/comfreyrail/internal/logs/budget.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/rail/event"
 )
 
 // Lines of one kind that are written in a second.
@@ -16,17 +18,6 @@
 	linesOfKind = 300
 )
 
-// Fields of the lines that tell of one request.
-const (
-	// Request is the id of the request.
-	Request = "request"
-	// Server is the backend server that the request was sent to.
-	Server = "server"
-)
-
-// SuccessMessage is the message of the line for a request that was served; such lines have the smaller budget.
-const SuccessMessage = "done"
-
 // Budget formats lines by another formatter and leaves out those of a kind, that is of one message, beyond its budget of
 // the second; what was left out is told in the next second.
 type Budget struct {
@@ -54,7 +45,7 @@
 		}
 	}
 	most := linesOfKind
-	if entry.Message == SuccessMessage {
+	if entry.Message == event.Done {
 		most = linesOfSuccess
 	}
 	if b.written[entry.Message] >= most {
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -29,8 +29,13 @@
 	Zone string
 	// Avoid names engines that failed the request before.
 	Avoid []string
+	// Fill is the part of an engine's memory for requests up to which this one may fill it, zero for MaxFill.
+	Fill float64
 }
 
+// Tokens returns the number of tokens that the request keeps in memory at its end.
+func (r Request) Tokens() float64 { return float64(r.Prompt + r.Answer) }
+
 // Use is the part of an engine that is taken.
 type Use struct {
 	// Tokens is the memory promised to requests, in tokens times layers.
@@ -58,8 +63,6 @@
 	rateMemory = 2 * time.Second
 	// maxUse bounds the part of an engine's time that a delay is computed for.
 	maxUse = 0.95
-	// maxFill is the part of an engine's memory for requests that may be promised.
-	maxFill = 0.92
 	// spreadNoise is the greatest part by which a cost is varied, so that instances with the same view part.
 	spreadNoise = 0.15
 	// hopCost is what one more stage costs.
@@ -72,6 +75,9 @@
 	passesAhead = 0.5
 )
 
+// MaxFill is the part of an engine's memory for requests that may be promised.
+const MaxFill = 0.92
+
 // load is what this instance knows of one engine.
 type load struct {
 	work   float64 // seconds of work sent, decaying
@@ -193,7 +199,7 @@
 
 // need returns the memory that the request takes in tokens x layers.
 func (c *Chooser) need(request Request, layers int) float64 {
-	return float64(request.Prompt+request.Answer) * float64(layers)
+	return request.Tokens() * float64(layers)
 }
 
 // taken returns how much of an engine all instances take; while nothing is known of the others they take as much each.
@@ -267,6 +273,10 @@
 
 // candidates returns the engines that live and have room for the request.
 func (c *Chooser) candidates(now time.Time, request Request, banned map[string]bool) (found []candidate) {
+	most := MaxFill
+	if request.Fill > 0 {
+		most = request.Fill
+	}
 	for _, server := range c.servers {
 		held := c.load(server.ID)
 		if banned[server.ID] || held.health.isDead(now) {
@@ -276,7 +286,7 @@
 		room := c.engine.Room(card, server.Layers.Len()) * float64(server.Layers.Len())
 		taken := c.taken(now, server.ID, held)
 		fill := taken.Tokens / max(room, 1)
-		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > maxFill {
+		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > most {
 			continue
 		}
 		slowness := c.slowness(now, server.ID)
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -125,6 +125,11 @@
 	return total
 }
 
+// Pause returns the usual pause between two events of a request on the path, as far as events have shown.
+func (c *Chooser) Pause(now time.Time, path Path) time.Duration {
+	return time.Duration(c.usual * float64(c.Expected(now, path)))
+}
+
 // Unanswered notes that an engine did not answer a question.
 func (c *Chooser) Unanswered(now time.Time, id string) { c.load(id).health.unanswered(now) }
 
--- a/rail/pipeline/speed.go
+++ b/rail/pipeline/speed.go
@@ -27,7 +27,7 @@
 	// reaskDead is the time after which an engine that did not answer is asked whether it is back.
 	reaskDead = 400 * time.Millisecond
 	// enoughDoubts is the number of slow events in succession after which an engine is asked for its speed.
-	enoughDoubts = 3
+	enoughDoubts = 5
 )
 
 // speed is what this instance knows of how fast an engine works.
