Let the stand-ins stall and move streams, work slowly, spoil answers and carry orders out late, and soak with it

The stand-in engines now know the paths of their streams: a dead engine stalls them, the first one's report names it, a repath moves them. The store can be slow and lose the answers of writes. The soak injects these, and rolling stops of all instances over other faults, and counts the moved streams.

--- a/soak/internal/soak/inject.go
+++ b/soak/internal/soak/inject.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/comfreyrail/comfreyrail/platform/fakeplatform"
 )
 
 // injection is a kind of fault with its chance.
@@ -27,6 +29,12 @@
 	{"configuration", 2, (*world).change},
 	{"revoke", 1, (*world).revoke},
 	{"history", 1, (*world).forget},
+	{"store slow", 2, (*world).storeSlow},
+	{"store loses answers", 2, (*world).storeLoses},
+	{"server slow", 3, (*world).serverSlow},
+	{"server spoils answers", 2, (*world).serverSpoils},
+	{"orders late", 2, (*world).ordersLate},
+	{"roll", 1, (*world).roll},
 }
 
 // inject does one thing by chance.
@@ -97,7 +105,7 @@
 
 // crash ends a server; it starts again under its name, empty.
 func (w *world) crash() string {
-	s, length := w.servers[w.random.IntN(len(w.servers))], w.between(300*time.Millisecond, 3*time.Second)
+	s, length := w.anyServer(), w.between(300*time.Millisecond, 3*time.Second)
 	s.Crash()
 	time.AfterFunc(length, s.Start)
 	return fmt.Sprintf("%s for %v", s.ID, length.Round(time.Millisecond))
@@ -111,6 +119,51 @@
 	return fmt.Sprintf("answers %d for %v", status, length.Round(time.Millisecond))
 }
 
+// during does something to anything for a while, and undoes it.
+func (w *world) during(name string, most time.Duration, do, undo func()) string {
+	length := w.between(most/10, most)
+	do()
+	time.AfterFunc(length, undo)
+	return fmt.Sprintf("%s for %v", name, length.Round(time.Millisecond))
+}
+
+func (w *world) anyServer() *fakeplatform.Server { return w.servers[w.random.IntN(len(w.servers))] }
+
+func (w *world) storeSlow() string {
+	delay := w.between(100*time.Millisecond, 1200*time.Millisecond)
+	return w.during(fmt.Sprintf("by %v", delay.Round(time.Millisecond)), 4*time.Second, func() { w.store.Slow(delay) }, func() { w.store.Slow(0) })
+}
+
+func (w *world) storeLoses() string {
+	return w.during("writes", 3*time.Second, func() { w.store.Lose(true) }, func() { w.store.Lose(false) })
+}
+
+func (w *world) serverSlow() string {
+	s, times := w.anyServer(), 2+w.random.IntN(14)
+	return w.during(fmt.Sprintf("%s %d times", s.ID, times), 4*time.Second, func() { s.Slow(times) }, func() { s.Slow(1) })
+}
+
+func (w *world) serverSpoils() string {
+	s := w.anyServer()
+	return w.during(s.ID, 3*time.Second, func() { s.Spoil(true) }, func() { s.Spoil(false) })
+}
+
+func (w *world) ordersLate() string {
+	s := w.anyServer()
+	return w.during(s.ID, 4*time.Second, func() { s.Delay(true) }, func() { s.Delay(false) })
+}
+
+// roll stops all instances in turn, whatever else happens.
+func (w *world) roll() string {
+	for n, i := range w.instances {
+		time.AfterFunc(time.Duration(n)*rollPause, func() { i.signal(syscall.SIGTERM) })
+	}
+	return "all instances"
+}
+
+// rollPause is the time between two stops of a rolling restart.
+const rollPause = 700 * time.Millisecond
+
 func (w *world) change() string {
 	w.configure(func() {})
 	return fmt.Sprintf("version %d", w.version)
@@ -135,6 +188,8 @@
 // heal ends all faults.
 func (w *world) heal() {
 	w.store.Refuse(0)
+	w.store.Slow(0)
+	w.store.Lose(false)
 	for _, link := range w.links {
 		link.set(none)
 	}
@@ -143,6 +198,9 @@
 		i.signal(syscall.SIGCONT)
 	}
 	for _, s := range w.servers {
+		s.Slow(1)
+		s.Spoil(false)
+		s.Delay(false)
 		if s.Down() {
 			s.Start()
 		}
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -51,6 +51,8 @@
 	Seed uint64
 	// Asked, Served and Runs count requests, whole answers and runs at servers.
 	Asked, Served, Runs int
+	// Moves counts streams that were moved past an engine.
+	Moves int
 	// Injected lists the faults in order.
 	Injected []string
 	// Faults lists the promises that were broken.
@@ -59,8 +61,8 @@
 
 // String returns the report as text.
 func (r Report) String() string {
-	text := fmt.Sprintf("soak seed %d: %d asked, %d served, %d runs, %d faults injected, %d promises broken",
-		r.Seed, r.Asked, r.Served, r.Runs, len(r.Injected), len(r.Faults))
+	text := fmt.Sprintf("soak seed %d: %d asked, %d served, %d runs, %d moves, %d faults injected, %d promises broken",
+		r.Seed, r.Asked, r.Served, r.Runs, r.Moves, len(r.Injected), len(r.Faults))
 	for _, fault := range r.Faults {
 		text += "\n  BROKEN " + fault
 	}
@@ -103,7 +105,7 @@
 		return report, err
 	}
 	w.play(ctx)
-	report = Report{Seed: config.Seed, Injected: w.injected, Runs: len(w.cluster.Runs())}
+	report = Report{Seed: config.Seed, Injected: w.injected, Runs: len(w.cluster.Runs()), Moves: w.cluster.Moves()}
 	report.Faults, report.Served = w.callers.check(w.cluster.Runs(), w.revoked)
 	report.Faults = append(report.Faults, w.cluster.Faults()...)
 	report.Asked = len(w.callers.asked)
