Name the fleet's package gossip, and a claim's question and answer after the field

A newcomer had to be told what spread, claim.Want and claim.Mine stand for: rail/spread is rail/gossip (heartbeats, suspicion and news of members, as in the literature), claim.Want is claim.Call, claim.Mine is claim.Own. Names only; tests as before.

--- a/comfreyrail/internal/admin/status.go
+++ b/comfreyrail/internal/admin/status.go
@@ -8,8 +8,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyrail/comfreyrail/rail/chain"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -44,7 +44,7 @@
 	// Superseded tells that a later incarnation of this instance is known.
 	Superseded bool `json:"superseded"`
 	// Fleet holds what is known about every instance.
-	Fleet []spread.Update `json:"fleet"`
+	Fleet []gossip.Update `json:"fleet"`
 	// Metrics holds the metrics of the process.
 	Metrics metrics.Registry `json:"metrics"`
 	// Goroutines is the number of goroutines.
--- a/comfreyrail/internal/control/configsync/configsync.go
+++ b/comfreyrail/internal/control/configsync/configsync.go
@@ -12,9 +12,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/edit"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -53,7 +53,7 @@
 
 // Head names the generation in force at a peer.
 type Head struct {
-	spread.Head
+	gossip.Head
 	// Peer names the peer.
 	Peer string
 }
@@ -65,7 +65,7 @@
 	// Members returns the number of instances, by which the rates are shared; nil means one.
 	Members func() int
 	// Announce tells peers that a generation is in force here; nil tells nobody.
-	Announce func(ctx context.Context, head spread.Head)
+	Announce func(ctx context.Context, head gossip.Head)
 	// FetchPeer returns content under its hash from a peer; nil fails.
 	FetchPeer func(ctx context.Context, peer, hash string) ([]byte, error)
 	// PeerHeads asks several peers for the generation that they have in force; nil means that there are none.
@@ -121,9 +121,9 @@
 }
 
 // Head returns the generation in force here.
-func (s *Sync) Head() spread.Head {
+func (s *Sync) Head() gossip.Head {
 	inForce := s.control.Snapshot().Config
-	return spread.Head{Generation: inForce.Manifest.Generation, Hash: inForce.Hash.String()}
+	return gossip.Head{Generation: inForce.Manifest.Generation, Hash: inForce.Hash.String()}
 }
 
 // hear hands news to the control goroutine and does what it answers.
--- a/comfreyrail/internal/control/configsync/configsync_test.go
+++ b/comfreyrail/internal/control/configsync/configsync_test.go
@@ -20,9 +20,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/rail/edit"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -73,7 +73,7 @@
 	s := New(Config{Store: &kv.Client{Address: f.address}, Control: state, Log: logrus.NewEntry(log), Metrics: metrics.NewRegistry()})
 	s.Duty = func() bool { return name == 0 }
 	s.Members = func() int { return 10000 }
-	s.Announce = func(ctx context.Context, head spread.Head) {
+	s.Announce = func(ctx context.Context, head gossip.Head) {
 		for _, other := range f.list() {
 			if other != s {
 				other.Offer(ctx, strconv.Itoa(name), head.Generation, head.Hash)
--- a/comfreyrail/internal/control/control.go
+++ b/comfreyrail/internal/control/control.go
@@ -8,10 +8,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/chain"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/install"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -30,7 +30,7 @@
 	// Self is the record of this incarnation; its epoch is zero before it is registered.
 	Self member.Member
 	// Fleet holds what is known about every instance, by name.
-	Fleet []spread.Update
+	Fleet []gossip.Update
 	// Probed tells that the backend servers have been asked for their status, so that requests can be served.
 	Probed bool
 	// Stopping tells that the instance stops as planned and takes no new connections.
@@ -66,7 +66,7 @@
 	events  chan Event
 	// installer decides which generation of the tables is in force.
 	installer *install.Installer
-	peers     *spread.Node
+	peers     *gossip.Node
 	// published is the revision of peers that the snapshot holds.
 	published uint64
 	servers   *servers
--- a/comfreyrail/internal/control/control_test.go
+++ b/comfreyrail/internal/control/control_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 func TestUnready(t *testing.T) {
@@ -43,9 +43,9 @@
 	go func() { _ = c.Serve(t.Context()) }()
 	c.Send(t.Context(), Registered{Self: member.Member{Name: "self", Epoch: 1}})
 	for epoch, want := range []bool{false, false, true} {
-		replies := make(chan spread.Message, 1)
-		news := spread.Update{Member: member.Member{Name: "self", Epoch: uint64(epoch)}}
-		c.Send(t.Context(), HeartbeatReceived{At: time.Now(), Message: spread.Message{From: "other", Updates: []spread.Update{news}}, Reply: replies})
+		replies := make(chan gossip.Message, 1)
+		news := gossip.Update{Member: member.Member{Name: "self", Epoch: uint64(epoch)}}
+		c.Send(t.Context(), HeartbeatReceived{At: time.Now(), Message: gossip.Message{From: "other", Updates: []gossip.Update{news}}, Reply: replies})
 		<-replies
 		settle(t.Context(), c)
 		if got := c.Snapshot().Superseded; got != want {
--- a/comfreyrail/internal/control/link/config.go
+++ b/comfreyrail/internal/control/link/config.go
@@ -11,14 +11,14 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/configsync"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 const (
 	// KindContent asks for content of the tables by a ContentRequest and is answered by a Content.
 	KindContent peer.Kind = "content"
-	// KindHead asks for the generation in force and is answered by a spread.Head.
+	// KindHead asks for the generation in force and is answered by a gossip.Head.
 	KindHead peer.Kind = "head"
 )
 
@@ -72,7 +72,7 @@
 	config.Sync.FetchPeer = c.fetch
 	config.Sync.PeerHeads = c.heads
 	config.Membership.Call = config.Transport.Call
-	config.Membership.OnHead = func(ctx context.Context, from member.Member, head spread.Head) {
+	config.Membership.OnHead = func(ctx context.Context, from member.Member, head gossip.Head) {
 		config.Sync.Offer(ctx, from.Name, head.Generation, head.Hash)
 	}
 	config.Transport.Handle(membership.KindHeartbeat, config.Membership.ServeHeartbeat)
@@ -159,7 +159,7 @@
 	defer cancel()
 	for _, other := range asked {
 		asking.Go(func() {
-			var head spread.Head
+			var head gossip.Head
 			if c.Transport.Call(ctx, other, KindHead, struct{}{}, &head) != nil {
 				return
 			}
--- a/comfreyrail/internal/control/membership/heartbeat.go
+++ b/comfreyrail/internal/control/membership/heartbeat.go
@@ -9,8 +9,8 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // Limits of the calls to other instances.
@@ -22,28 +22,28 @@
 
 // beat sends the heartbeats that are due.
 func (m *Membership) beat(ctx context.Context) {
-	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+	m.sendDue(ctx, func(beats chan<- []gossip.Beat) control.Event {
 		return control.HeartbeatsDue{At: time.Now(), Beats: beats}
 	})
 }
 
 // Announce tells the partners at once that a generation of the tables is in force here.
-func (m *Membership) Announce(ctx context.Context, head spread.Head) {
-	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+func (m *Membership) Announce(ctx context.Context, head gossip.Head) {
+	m.sendDue(ctx, func(beats chan<- []gossip.Beat) control.Event {
 		return control.HeadInstalled{At: time.Now(), Head: head, Beats: beats}
 	})
 }
 
 // hurry tells the partners at once of news about leaving backend servers.
 func (m *Membership) hurry(ctx context.Context) {
-	m.sendDue(ctx, func(beats chan<- []spread.Beat) control.Event {
+	m.sendDue(ctx, func(beats chan<- []gossip.Beat) control.Event {
 		return control.NewsDue{At: time.Now(), Beats: beats}
 	})
 }
 
 // sendDue sends the heartbeats with which the control goroutine answers the event.
-func (m *Membership) sendDue(ctx context.Context, event func(beats chan<- []spread.Beat) control.Event) {
-	beats := make(chan []spread.Beat, 1)
+func (m *Membership) sendDue(ctx context.Context, event func(beats chan<- []gossip.Beat) control.Event) {
+	beats := make(chan []gossip.Beat, 1)
 	m.config.Control.Send(ctx, event(beats))
 	for _, due := range receive(ctx, beats) {
 		go m.send(ctx, due)
@@ -51,10 +51,10 @@
 }
 
 // send carries one heartbeat and its reply.
-func (m *Membership) send(ctx context.Context, beat spread.Beat) {
+func (m *Membership) send(ctx context.Context, beat gossip.Beat) {
 	call, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	var reply spread.Message
+	var reply gossip.Message
 	if err := m.Call(call, beat.To, KindHeartbeat, beat.Message, &reply); err != nil {
 		m.log.WithError(err).Debug("heartbeat failed")
 		m.config.Control.Send(ctx, control.HeartbeatFailed{At: time.Now(), Name: beat.To.Name, Epoch: beat.To.Epoch})
@@ -64,7 +64,7 @@
 	m.hear(ctx, beat.To, reply.Head)
 }
 
-func (m *Membership) sendAll(ctx context.Context, beats []spread.Beat) {
+func (m *Membership) sendAll(ctx context.Context, beats []gossip.Beat) {
 	var sending sync.WaitGroup
 	for _, due := range beats {
 		sending.Go(func() { m.send(ctx, due) })
@@ -73,7 +73,7 @@
 }
 
 // hear passes on which generation another instance has in force.
-func (m *Membership) hear(ctx context.Context, from member.Member, head spread.Head) {
+func (m *Membership) hear(ctx context.Context, from member.Member, head gossip.Head) {
 	if m.OnHead != nil && head.Generation > 0 {
 		m.OnHead(ctx, from, head)
 	}
@@ -82,14 +82,14 @@
 // ServeHeartbeat answers a heartbeat of another instance.
 func (m *Membership) ServeHeartbeat(ctx context.Context, from member.Member, body []byte) (answer any, err error) {
 	defer errors.DeferredAnnotatef(&err, "heartbeat of %q", from.Name)
-	var message spread.Message
+	var message gossip.Message
 	if err = peer.Decode(body, &message); err != nil {
 		return nil, err
 	}
 	if message.From != from.Name {
 		return nil, errors.Errorf("sender calls itself %q", message.From)
 	}
-	replies := make(chan spread.Message, 1)
+	replies := make(chan gossip.Message, 1)
 	m.config.Control.Send(ctx, control.HeartbeatReceived{At: time.Now(), Message: message, Reply: replies})
 	select {
 	case reply, ok := <-replies:
@@ -137,7 +137,7 @@
 	return members
 }
 
-func receive(ctx context.Context, beats <-chan []spread.Beat) []spread.Beat {
+func receive(ctx context.Context, beats <-chan []gossip.Beat) []gossip.Beat {
 	select {
 	case due := <-beats:
 		return due
--- a/comfreyrail/internal/control/membership/membership.go
+++ b/comfreyrail/internal/control/membership/membership.go
@@ -12,9 +12,9 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // keyPrefix begins the keys of the records of the instances.
@@ -37,7 +37,7 @@
 
 // Kinds of calls between instances.
 const (
-	// KindHeartbeat carries a spread.Message and is answered by one.
+	// KindHeartbeat carries a gossip.Message and is answered by one.
 	KindHeartbeat peer.Kind = "heartbeat"
 	// KindStatus asks for the record of the instance with the generation in force.
 	KindStatus peer.Kind = "status"
@@ -60,7 +60,7 @@
 	// Call calls another instance.
 	Call func(ctx context.Context, to member.Member, kind peer.Kind, message, result any) error
 	// OnHead hears which generation of the tables another instance has in force; nil ignores it.
-	OnHead func(ctx context.Context, from member.Member, head spread.Head)
+	OnHead func(ctx context.Context, from member.Member, head gossip.Head)
 
 	config Config
 	store  *kv.Client
@@ -80,7 +80,7 @@
 	}
 	go m.listMembers(ctx)
 	go m.renewLease(ctx)
-	ticker := time.NewTicker(spread.DefaultInterval)
+	ticker := time.NewTicker(gossip.DefaultInterval)
 	defer ticker.Stop()
 	m.beat(ctx)
 	for {
@@ -239,7 +239,7 @@
 // Stop tells the partners that this incarnation stops, and gives up the lease.
 func (m *Membership) Stop(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "give up the lease")
-	beats := make(chan []spread.Beat, 1)
+	beats := make(chan []gossip.Beat, 1)
 	m.config.Control.Send(ctx, control.Leaving{Beats: beats})
 	m.sendAll(ctx, receive(ctx, beats))
 	lease := m.lease.Load()
--- a/comfreyrail/internal/control/membership/membership_test.go
+++ b/comfreyrail/internal/control/membership/membership_test.go
@@ -15,10 +15,10 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/fake/fakeplatform"
 	"github.com/comfreyrail/comfreyrail/rail/fake/freeport"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -118,7 +118,7 @@
 	waitFor(t, "state left", func() bool {
 		for _, update := range first.control.Snapshot().Fleet {
 			if update.Member.Name == "rail-2" {
-				return update.State == spread.Left
+				return update.State == gossip.Left
 			}
 		}
 		return false
--- a/comfreyrail/internal/control/peers.go
+++ b/comfreyrail/internal/control/peers.go
@@ -4,15 +4,15 @@
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/drain"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // Members returns the instances that are alive or suspect, this one included, by name.
 func (s *Snapshot) Members() []member.Member {
 	members := make([]member.Member, 0, len(s.Fleet))
 	for _, update := range s.Fleet {
-		if update.State <= spread.Suspect {
+		if update.State <= gossip.Suspect {
 			members = append(members, update.Member)
 		}
 	}
@@ -27,7 +27,7 @@
 
 func (e Registered) apply(c *Control, next *Snapshot) {
 	if c.peers == nil {
-		c.peers = spread.New(spread.Config{Self: e.Self, Checker: c.checker})
+		c.peers = gossip.New(gossip.Config{Self: e.Self, Checker: c.checker})
 	} else {
 		c.peers.SetSelf(e.Self)
 	}
@@ -72,7 +72,7 @@
 	// At is the present time.
 	At time.Time
 	// Beats receives the heartbeats; it must have room for them.
-	Beats chan<- []spread.Beat
+	Beats chan<- []gossip.Beat
 }
 
 func (e HeartbeatsDue) apply(c *Control, next *Snapshot) {
@@ -89,9 +89,9 @@
 	// At is the present time.
 	At time.Time
 	// Head is the generation.
-	Head spread.Head
+	Head gossip.Head
 	// Beats receives the heartbeats; it must have room for them.
-	Beats chan<- []spread.Beat
+	Beats chan<- []gossip.Beat
 }
 
 func (e HeadInstalled) apply(c *Control, _ *Snapshot) {
@@ -102,7 +102,7 @@
 }
 
 // announce returns heartbeats to all partners, none before this incarnation is registered.
-func (c *Control) announce(now time.Time) []spread.Beat {
+func (c *Control) announce(now time.Time) []gossip.Beat {
 	if c.peers == nil {
 		return nil
 	}
@@ -114,13 +114,13 @@
 	// At is the present time.
 	At time.Time
 	// Beats receives the heartbeats; it must have room for them.
-	Beats chan<- []spread.Beat
+	Beats chan<- []gossip.Beat
 }
 
 func (e NewsDue) apply(c *Control, _ *Snapshot) { e.Beats <- c.announce(e.At) }
 
 // marked adds the signs of leaving backend servers to heartbeats, for partners that may not have the same ones.
-func (c *Control) marked(beats []spread.Beat, now time.Time) []spread.Beat {
+func (c *Control) marked(beats []gossip.Beat, now time.Time) []gossip.Beat {
 	if len(beats) == 0 {
 		return nil
 	}
@@ -136,7 +136,7 @@
 }
 
 // replied adds the signs to a reply, if the asker does not have the same ones.
-func (c *Control) replied(reply spread.Message, asker uint64, now time.Time) spread.Message {
+func (c *Control) replied(reply gossip.Message, asker uint64, now time.Time) gossip.Message {
 	marks := c.servers.drains.Marks(now)
 	if reply.Signs = drain.Hash(marks); reply.Signs != asker {
 		reply.Marks = marks
@@ -168,9 +168,9 @@
 	// At is the time of arrival.
 	At time.Time
 	// Message is the heartbeat.
-	Message spread.Message
+	Message gossip.Message
 	// Reply receives the reply; it must have room for it.
-	Reply chan<- spread.Message
+	Reply chan<- gossip.Message
 }
 
 func (e HeartbeatReceived) apply(c *Control, next *Snapshot) {
@@ -191,7 +191,7 @@
 	// Name is the name of the instance that was asked.
 	Name string
 	// Reply is the reply.
-	Reply spread.Message
+	Reply gossip.Message
 }
 
 func (e HeartbeatAnswered) apply(c *Control, next *Snapshot) {
@@ -220,7 +220,7 @@
 // Leaving tells that this incarnation stops and asks for the heartbeats that tell the others.
 type Leaving struct {
 	// Beats receives the heartbeats; it must have room for them.
-	Beats chan<- []spread.Beat
+	Beats chan<- []gossip.Beat
 }
 
 func (e Leaving) apply(c *Control, _ *Snapshot) {
--- a/comfreyrail/internal/control/peers_test.go
+++ b/comfreyrail/internal/control/peers_test.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 	"github.com/comfreyrail/comfreyrail/rail/table"
 )
 
@@ -27,9 +27,9 @@
 	installTables(t, c, new(table.Head), &table.Tables{Generation: 1, Pools: []table.Pool{
 		{Name: "bookings", Kind: table.Plain, Servers: []table.Server{{Name: "plain", Address: "127.0.0.1:1", Zone: "a"}}},
 	}})
-	beat := func() spread.Message {
-		now = now.Add(spread.DefaultInterval)
-		beats := make(chan []spread.Beat, 1)
+	beat := func() gossip.Message {
+		now = now.Add(gossip.DefaultInterval)
+		beats := make(chan []gossip.Beat, 1)
 		c.Send(t.Context(), HeartbeatsDue{At: now, Beats: beats})
 		due := <-beats
 		if got, want := len(due), 1; got != want {
@@ -38,24 +38,24 @@
 		return due[0].Message
 	}
 	answer := func(signs uint64) {
-		c.Send(t.Context(), HeartbeatAnswered{At: now, Name: "other", Reply: spread.Message{From: "other", Epoch: 2, Signs: signs}})
+		c.Send(t.Context(), HeartbeatAnswered{At: now, Name: "other", Reply: gossip.Message{From: "other", Epoch: 2, Signs: signs}})
 	}
 	leaving := engine.Status{Server: "plain", Leaving: true}
 	steps := []struct {
 		name   string
-		before func(last spread.Message)
+		before func(last gossip.Message)
 		want   int
 	}{
-		{"nothing leaves", func(spread.Message) {}, 0},
-		{"a server leaves", func(spread.Message) {
+		{"nothing leaves", func(gossip.Message) {}, 0},
+		{"a server leaves", func(gossip.Message) {
 			answer(0)
 			c.Send(t.Context(), ServerReported{Name: "plain", Status: leaving, Asked: now, At: now})
 		}, 1},
-		{"the partner shows nothing", func(spread.Message) { answer(0) }, 1},
-		{"the partner shows the same", func(last spread.Message) { answer(last.Signs) }, 0},
-		{"the partner fails", func(spread.Message) { c.Send(t.Context(), HeartbeatFailed{At: now, Name: "other", Epoch: 2}) }, 1},
+		{"the partner shows nothing", func(gossip.Message) { answer(0) }, 1},
+		{"the partner shows the same", func(last gossip.Message) { answer(last.Signs) }, 0},
+		{"the partner fails", func(gossip.Message) { c.Send(t.Context(), HeartbeatFailed{At: now, Name: "other", Epoch: 2}) }, 1},
 	}
-	var last spread.Message
+	var last gossip.Message
 	for _, step := range steps {
 		step.before(last)
 		last = beat()
--- a/comfreyrail/internal/peer/fuzz_test.go
+++ b/comfreyrail/internal/peer/fuzz_test.go
@@ -8,8 +8,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/comfreyrail/comfreyrail/rail/drain"
+	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/member"
-	"github.com/comfreyrail/comfreyrail/rail/spread"
 )
 
 // FuzzReadFrame reads what may arrive on a stream.
@@ -39,10 +39,10 @@
 
 // FuzzHeartbeat gives what may arrive as a heartbeat to a view of the fleet.
 func FuzzHeartbeat(f *testing.F) {
-	seeds := []spread.Message{
-		{From: "rail-2", Epoch: 2, Head: spread.Head{Generation: 1, Hash: "00"}},
-		{From: "rail-2", Epoch: 2, Full: true, Updates: []spread.Update{{Member: member.Member{Name: "rail-1", Epoch: 1}, State: spread.Dead}}},
-		{From: "rail-3", Updates: []spread.Update{{Member: member.Member{Name: "rail-2", Epoch: 9}, State: 200, Beat: 1 << 63}}},
+	seeds := []gossip.Message{
+		{From: "rail-2", Epoch: 2, Head: gossip.Head{Generation: 1, Hash: "00"}},
+		{From: "rail-2", Epoch: 2, Full: true, Updates: []gossip.Update{{Member: member.Member{Name: "rail-1", Epoch: 1}, State: gossip.Dead}}},
+		{From: "rail-3", Updates: []gossip.Update{{Member: member.Member{Name: "rail-2", Epoch: 9}, State: 200, Beat: 1 << 63}}},
 		{Marks: []drain.Mark{{Server: "e1", Source: drain.List, Observer: "o", Sequence: 1}}},
 	}
 	for _, seed := range seeds {
@@ -53,13 +53,13 @@
 		f.Add(content)
 	}
 	f.Fuzz(func(t *testing.T, content []byte) {
-		var message spread.Message
+		var message gossip.Message
 		if Decode(content, &message) != nil {
 			return
 		}
 		now := time.Unix(0, 0)
 		self := member.Member{Name: "rail-1", Zone: "a", Epoch: 1}
-		node := spread.New(spread.Config{Self: self})
+		node := gossip.New(gossip.Config{Self: self})
 		node.Learn(now, []member.Member{{Name: "rail-2", Zone: "b", Epoch: 2}})
 		node.Receive(now, message)
 		node.Tick(now.Add(time.Second))
@@ -67,7 +67,7 @@
 		if got, want := node.Self(), self; got != want {
 			t.Errorf("own record = %+v, want %+v", got, want)
 		}
-		if got, most := len(node.Partners()), spread.DefaultNear+spread.DefaultFar; got > most {
+		if got, most := len(node.Partners()), gossip.DefaultNear+gossip.DefaultFar; got > most {
 			t.Errorf("partners = %d, want at most %d", got, most)
 		}
 	})
--- a/comfreyrail/internal/traffic/claims/events.go
+++ b/comfreyrail/internal/traffic/claims/events.go
@@ -15,7 +15,7 @@
 
 // wanted asks for a claim.
 type wanted struct {
-	want  claim.Want
+	want  claim.Call
 	reply chan<- claim.Verdict
 }
 
--- a/comfreyrail/internal/traffic/claims/minted.go
+++ b/comfreyrail/internal/traffic/claims/minted.go
@@ -19,7 +19,7 @@
 
 // wantedMinted asks for the claim of a minted key.
 type wantedMinted struct {
-	want   claim.Want
+	want   claim.Call
 	minted claim.Minted
 	reply  chan<- claim.Verdict
 }
@@ -57,7 +57,7 @@
 // The error is an outcome.Failure.
 func (c *Claims) RunMinted(ctx context.Context, minted claim.Minted, request Request) (answer []byte, err error) {
 	reply := make(chan claim.Verdict, 1)
-	want := claim.Want{Key: request.Key, Request: request.Digest}
+	want := claim.Call{Key: request.Key, Request: request.Digest}
 	if c.send(wantedMinted{want: want, minted: minted, reply: reply}) {
 		select {
 		case verdict := <-reply:
--- a/comfreyrail/internal/traffic/claims/run.go
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -44,7 +44,7 @@
 	switch verdict.Decision {
 	case claim.Won:
 		return c.runWon(ctx, verdict.Handle, request)
-	case claim.Mine:
+	case claim.Own:
 		return told(c.await(ctx, verdict.Sequence))
 	case claim.Held:
 		return told(c.ask(ctx, verdict.Entry))
@@ -79,7 +79,7 @@
 		deadline = end
 	}
 	reply := make(chan claim.Verdict, 1)
-	want := claim.Want{Key: request.Key, Request: request.Digest, Deadline: deadline}
+	want := claim.Call{Key: request.Key, Request: request.Digest, Deadline: deadline}
 	if c.send(wanted{want: want, reply: reply}) {
 		select {
 		case verdict := <-reply:
--- a/rail/claim/book.go
+++ b/rail/claim/book.go
@@ -37,8 +37,8 @@
 	Checker *invariant.Checker
 }
 
-// Want asks for the claim of a key.
-type Want struct {
+// Call is a call that needs the claim of its key.
+type Call struct {
 	// Key is the key.
 	Key Key
 	// Request is the digest of the request.
@@ -53,8 +53,8 @@
 const (
 	// Won means that the request may be dispatched once Start allows it.
 	Won Decision = iota
-	// Mine means that this instance has claimed the key for an earlier request, under the verdict's Sequence.
-	Mine
+	// Own means that this instance has claimed the key for an earlier request, under the verdict's Sequence.
+	Own
 	// Held means that the verdict's Entry, of another incarnation, has claimed the key.
 	Held
 	// Mismatch means that the key was claimed for another request.
@@ -67,13 +67,13 @@
 	Expired
 )
 
-// Verdict answers one Want.
+// Verdict answers one Call.
 type Verdict struct {
 	// Handle is the number that Claim returned.
 	Handle uint64
 	// Decision says what the request gets.
 	Decision Decision
-	// Sequence is the claim of this instance that holds the key, for Mine.
+	// Sequence is the claim of this instance that holds the key, for Own.
 	Sequence uint64
 	// Entry is the claim that holds the key, for Held.
 	Entry Entry
@@ -118,7 +118,7 @@
 // held is one claim of this instance.
 type held struct {
 	sequence uint64
-	want     Want
+	want     Call
 	asked    time.Time
 	// minted tells that the claim has no record in the service.
 	minted bool
@@ -165,7 +165,7 @@
 }
 
 // Claim asks for the claim of a key; a verdict with the returned handle follows, at once or from a later call.
-func (b *Book) Claim(now time.Time, want Want) (handle uint64, actions Actions) {
+func (b *Book) Claim(now time.Time, want Call) (handle uint64, actions Actions) {
 	b.sequence++
 	claimed := &held{sequence: b.sequence, want: want, asked: now}
 	if earlier, ok := b.latest[want.Key]; ok && earlier.state != NotRun {
@@ -190,7 +190,7 @@
 	case earlier.want.Request != claimed.want.Request:
 		b.decide(claimed, Verdict{Decision: Mismatch})
 	case earlier.decided:
-		b.decide(claimed, Verdict{Decision: Mine, Sequence: earlier.sequence})
+		b.decide(claimed, Verdict{Decision: Own, Sequence: earlier.sequence})
 	default:
 		earlier.followers = append(earlier.followers, claimed.sequence)
 	}
@@ -362,7 +362,7 @@
 	verdict.Handle = claimed.sequence
 	b.out.Verdicts = append(b.out.Verdicts, verdict)
 	if verdict.Decision == Won {
-		verdict.Decision, verdict.Sequence = Mine, claimed.sequence
+		verdict.Decision, verdict.Sequence = Own, claimed.sequence
 	}
 	for _, handle := range claimed.followers {
 		verdict.Handle = handle
--- a/rail/claim/book_test.go
+++ b/rail/claim/book_test.go
@@ -41,8 +41,8 @@
 	})
 }
 
-func want(now time.Time, key, body string) Want {
-	return Want{Key: NewKey("w", "r", key), Request: NewDigest("POST", "/", []byte(body)), Deadline: now.Add(time.Hour)}
+func want(now time.Time, key, body string) Call {
+	return Call{Key: NewKey("w", "r", key), Request: NewDigest("POST", "/", []byte(body)), Deadline: now.Add(time.Hour)}
 }
 
 // TestStartAfterFreeze covers a claimant that freezes before its claim is committed, until the key is forgotten.
@@ -172,9 +172,9 @@
 		same bool
 		want Decision
 	}{
-		{"running at the owner", Running, "", true, Mine},
+		{"running at the owner", Running, "", true, Own},
 		{"running elsewhere", Running, "", false, Held},
-		{"done at the owner", Done, "", true, Mine},
+		{"done at the owner", Done, "", true, Own},
 		{"done elsewhere", Done, "", false, Held},
 		{"not run at the owner", NotRun, "", true, Won},
 		{"not run elsewhere", NotRun, "", false, Won},
--- a/rail/claim/mint.go
+++ b/rail/claim/mint.go
@@ -49,7 +49,7 @@
 // ClaimMinted claims a key that this incarnation minted; the verdict follows as after Claim.
 //
 // The incarnation remembers every request of a key for as long as it accepts the key, so no record is needed.
-func (b *Book) ClaimMinted(now time.Time, want Want, minted Minted) (handle uint64, actions Actions) {
+func (b *Book) ClaimMinted(now time.Time, want Call, minted Minted) (handle uint64, actions Actions) {
 	b.sequence++
 	claimed := &held{sequence: b.sequence, want: want, asked: now, minted: true}
 	age := now.Sub(b.config.Started)
--- a/rail/claim/model_test.go
+++ b/rail/claim/model_test.go
@@ -149,7 +149,7 @@
 	}
 	w.attempts = append(w.attempts, a)
 	now := w.local(i)
-	handle, actions := i.book.Claim(now, Want{
+	handle, actions := i.book.Claim(now, Call{
 		Key:      NewKey("w", "r", fmt.Sprint(key)),
 		Request:  NewDigest("POST", "/", []byte{byte(a.body)}),
 		Deadline: now.Add(time.Duration(w.between(1, 20)) * time.Second),
@@ -177,7 +177,7 @@
 		}
 		a.at = owner
 		now := w.local(owner)
-		want := Want{Key: NewKey("w", "r", fmt.Sprint(a.key)), Request: NewDigest("POST", "/", []byte{byte(a.body)})}
+		want := Call{Key: NewKey("w", "r", fmt.Sprint(a.key)), Request: NewDigest("POST", "/", []byte{byte(a.body)})}
 		handle, actions := owner.book.ClaimMinted(now, want, w.mints[number])
 		a.handle = handle
 		owner.waiting[handle] = a
@@ -206,7 +206,7 @@
 	switch verdict.Decision {
 	case Won:
 		a.won = true
-	case Mine:
+	case Own:
 		w.tell(a, i.book.Ask(verdict.Sequence).State)
 	case Held:
 		w.tell(a, w.ask(verdict.Entry))
--- a/rail/spread/message.go
+++ b/rail/gossip/message.go
@@ -1,4 +1,4 @@
-package spread
+package gossip
 
 import (
 	"github.com/comfreyrail/comfreyrail/rail/drain"
--- a/rail/spread/node.go
+++ b/rail/gossip/node.go
@@ -1,4 +1,4 @@
-package spread
+package gossip
 
 import (
 	"cmp"
