Pass headers on by one rule, and forget plain servers that are gone

The same list of headers that concern one connection stood in the dispatcher and in the gateway, which differed in two names (Proxy-Authenticate, Proxy-Authorization): rail/header serves both, so the gateway drops these two as well. The balancer kept what it knew of every plain server it ever saw; beyond 256 it forgets those of which nothing counts any more (TestServersThatAreGoneAreForgotten).

--- a/comfreyrail/internal/gateway/forward/header.go
+++ b/comfreyrail/internal/gateway/forward/header.go
@@ -2,25 +2,15 @@
 
 import (
 	"net/http"
-	"strings"
-)
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length", "Expect",
-}
+	"github.com/comfreyrail/comfreyrail/rail/header"
+)
 
-// endToEnd returns the headers without those that concern one connection.
-func endToEnd(header http.Header) http.Header {
-	kept := header.Clone()
-	for _, value := range header.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range connectionHeaders {
-		kept.Del(name)
-	}
+// endToEnd returns the headers that are passed on; the length of a body and the wait for it are told anew.
+func endToEnd(from http.Header) http.Header {
+	kept := header.EndToEnd(from)
+	kept.Del("Content-Length")
+	kept.Del("Expect")
 	return kept
 }
 
--- a/comfreyrail/internal/traffic/dispatch/dispatch.go
+++ b/comfreyrail/internal/traffic/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/header"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 )
@@ -159,7 +160,7 @@
 	}
 	current.note((*outcome.Dispatch).Answer)
 	d.served(request.Address, time.Now())
-	return Answer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: content}, nil
+	return Answer{Status: response.StatusCode, Header: header.EndToEnd(response.Header), Body: content}, nil
 }
 
 // errNoLength is the error of an answer whose end cannot be told from a broken connection.
--- a/rail/balance/balance.go
+++ b/rail/balance/balance.go
@@ -24,6 +24,8 @@
 	suspectTime = 1500 * time.Millisecond
 	// reportTime is how long a reported load counts.
 	reportTime = time.Second
+	// mostIdle is the number of servers beyond which those of which nothing is known any more are forgotten.
+	mostIdle = 256
 	// noise is the greatest part of a slot by which equal servers differ.
 	noise = 0.1
 )
@@ -50,6 +52,15 @@
 	return &Balancer{config: config, loads: make(map[string]*load)}
 }
 
+// forget drops what is kept of servers that have no request and of which nothing counts any more.
+func (b *Balancer) forget(now time.Time) {
+	for id, held := range b.loads {
+		if held.own <= 0 && now.Sub(held.at) >= reportTime && !now.Before(held.suspect) {
+			delete(b.loads, id)
+		}
+	}
+}
+
 func (b *Balancer) load(id string) *load {
 	held := b.loads[id]
 	if held == nil {
@@ -61,6 +72,9 @@
 
 // Choose returns the server that is least loaded and nearest, and false if none takes work.
 func (b *Balancer) Choose(now time.Time, servers []backend.Server, zone string, avoid []string) (chosen backend.Server, ok bool) {
+	if len(b.loads) > mostIdle {
+		b.forget(now)
+	}
 	least := 0.0
 	for _, server := range servers {
 		if server.Draining || slices.Contains(avoid, server.ID) {
--- a/rail/balance/balance_test.go
+++ b/rail/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -51,3 +52,23 @@
 		t.Errorf("got %q, want no server", got.ID)
 	}
 }
+
+// Servers come and go under new names: what is kept of them is bounded, but for those that have requests or failed just now.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	b := New(Config{})
+	b.Started("busy")
+	now := start
+	for i := range 10 * mostIdle {
+		now = now.Add(50 * time.Millisecond)
+		id := fmt.Sprint(i)
+		b.Suspect(now, id)
+		b.Reported(now, id, 2)
+		b.Choose(now, []backend.Server{{ID: id, Slots: 1}, {ID: "busy", Slots: 1}}, "a", nil)
+	}
+	if got, want := len(b.loads), mostIdle+2; got > want {
+		t.Errorf("got %d servers, want %d at most", got, want)
+	}
+	if b.loads["busy"] == nil {
+		t.Error("got the server with a request forgotten, want it kept")
+	}
+}
