Tell fewer instances of many engines, and spread the return of refused callers

Beyond 16 KB/s fewer instances are told, of each kind one at least, and a datagram says how many, so that the others' work is scaled rightly (TestReachKeepsWithinTheBytes: today's size, the grown one, 490 instances before 1,900 engines). Callers for whom there was no room or no path are told to come back after 300 to 600 ms instead of 300 ms, so that they do not return together (TestRetryAfterSpreadsTheReturn).

--- a/comfreyrail/internal/gateway/forward/examine_test.go
+++ b/comfreyrail/internal/gateway/forward/examine_test.go
@@ -4,13 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
@@ -22,10 +19,8 @@
 // newRun returns a Forwarder and a run over four engines that answer questions as the function says.
 func newRun(t *testing.T, state func(id string) (backend.State, error), asked *atomic.Int32) (*Forwarder, *job, *run) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	f := New(Config{
-		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, nil), Log: logrus.NewEntry(logger),
+		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, nil), Log: quiet(),
 		State: func(_ context.Context, server backend.Server) (backend.State, error) {
 			asked.Add(1)
 			return state(server.ID)
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -115,6 +115,12 @@
 	age atomic.Int64
 }
 
+func quiet() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
 // newGateway returns a gateway with a route of each kind to the servers.
 func newGateway(t *testing.T, change func(*route.Config), servers ...*server) *gateway {
 	t.Helper()
@@ -143,10 +149,8 @@
 	}
 	known := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	f := New(Config{
-		Catalog: known, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: logrus.NewEntry(logger), Metrics: registry,
+		Catalog: known, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: quiet(), Metrics: registry,
 		ConfirmWithin: 4 * time.Second, UnsureAfter: 2 * time.Second,
 		Retries: NewBudgets(BudgetConfig{Window: retry.WindowConfig{Ratio: 1, Burst: 100, Period: 10 * time.Second}, Instances: func() int { return 1 }}),
 		Others: func(time.Time) func(string) (pipeline.Use, bool) {
@@ -211,7 +215,7 @@
 			err = json.Unmarshal(value, &decoded)
 			return decoded, err
 		},
-		Pace: time.Millisecond, Log: logrus.NewEntry(logrus.New()),
+		Pace: time.Millisecond, Log: quiet(),
 		Elapsed: func() time.Duration { return time.Duration(g.age.Load()) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -467,6 +471,23 @@
 }
 
 // A stopping instance takes everything while the balancer may send a refused caller back to it, and then what can end.
+// A hundred callers that are refused at one moment come back over as long a time as they were told to wait at least.
+func TestRetryAfterSpreadsTheReturn(t *testing.T) {
+	seconds := make(map[string]bool)
+	for range 100 {
+		recorder := httptest.NewRecorder()
+		refuse(recorder, (&job{}).exhausted("no-room"))
+		after, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
+		if err != nil || after < retryAfter.Seconds() || after > 2*retryAfter.Seconds() {
+			t.Fatalf("got Retry-After %v, %v, want %v to twice that", after, err, retryAfter)
+		}
+		seconds[recorder.Header().Get("Retry-After")] = true
+	}
+	if got, want := len(seconds), 15; got < want {
+		t.Errorf("got %d moments of return, want %d at least", got, want)
+	}
+}
+
 // A server takes so many connections from all instances and resets the others: what instances keep idle must leave each of
 // them one for the next request.
 func TestKeepSharesTheConnectionsOfAServer(t *testing.T) {
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,7 +29,13 @@
 	if j.ran {
 		return &refusal{status: http.StatusBadGateway, code: code}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: code, after: retryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, code: code, after: spread(retryAfter, rand.Float64())}
+}
+
+// spread returns a time between the given one and twice that, so that callers who were refused together do not come back
+// together.
+func spread(after time.Duration, draw float64) time.Duration {
+	return after + time.Duration(draw*float64(after))
 }
 
 // expired is the answer once the time is up.
@@ -36,7 +43,7 @@
 	if j.ran {
 		return &refusal{status: http.StatusGatewayTimeout, code: "timeout"}
 	}
-	return &refusal{status: http.StatusServiceUnavailable, code: "timeout", after: retryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, code: "timeout", after: spread(retryAfter, rand.Float64())}
 }
 
 // finish answers a request that failed, and logs how each ended.
--- a/comfreyrail/internal/gateway/share/datagram.go
+++ b/comfreyrail/internal/gateway/share/datagram.go
@@ -27,6 +27,8 @@
 	_       struct{} `cbor:",toarray"`
 	Name    string
 	Zone    string
+	Near    int    // instances of its zone that are told at a time
+	Far     int    // instances of other zones that are told at a time
 	Engines []byte // entries, one after the other
 }
 
@@ -39,13 +41,21 @@
 	Suspect bool
 }
 
+// Sizes of the parts of a datagram in bytes.
+const (
+	// entryBytes is the size of an entry.
+	entryBytes = 10
+	// headerBytes is the size of what stands before the entries, and of the headers of the packet, at most.
+	headerBytes = 100
+)
+
 // errMalformed means that a datagram was not written by an instance.
 const errMalformed = errors.ConstError("malformed datagram")
 
 func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // encode writes a datagram of the engines that have work.
-func encode(name, zone string, uses map[string]pipeline.Use) (datagram []byte, err error) {
+func encode(told message, uses map[string]pipeline.Use) (datagram []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "write datagram")
 	entries := make([]entry, 0, min(len(uses), maxEngines))
 	for id, use := range uses {
@@ -57,11 +67,10 @@
 			Slow: uint8(min(math.Round(use.Slowness*slowScale), math.MaxUint8)), Suspect: use.Suspect,
 		})
 	}
-	packed, err := binary.Append(nil, binary.BigEndian, entries)
-	if err != nil {
+	if told.Engines, err = binary.Append(nil, binary.BigEndian, entries); err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(message{Name: name, Zone: zone, Engines: packed})
+	return cbor.Marshal(told)
 }
 
 // steps returns a number of steps, at most what an entry holds.
@@ -73,15 +82,14 @@
 	if err = cbor.Unmarshal(datagram, &read); err != nil {
 		return "", told, err
 	}
-	size := binary.Size(entry{})
-	if read.Name == "" || len(read.Engines)%size != 0 || len(read.Engines) > maxEngines*size {
+	if read.Name == "" || read.Near < 1 || read.Far < 1 || len(read.Engines)%entryBytes != 0 || len(read.Engines) > maxEngines*entryBytes {
 		return "", told, errMalformed
 	}
-	entries := make([]entry, len(read.Engines)/size)
+	entries := make([]entry, len(read.Engines)/entryBytes)
 	if err = binary.Read(bytes.NewReader(read.Engines), binary.BigEndian, entries); err != nil {
 		return "", told, err
 	}
-	told = report{zone: read.Zone, uses: make(map[uint32]pipeline.Use, len(entries))}
+	told = report{zone: read.Zone, near: read.Near, far: read.Far, uses: make(map[uint32]pipeline.Use, len(entries))}
 	for _, engine := range entries {
 		told.uses[engine.Engine] = pipeline.Use{
 			Tokens: float64(engine.Tokens) * tokenScale, Rate: float64(engine.Rate) / rateScale, Suspect: engine.Suspect,
--- a/comfreyrail/internal/gateway/share/share.go
+++ b/comfreyrail/internal/gateway/share/share.go
@@ -25,6 +25,8 @@
 	tellNear = 5
 	// tellFar is the greatest number of instances of other availability zones that are told at a time.
 	tellFar = 3
+	// tellBytes is the number of bytes of datagrams in a second beyond which fewer instances are told, but one of each kind.
+	tellBytes = 16 << 10
 	// maxDatagram is the greatest size of a datagram in bytes, so that it is never fragmented.
 	maxDatagram = 1400
 	// maxEngines is the greatest number of engines in a datagram.
@@ -65,9 +67,10 @@
 
 // report is what another instance told last.
 type report struct {
-	at   time.Time
-	zone string
-	uses map[uint32]pipeline.Use
+	at        time.Time
+	zone      string
+	near, far int // instances of its own zone and of others that it tells at a time
+	uses      map[uint32]pipeline.Use
 }
 
 // New returns a Share that has heard nothing.
@@ -108,25 +111,35 @@
 			return
 		case <-ticker.C:
 		}
-		peers := s.pick(s.config.Peers())
+		peers := s.config.Peers()
 		if len(peers) == 0 {
 			continue
 		}
-		datagram, err := encode(s.config.Name, s.config.Zone, s.config.Uses())
+		uses := s.config.Uses()
+		near, far := reach(len(uses))
+		datagram, err := encode(message{Name: s.config.Name, Zone: s.config.Zone, Near: near, Far: far}, uses)
 		if err != nil {
 			s.config.Log.WithError(err).Error("datagram not written")
 			continue
 		}
-		for _, peer := range peers {
+		for _, peer := range s.pick(peers, near, far) {
 			s.send(socket, peer.Address, datagram)
 		}
 	}
 }
 
+// reach returns how many instances of the own zone and of others are told of so many engines at a time.
+func reach(engines int) (near, far int) {
+	size := headerBytes + min(engines, maxEngines)*entryBytes
+	most := int(tellBytes * tellEvery.Seconds() / float64(size))
+	far = min(max(most*tellFar/(tellNear+tellFar), 1), tellFar)
+	near = min(max(most-far, 1), tellNear)
+	return near, far
+}
+
 // pick draws the instances that are told next: a few of the own availability zone, and fewer of the others, as bytes
 // between zones are dear.
-func (s *Share) pick(peers []Peer) (picked []Peer) {
-	near, far := tellNear, tellFar
+func (s *Share) pick(peers []Peer, near, far int) (picked []Peer) {
 	for _, i := range rand.Perm(len(peers)) {
 		left := &far
 		if peers[i].Zone == s.config.Zone {
@@ -190,9 +203,9 @@
 	}
 	total := make(map[uint32]pipeline.Use)
 	for _, told := range s.heard {
-		chance := chanceHeard(tellFar, far)
+		chance := chanceHeard(told.far, far)
 		if told.zone == s.config.Zone {
-			chance = chanceHeard(tellNear, members[told.zone])
+			chance = chanceHeard(told.near, members[told.zone])
 		}
 		listed := max(float64(members[told.zone])/float64(heard[told.zone]), 1)
 		add(total, told.uses, min(listed, 1/chance))
--- a/comfreyrail/internal/gateway/share/share_test.go
+++ b/comfreyrail/internal/gateway/share/share_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math"
 	"testing"
@@ -13,7 +14,7 @@
 
 func tell(t *testing.T, s *Share, at time.Time, name, zone string, uses map[string]pipeline.Use) {
 	t.Helper()
-	datagram, err := encode(name, zone, uses)
+	datagram, err := encode(message{Name: name, Zone: zone, Near: tellNear, Far: tellFar}, uses)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +85,7 @@
 	for _, test := range tests {
 		s := New(Config{Zone: "a"})
 		near, far := 0, 0
-		for _, peer := range s.pick(peersOf(test.near, test.far)) {
+		for _, peer := range s.pick(peersOf(test.near, test.far), tellNear, tellFar) {
 			if peer.Zone == "a" {
 				near++
 			} else {
@@ -97,12 +98,34 @@
 	}
 }
 
+// The size of today, that of the grown deployments, and 490 instances before 1,900 engines: what is told stays within the
+// bytes that a node may spend, and somebody of each kind is told.
+func TestReachKeepsWithinTheBytes(t *testing.T) {
+	tests := []struct{ engines, near, far int }{{33, 4, 2}, {90, 2, 1}, {180, 1, 1}, {0, 5, 3}}
+	for _, test := range tests {
+		near, far := reach(test.engines)
+		if near < test.near || far < test.far || near > tellNear || far > tellFar {
+			t.Errorf("%d engines: got %d and %d, want %d and %d at least", test.engines, near, far, test.near, test.far)
+		}
+		size := headerBytes + min(test.engines, maxEngines)*entryBytes
+		if got, want := float64((near+far)*size)/tellEvery.Seconds(), 16.4e3; got > want {
+			t.Errorf("%d engines: got %.0f bytes a second, want %.0f at most", test.engines, got, want)
+		}
+	}
+}
+
+func TestEntryBytes(t *testing.T) {
+	if got := binary.Size(entry{}); got != entryBytes {
+		t.Errorf("got %d bytes, want %d", got, entryBytes)
+	}
+}
+
 func TestDatagramFitsOnePacket(t *testing.T) {
 	uses := make(map[string]pipeline.Use)
 	for i := range 2 * maxEngines {
 		uses[string(rune('a'+i%26))+string(rune('a'+i/26))] = pipeline.Use{Tokens: 4e9, Rate: 60}
 	}
-	datagram, err := encode("an-instance-with-a-long-name-in-a-zone-1", "a-zone-with-a-long-name", uses)
+	datagram, err := encode(message{Name: "an-instance-with-a-long-name-in-a-zone-1", Zone: "a-zone-with-a-long-name", Near: 5, Far: 3}, uses)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +135,7 @@
 }
 
 func FuzzHear(f *testing.F) {
-	datagram, err := encode("peer", "a", map[string]pipeline.Use{"engine": {Tokens: 1, Rate: 1}})
+	datagram, err := encode(message{Name: "peer", Zone: "a", Near: 5, Far: 3}, map[string]pipeline.Use{"engine": {Tokens: 1, Rate: 1}})
 	if err != nil {
 		f.Fatal(err)
 	}
