Count memory by what requests use of it, and keep a soak's connection silent once it lost bytes

Ruled out: the size of the memory (reports agree with the calculation), stopping instances (55 of the refusals).

--- a/comfreyrail/internal/gateway/forward/fleet.go
+++ b/comfreyrail/internal/gateway/forward/fleet.go
@@ -155,12 +155,12 @@
 	return asked
 }
 
-// told notes how fast an engine says that it is.
-func (f *fleet) told(server backend.Server, slowness float64) {
+// told notes what an engine says of itself.
+func (f *fleet) told(server backend.Server, state backend.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if held := f.engines[server.Service]; held != nil {
-		held.chooser.Reported(time.Now(), server.ID, slowness)
+		held.chooser.Reported(time.Now(), server.ID, pipeline.Report{Slowness: state.Slowness, Used: state.Used})
 	}
 }
 
--- a/comfreyrail/internal/gateway/forward/survey.go
+++ b/comfreyrail/internal/gateway/forward/survey.go
@@ -79,5 +79,5 @@
 	}
 	told.Slowness = state.Slowness
 	s.forwarder.config.Log.WithFields(told.Fields()).Info(event.Speed)
-	s.forwarder.fleet.told(server, state.Slowness)
+	s.forwarder.fleet.told(server, state)
 }
--- a/rail/backend/backend.go
+++ b/rail/backend/backend.go
@@ -48,6 +48,8 @@
 	Layers Range
 	// Slowness is how many times the usual time its work takes, zero if it does not say.
 	Slowness float64
+	// Used is the memory that requests hold, in tokens times layers.
+	Used float64
 	// Stalled lists the requests that it was sent first and that another engine holds up.
 	Stalled []Stall
 }
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -96,6 +96,7 @@
 	loads   map[string]*load
 	peers   int
 	usual   float64 // pause between events as a multiple of the expected one
+	use     float64 // part of the promised memory that requests use
 }
 
 // New returns a Chooser that knows no engines.
@@ -106,7 +107,7 @@
 	if config.Others == nil {
 		config.Others = func(string) (Use, bool) { return Use{}, true }
 	}
-	return &Chooser{config: config, loads: make(map[string]*load), peers: 1}
+	return &Chooser{config: config, loads: make(map[string]*load), peers: 1, use: 1}
 }
 
 // SetFleet states the engines and the number of instances that send work to them.
@@ -285,7 +286,7 @@
 		card, _ := c.engine.Card(server.Card)
 		room := c.engine.Room(card, server.Layers.Len()) * float64(server.Layers.Len())
 		taken := c.taken(now, server.ID, held)
-		fill := taken.Tokens / max(room, 1)
+		fill := taken.Tokens * c.use / max(room, 1)
 		if fill+c.need(request, server.Layers.Len())/max(room, 1) > 1 && fill > 0 || fill > most {
 			continue
 		}
--- a/rail/pipeline/health_test.go
+++ b/rail/pipeline/health_test.go
@@ -72,7 +72,7 @@
 		t.Errorf("got stage %d, want none that was not asked", stage)
 	}
 	c.Unanswered(now, "a-large-1")
-	c.Reported(now.Add(50*time.Millisecond), "a-large-1", 12)
+	c.Reported(now.Add(50*time.Millisecond), "a-large-1", Report{Slowness: 12})
 	if stage, got := c.Dead(now.Add(60*time.Millisecond), path, leastSilence); got {
 		t.Errorf("got stage %d, want none once the engine has answered", stage)
 	}
@@ -96,7 +96,7 @@
 	if !held.suspected(last.Add(reaskDead)) {
 		t.Error("got a trusted engine, want it left alone until it answers")
 	}
-	c.Reported(last.Add(reaskDead), "a-large-1", 1)
+	c.Reported(last.Add(reaskDead), "a-large-1", Report{Slowness: 1})
 	if held.suspected(last.Add(reaskDead)) {
 		t.Error("got a suspected engine, want it used once it has answered")
 	}
--- a/rail/pipeline/speed.go
+++ b/rail/pipeline/speed.go
@@ -99,11 +99,24 @@
 	return c.load(id).speed.inferred(now)
 }
 
-// Reported notes that an engine says how many times the usual time its work takes.
-func (c *Chooser) Reported(now time.Time, id string, slowness float64) {
+// Report is what an engine says of itself.
+type Report struct {
+	// Slowness is how many times the usual time its work takes.
+	Slowness float64
+	// Used is the memory that requests hold, in tokens times layers.
+	Used float64
+}
+
+// Reported notes what an engine says of itself.
+func (c *Chooser) Reported(now time.Time, id string, report Report) {
 	held := c.load(id)
 	held.health.answered()
-	held.speed.reported, held.speed.reportedAt, held.speed.doubts = min(max(slowness, 1), maxSlow), now, 0
+	held.speed.reported, held.speed.reportedAt, held.speed.doubts = min(max(report.Slowness, 1), maxSlow), now, 0
+	for _, server := range c.servers {
+		if server.ID == id {
+			c.learnUse(now, server, report.Used)
+		}
+	}
 }
 
 // Waited notes that a request on the path has waited unusually long for its first event.
--- a/rail/pipeline/speed_test.go
+++ b/rail/pipeline/speed_test.go
@@ -40,8 +40,8 @@
 func TestDoubtfulAsksASlowEngineAgain(t *testing.T) {
 	large := engines("a", "large", 4)
 	c := newChooser(large, 1)
-	c.Reported(start, "a-large-1", 12)
-	c.Reported(start, "a-large-2", 1)
+	c.Reported(start, "a-large-1", Report{Slowness: 12})
+	c.Reported(start, "a-large-2", Report{Slowness: 1})
 	tests := []struct {
 		after time.Duration
 		want  int
@@ -59,7 +59,7 @@
 	first, second, third := engines("a", "large", 4), engines("b", "large", 4), engines("c", "large", 4)
 	c := newChooser(append(append(first, second...), third...), 1)
 	for _, server := range third {
-		c.Reported(start, server.ID, 12)
+		c.Reported(start, server.ID, Report{Slowness: 12})
 	}
 	slow, all := 0, 0
 	for i := range 400 {
@@ -100,7 +100,7 @@
 			t.Errorf("%s: got slowness %v, want %v", test.id, got, test.want)
 		}
 	}
-	c.Reported(start, "a-large-0", 1)
+	c.Reported(start, "a-large-0", Report{Slowness: 1})
 	if got := c.slowness(start, "a-large-0"); got != 1 {
 		t.Errorf("got slowness %v after an own report, want that of the report, 1", got)
 	}
--- a/soak/internal/soak/proxy.go
+++ b/soak/internal/soak/proxy.go
@@ -115,13 +115,20 @@
 	<-done
 }
 
-// copy passes bytes on until a side ends.
+// copy passes bytes on until a side ends. Once bytes have been lost the rest goes nowhere either: a connection never goes on
+// after a gap.
 func (p *proxy) copy(to io.Writer, from io.Reader, answers bool) {
 	buffer := make([]byte, 16<<10)
+	lost := false
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !p.write(to, buffer[:n], answers) {
-			return
+		if n > 0 {
+			lost = lost || p.loses(answers)
+		}
+		if n > 0 && !lost {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				return
+			}
 		}
 		if err != nil {
 			return
@@ -129,18 +136,17 @@
 	}
 }
 
-func (p *proxy) write(to io.Writer, content []byte, answers bool) bool {
+// loses reports whether bytes go nowhere now, after the delay that they take.
+func (p *proxy) loses(answers bool) bool {
 	switch p.now() {
 	case silent:
 		return true
 	case oneWay:
-		if answers {
-			return true
-		}
+		return answers
 	case delayed:
 		time.Sleep(proxyDelay)
+		return false
 	default:
+		return false
 	}
-	_, err := to.Write(content)
-	return err == nil
 }
