Name timeouts by what they limit, and give the recovery of streams a file of its own

patience, silence steps and Silent stood for timeouts and what is asked when they pass: upstream.Request has Timeout and OnTimeout, the forwarder's constants say check and timeout, checkStall looks for a stalled stream's engine. stream.go had grown to 390 lines: recover.go holds what is done about stalls. Behaviour and checks as before.

--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -12,8 +12,6 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
-	"github.com/comfreyrail/comfreyrail/rail/backend"
-	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/headroom"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -21,21 +19,21 @@
 
 // Times of a stream, as parts of the wanted time to the first event and of the longest pause that is on time.
 const (
-	// firstSilence is the part of the wanted time to the first event after which the engines are looked at.
-	firstSilence = 0.4
-	// firstPatience is how many times that time the first event may take before another path is tried.
-	firstPatience = 3.0
-	// pauseSilence is the part of the longest pause after which the engines are looked at.
-	pauseSilence = 0.45
+	// firstCheck is the part of the wanted time to the first event after which the engines are looked at.
+	firstCheck = 0.4
+	// firstTimeout is how many times that time the first event may take before another path is tried.
+	firstTimeout = 3.0
+	// pauseCheck is the part of the longest pause after which the engines are looked at.
+	pauseCheck = 0.45
 	// unusualPause is how many times the usual pause of a path, whose engines may be known to be slow, a pause may last before
 	// the engines are looked at.
 	unusualPause = 1.5
-	// pausePatience is how many times that pause may last before another path is tried.
-	pausePatience = 6.0
-	// leastPatience bounds how soon another path is tried.
-	leastPatience = 300 * time.Millisecond
-	// silenceStep is the time between two looks at the engines.
-	silenceStep = 30 * time.Millisecond
+	// pauseTimeout is how many times that pause may last before another path is tried.
+	pauseTimeout = 6.0
+	// leastTimeout bounds how soon another path is tried.
+	leastTimeout = 300 * time.Millisecond
+	// checkEvery is the time between two looks at the engines.
+	checkEvery = 30 * time.Millisecond
 	// roomPause is the time after which a stream that has begun looks again for a path with room.
 	roomPause = 40 * time.Millisecond
 	// repathTimeout is the longest time for the order to go on along other engines.
@@ -162,9 +160,9 @@
 		request = f.outgoing(j, first, hops(r.path), lastID)
 	}
 	r.since = time.Now()
-	request.Patience = part(j.route.Target, firstSilence)
-	request.Silent = func() time.Duration {
-		return f.silent(ctx, j, r, max(part(j.route.Target, firstPatience), leastPatience))
+	request.Timeout = part(j.route.Target, firstCheck)
+	request.OnTimeout = func() time.Duration {
+		return f.checkStall(ctx, j, r, max(part(j.route.Target, firstTimeout), leastTimeout))
 	}
 	answer, err := f.config.Upstream.Send(ctx, request)
 	if err != nil {
@@ -207,113 +205,6 @@
 // part returns a part of a time.
 func part(of time.Duration, factor float64) time.Duration { return time.Duration(float64(of) * factor) }
 
-// silent looks for the engine that holds up a run and moves the run past it; it returns how long to wait on, zero to give
-// the run up.
-func (f *Forwarder) silent(ctx context.Context, j *job, r *run, patience time.Duration) time.Duration {
-	waited := time.Since(r.since)
-	if waited >= patience {
-		if f.mayStartAgain(j) {
-			return 0
-		}
-		patience = waited + silenceStep
-	}
-	if r.service.Engine == nil {
-		return patience - waited
-	}
-	if r.answer == nil {
-		f.fleet.waited(r)
-	}
-	if r.moves >= maxMoves {
-		return min(silenceStep, patience-waited)
-	}
-	least := max(part(j.route.Gap, pauseSilence), part(f.fleet.pause(r), unusualPause))
-	if waited < least {
-		return least - waited
-	}
-	stage, ok := f.fleet.dead(r, least)
-	if !ok && time.Since(r.examined) >= r.again {
-		r.examined, r.again = time.Now(), max(2*r.again, examineEvery)
-		stage, ok = f.examine(ctx, j, r, least)
-	}
-	if !ok {
-		return min(silenceStep, max(patience-time.Since(r.since), time.Millisecond))
-	}
-	if stage > 0 {
-		f.move(ctx, j, r, stage)
-		return silenceStep
-	}
-	if !f.mayStartAgain(j) {
-		return silenceStep
-	}
-	r.culprit = r.path[0].Server.Address
-	return 0
-}
-
-// mayStartAgain reports whether the stream could be sent to one more path, as far as its route says.
-func (f *Forwarder) mayStartAgain(j *job) bool { return j.sent < j.route.Attempts && j.route.Resumable }
-
-// maxMoves is how often a run is moved past an engine.
-const maxMoves = 2
-
-// move orders the first engine to go on without the engine of a stage.
-func (f *Forwarder) move(ctx context.Context, j *job, r *run, stage int) {
-	r.moves++
-	culprit := r.path[stage].Server
-	told := event.Move{Request: j.request.ID, First: r.path[0].Server.ID, Silent: culprit.ID, Waited: time.Since(r.since)}
-	log := f.config.Log.WithFields(told.Fields())
-	path, ok := f.fleet.reroute(r, stage)
-	if !ok {
-		log.WithError(errNoPath).Info(event.NotMoved)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
-	defer cancel()
-	if err := f.config.Repath(ctx, r.path[0].Server, j.request.ID, hops(path)); err != nil {
-		log.WithError(err).Info(event.NotMoved)
-		return
-	}
-	f.fleet.moved(r, path)
-	j.path = describePath(path)
-	log.Info(event.Moved)
-}
-
-// blame leaves the engine at fault alone for a while, the first one if none is named.
-func (f *Forwarder) blame(ctx context.Context, j *job, r *run, address string, cause error) {
-	first := r.path[0].Server
-	if r.service.Engine == nil {
-		f.fleet.suspectPlain(first.ID)
-		j.avoid = append(j.avoid, first.ID)
-	} else {
-		if address == "" {
-			address = f.stalled(ctx, first)
-		}
-		f.fleet.suspectEngine(r.service.Name, address)
-	}
-	told := event.Attempt{
-		Request: j.request.ID, Server: first.ID, Fault: address, Path: j.path, Ran: j.ran, After: time.Since(j.began),
-	}
-	f.config.Log.WithError(cause).WithFields(told.Fields()).Info(event.Failed)
-}
-
-// stalledTimeout is the longest time for asking who holds a request up.
-const stalledTimeout = 150 * time.Millisecond
-
-// stalled returns the address of an engine that holds requests up, the first one's if it does not say.
-func (f *Forwarder) stalled(ctx context.Context, first backend.Server) string {
-	ctx, cancel := context.WithTimeout(ctx, stalledTimeout)
-	defer cancel()
-	state, err := f.config.State(ctx, first)
-	if err != nil {
-		told := event.Engine{Server: first.ID, Address: first.Address}
-		f.config.Log.WithError(err).WithFields(told.Fields()).Info(event.NoAnswer)
-		return first.Address
-	}
-	if len(state.Stalled) == 0 {
-		return first.Address
-	}
-	return state.Stalled[0].Address
-}
-
 // end gives back what the run took.
 func (f *Forwarder) end(r *run, err error) {
 	if r.answer != nil {
@@ -331,13 +222,13 @@
 // relay gives the events of a run to the caller until the stream is complete.
 func (f *Forwarder) relay(ctx context.Context, j *job, out *events, r *run) (err error) {
 	out.start(r.answer.Header)
-	patience := max(part(j.route.Gap, pausePatience), leastPatience)
-	silence := part(j.route.Gap, pauseSilence)
-	r.answer.Silent(func() time.Duration { return f.silent(ctx, j, r, patience) })
+	timeout := max(part(j.route.Gap, pauseTimeout), leastTimeout)
+	check := part(j.route.Gap, pauseCheck)
+	r.answer.OnTimeout(func() time.Duration { return f.checkStall(ctx, j, r, timeout) })
 	var buffer [4096]byte
 	f.progressed(r, 0)
 	for {
-		r.answer.SetReadDeadline(time.Now().Add(silence))
+		r.answer.SetReadDeadline(time.Now().Add(check))
 		// The context's end sets a deadline too, which may have been replaced just now.
 		if err = ctx.Err(); err != nil {
 			return err
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -56,19 +56,19 @@
 type conn struct {
 	net.Conn
 
-	reader *bufio.Reader
-	until  time.Time
-	silent func() time.Duration
+	reader    *bufio.Reader
+	until     time.Time
+	onTimeout func() time.Duration
 }
 
 // Read reads; where a deadline passes first, it asks whether and for how long to go on.
 func (c *conn) Read(b []byte) (n int, err error) {
 	for {
 		n, err = c.Conn.Read(b)
-		if n > 0 || c.silent == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n > 0 || c.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		more := c.silent()
+		more := c.onTimeout()
 		if more <= 0 {
 			return n, err
 		}
@@ -96,10 +96,10 @@
 	Fresh bool
 	// Keep is the greatest number of idle connections to the address that are kept.
 	Keep int
-	// Patience is how long the answer may take until Silent is asked; zero means forever.
-	Patience time.Duration
-	// Silent is asked whenever nothing has come for the time given last; it returns how long to wait on, zero to give up.
-	Silent func() time.Duration
+	// Timeout is how long the answer may take until OnTimeout is asked; zero means forever.
+	Timeout time.Duration
+	// OnTimeout is asked whenever nothing has come for the time given last; it returns how long to wait on, zero to give up.
+	OnTimeout func() time.Duration
 }
 
 // Error is a failure before an answer came.
@@ -154,15 +154,15 @@
 			_ = c.Close()
 		}
 	}()
-	c.silent = nil
-	if request.Silent != nil {
-		c.silent = func() time.Duration {
+	c.onTimeout = nil
+	if request.OnTimeout != nil {
+		c.onTimeout = func() time.Duration {
 			if ctx.Err() != nil {
 				return 0
 			}
-			return request.Silent()
+			return request.OnTimeout()
 		}
-		_ = c.SetReadDeadline(time.Now().Add(request.Patience))
+		_ = c.SetReadDeadline(time.Now().Add(request.Timeout))
 	}
 	if err = ctx.Err(); err != nil {
 		return nil, &Error{Cause: err}
@@ -284,9 +284,9 @@
 	return n, err
 }
 
-// Silent replaces what is asked whenever a deadline of reading passes.
-func (a *Answer) Silent(ask func() time.Duration) {
-	a.conn.silent = func() time.Duration {
+// OnTimeout replaces what is asked whenever a deadline of reading passes.
+func (a *Answer) OnTimeout(ask func() time.Duration) {
+	a.conn.onTimeout = func() time.Duration {
 		if a.ctx.Err() != nil {
 			return 0
 		}
@@ -309,7 +309,7 @@
 		_ = a.conn.Close()
 		return
 	}
-	a.conn.silent = nil
+	a.conn.onTimeout = nil
 	_ = a.conn.SetDeadline(time.Time{})
 	a.conn.until = time.Now().Add(keep)
 	if !a.pool.push(a.address, a.conn, a.keep) {
--- a/comfreyrail/internal/gateway/upstream/upstream_test.go
+++ b/comfreyrail/internal/gateway/upstream/upstream_test.go
@@ -200,7 +200,7 @@
 	}
 }
 
-func TestSilentDecidesHowLongToWait(t *testing.T) {
+func TestOnTimeoutDecidesHowLongToWait(t *testing.T) {
 	release := make(chan struct{})
 	server := serve(t, func(conn *net.TCPConn, _ int) {
 		<-release
@@ -208,8 +208,8 @@
 	})
 	asked := 0
 	answer, err := newPool().Send(context.Background(), Request{
-		Address: server.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Patience: 10 * time.Millisecond,
-		Silent: func() time.Duration {
+		Address: server.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Timeout: 10 * time.Millisecond,
+		OnTimeout: func() time.Duration {
 			asked++
 			if asked == 3 {
 				close(release)
@@ -226,8 +226,8 @@
 	}
 	hung := serve(t, func(*net.TCPConn, int) { time.Sleep(time.Second) })
 	_, err = newPool().Send(context.Background(), Request{
-		Address: hung.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Patience: 10 * time.Millisecond,
-		Silent: func() time.Duration { return 0 },
+		Address: hung.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, Timeout: 10 * time.Millisecond,
+		OnTimeout: func() time.Duration { return 0 },
 	})
 	var failure *Error
 	if !errors.As(err, &failure) || !failure.Sent {
