Leave the store to a few instances where those that read it have no news, and ask the own zone first

Tests: TestAFewReadEverythingAgainWhenTheHistoryGoes (60 instances, 9 calls at most), TestHelpComesMostlyFromTheOwnZone.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 	DecodeServer func(id string, value []byte) (backend.Server, error)
 	// Pace is the least time between two watches.
 	Pace time.Duration
+	// Random draws numbers in [0, 1); nil takes the global source.
+	Random func() float64
 	// Elapsed is a clock that goes on while the machine is suspended.
 	Elapsed func() time.Duration
 	// Log receives the log.
@@ -108,6 +111,9 @@
 
 // New returns a Catalog that knows nothing.
 func New(config Config) *Catalog {
+	if config.Random == nil {
+		config.Random = rand.Float64
+	}
 	c := &Catalog{
 		config: config, servers: make(map[string]backend.Server), lapsed: make(map[string]time.Duration), malformed: make(map[string]bool),
 		instances: make(map[string]Instance), unheard: make(map[string]time.Duration), log: newChangeLog(),
@@ -142,6 +148,8 @@
 			c.config.Log.WithError(err).Info("the store's history is gone: reading everything again")
 			c.revision = 0
 			rest = 0
+		case errors.Is(err, errLater):
+			rest = retryPause
 		default:
 			c.lost(ctx, err)
 			rest = retryPause
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -81,7 +82,7 @@
 	age, err := c.step(context.Background())
 	if err == nil {
 		c.reached(began - age)
-	} else if !errors.Is(err, store.ErrCompacted) {
+	} else if !errors.Is(err, store.ErrCompacted) && !errors.Is(err, errLater) {
 		c.lost(context.Background(), err)
 	}
 	c.expire()
@@ -377,3 +378,75 @@
 		t.Errorf("got %.1f calls a second after the first of each, want %.1f at most", got, want)
 	}
 }
+
+// The store's history goes: those that read it for others hear nothing for a while, and then everything must be read again. A few
+// instances of a large fleet do so, the others ask these.
+func TestAFewReadEverythingAgainWhenTheHistoryGoes(t *testing.T) {
+	var names []string
+	for i := range 60 {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	instances := fleetOf(names...)
+	var records []store.Item
+	for i, instance := range instances {
+		records = append(records, record(t, instance, uint64(i+1)))
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	reads, fresh := 0, 0
+	for _, self := range instances {
+		w := &world{now: time.Minute, items: records}
+		c := newCatalog(w, self)
+		c.config.Random = random.Float64
+		turn(t, c, w)
+		if _, other := readerOf(instances, self); !other {
+			continue
+		}
+		before := w.reads
+		w.peer = Changes{Revision: 50, Age: 5 * time.Second}
+		w.err = store.ErrCompacted
+		w.now += time.Second
+		turn(t, c, w)
+		// By the next step a few have read everything.
+		w.err, w.peer = nil, Changes{Revision: 60, Age: 100 * time.Millisecond}
+		w.now += retryPause
+		turn(t, c, w)
+		reads += w.reads - before
+		if age, ok := c.Age(); ok && age <= c.freshEnough() {
+			fresh++
+		}
+	}
+	if want := 3 * int(direct); reads > want {
+		t.Errorf("got %d calls to the store, want %d at most", reads, want)
+	}
+	if want := len(instances) - 3; fresh < want {
+		t.Errorf("got %d instances with news a step later, want %d", fresh, want)
+	}
+}
+
+// Help comes mostly from the own zone, but from every zone now and then, and from another one where there is nobody else.
+func TestHelpComesMostlyFromTheOwnZone(t *testing.T) {
+	var instances []Instance
+	for i := range 30 {
+		instances = append(instances, Instance{Name: fmt.Sprint(i), Zone: string(rune('a' + i%3))})
+	}
+	self, near := instances[0], 0
+	const asked = 1000
+	for range asked {
+		helper, ok := helperOf(instances, self)
+		if !ok || helper == self {
+			t.Fatalf("got %+v, %v, want another instance", helper, ok)
+		}
+		if helper.Zone == self.Zone {
+			near++
+		}
+	}
+	if least, most := asked*7/10, asked*95/100; near < least || near > most {
+		t.Errorf("got %d of %d from the own zone, want %d to %d", near, asked, least, most)
+	}
+	if helper, ok := helperOf(instances[:2], self); !ok || helper != instances[1] {
+		t.Errorf("got %+v, %v, want the only other instance", helper, ok)
+	}
+	if _, ok := helperOf(instances[:1], self); ok {
+		t.Error("got help for a lone instance, want none")
+	}
+}
--- a/comfreyrail/internal/gateway/catalog/instance.go
+++ b/comfreyrail/internal/gateway/catalog/instance.go
@@ -73,14 +73,25 @@
 
 func rank(instance Instance) uint64 { return xxhash.Sum64String(instance.Zone + "/" + instance.Name) }
 
-// helperOf returns any other instance, for one that does not reach the store.
+// farHelp is the chance that an instance of any zone is asked for help rather than one of the own zone, as bytes between
+// zones are dear, but a whole zone may be without news.
+const farHelp = 0.25
+
+// helperOf returns another instance, mostly one of the own availability zone, for one that does not reach the store.
 func helperOf(instances []Instance, self Instance) (helper Instance, ok bool) {
-	var others []Instance
+	var near, others []Instance
 	for _, instance := range instances {
-		if instance.Name != self.Name {
-			others = append(others, instance)
+		if instance.Name == self.Name {
+			continue
+		}
+		others = append(others, instance)
+		if instance.Zone == self.Zone {
+			near = append(near, instance)
 		}
 	}
+	if len(near) > 0 && rand.Float64() >= farHelp {
+		others = near
+	}
 	if len(others) == 0 {
 		return Instance{}, false
 	}
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -23,8 +23,12 @@
 			"reader": reader.Name, "age": age.String(),
 		}).Info("the instance that reads the store has no news")
 	}
-	if err = c.read(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
-		return 0, err
+	if c.revision == 0 || !c.leavesStore() {
+		if err = c.read(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
+			return 0, err
+		}
+	} else {
+		err = errLater
 	}
 	if helper, ok := helperOf(c.Snapshot().Instances, c.config.Self); ok {
 		age, askErr := c.ask(ctx, helper)
@@ -35,6 +39,20 @@
 	return 0, err
 }
 
+// errLater means that the store is left to a few instances for now, and that another one is asked soon.
+const errLater = errors.ConstError("the store is left to other instances for now")
+
+// direct is the number of instances that turn to the store on average at each step once those that read it for others have no
+// news; the others ask these.
+const direct = 3.0
+
+// leavesStore reports whether this instance leaves the store to others at this step: one that others read it for, by chance.
+func (c *Catalog) leavesStore() bool {
+	instances := c.Snapshot().Instances
+	_, other := readerOf(instances, c.config.Self)
+	return other && c.config.Random()*float64(len(instances)) >= direct
+}
+
 // asked returns the instances that may be asked now.
 func (c *Catalog) asked() (instances []Instance) {
 	now := c.config.Elapsed()
