Take any report as a sign of life

An engine that did not answer and then reported without its speed stayed marked and was asked every 400 ms for good: the report was dropped. Found by reading; TestAnyReportShowsThatAnEngineLives fails without the change for a report without speed.

--- a/comfreyrail/internal/gateway/forward/survey.go
+++ b/comfreyrail/internal/gateway/forward/survey.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// ask takes one engine's word on its speed.
+// ask takes one engine's report.
 func (s *Survey) ask(ctx context.Context, server backend.Server) {
 	defer s.asking.Done()
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
@@ -73,11 +73,8 @@
 		s.forwarder.fleet.unanswered(server)
 		return
 	}
-	if state.Slowness <= 0 {
-		log.Debug("the engine's report does not hold its speed")
-		return
-	}
 	told.Slowness = state.Slowness
 	s.forwarder.config.Log.WithFields(told.Fields()).Info(event.Speed)
+	// A report without a speed still shows that the engine lives.
 	s.forwarder.fleet.told(server, state)
 }
--- a/rail/pipeline/speed.go
+++ b/rail/pipeline/speed.go
@@ -36,10 +36,10 @@
 	seenAt     time.Time
 	least      float64 // least slowness of the events in the present window
 	leastFrom  time.Time
-	doubts     int // slow events in succession
-	reported   float64
+	doubts     int     // slow events in succession
+	reported   float64 // what the engine said last
 	reportedAt time.Time
-	asked      time.Time
+	asked      time.Time // when it was asked last
 }
 
 // progressed notes an event that took so many times the expected time, zero if that is not known.
@@ -141,7 +141,8 @@
 	return !told
 }
 
-// Doubtful returns up to so many engines that should be asked now, the most doubtful first.
+// Doubtful returns up to so many engines that should be asked for a report now, the most doubtful first, and counts them as
+// asked.
 func (c *Chooser) Doubtful(now time.Time, most int) (doubtful []backend.Server) {
 	for _, server := range c.servers {
 		if held := c.loads[server.ID]; held != nil && c.inDoubt(now, server.ID, held) {
