Let own progress through an engine count more than another instance's suspicion

An instance that is cut off from a zone finds its engines silent, tells the others so four times a second, and these left the zone's sound engines alone as long as they could. Found by reading.

--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -298,7 +298,7 @@
 		cost *= 1 + spreadNoise*c.config.Random()
 		cost *= slowness / ((1 - use) * (1 - fill))
 		fixed := hopCost.Seconds()
-		if held.health.suspected(now) || taken.Suspect {
+		if held.health.suspected(now) || taken.Suspect && !held.health.lives(now) {
 			fixed += suspectCost.Seconds()
 		}
 		found = append(found, candidate{server: server, perLayer: cost / float64(server.Layers.Len()), fixed: fixed})
--- a/rail/pipeline/chooser_test.go
+++ b/rail/pipeline/chooser_test.go
@@ -180,3 +180,26 @@
 		}
 	}
 }
+
+// An instance that is cut off from a zone tells the others that its engines fail, again and again: those whose requests make
+// progress there go on using them.
+func TestOwnProgressCountsMoreThanAnothersSuspicion(t *testing.T) {
+	here, there := engines("a", "large", 4), engines("b", "large", 4)
+	c := New(Config{Random: func() float64 { return 0.5 }, Others: func(id string) (Use, bool) { return Use{Suspect: id[0] == 'a'}, true }})
+	c.SetFleet(testEngine(), append(here, there...), 2)
+	tests := []struct {
+		name string
+		last time.Duration // time since the last progress in the suspected zone
+		want string
+	}{{"progress just now", 100 * time.Millisecond, "a"}, {"none lately", time.Second, "b"}}
+	for _, test := range tests {
+		c.Progressed(start, pathOver(here), 30*time.Millisecond)
+		path, ok := c.Choose(start.Add(test.last), usual)
+		if !ok {
+			t.Fatal("got no path")
+		}
+		if got := path[0].Server.Zone; got != test.want {
+			t.Errorf("%s: got a path in zone %s, want %s", test.name, got, test.want)
+		}
+	}
+}
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -12,6 +12,8 @@
 	trialTime = 500 * time.Millisecond
 	// freshTime is how long a failure is told to other instances.
 	freshTime = 800 * time.Millisecond
+	// livesTime is how long progress through an engine shows that it lives.
+	livesTime = 300 * time.Millisecond
 	// deadTime is how long an engine that did not answer counts as dead unless it is asked again.
 	deadTime = time.Second
 	// usualMemory is the number of events over which the usual pause is taken.
@@ -82,6 +84,9 @@
 	h.failed, h.dead, h.until = now, now, now.Add(deadTime)
 }
 
+// lives reports whether a request through the engine made progress just now, whatever other instances say.
+func (h *health) lives(now time.Time) bool { return now.Sub(h.event) < livesTime }
+
 // isDead reports whether the engine did not answer a question just now.
 func (h *health) isDead(now time.Time) bool { return now.Sub(h.dead) < deadTime }
 
