Build a stream's request once, and drop the count of requests that nothing reads

Found by reading the change: since dead engines are asked and no longer guessed, health counted the requests in progress for nobody; a stream's request to an engine was built twice, headers and all, the first one thrown away; two tests of the catalog built the same large fleet.

--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -345,17 +345,23 @@
 	}
 }
 
-// A large fleet calls a store that is down no more often than a rate that does not grow with the fleet.
-func TestALargeFleetLeavesTheStoreAloneWhileItIsDown(t *testing.T) {
+// largeFleet returns sixty instances of one zone with their records.
+func largeFleet(t *testing.T) (instances []Instance, records []store.Item) {
+	t.Helper()
 	var names []string
 	for i := range 60 {
 		names = append(names, fmt.Sprintf("i%d", i))
 	}
-	instances := fleetOf(names...)
-	var records []store.Item
+	instances = fleetOf(names...)
 	for i, instance := range instances {
 		records = append(records, record(t, instance, uint64(i+1)))
 	}
+	return instances, records
+}
+
+// A large fleet calls a store that is down no more often than a rate that does not grow with the fleet.
+func TestALargeFleetLeavesTheStoreAloneWhileItIsDown(t *testing.T) {
+	instances, records := largeFleet(t)
 	const seconds = 10
 	reads := 0
 	for _, self := range instances {
@@ -382,15 +388,7 @@
 // The store's history goes: those that read it for others hear nothing for a while, and then everything must be read again. A few
 // instances of a large fleet do so, the others ask these.
 func TestAFewReadEverythingAgainWhenTheHistoryGoes(t *testing.T) {
-	var names []string
-	for i := range 60 {
-		names = append(names, fmt.Sprintf("i%d", i))
-	}
-	instances := fleetOf(names...)
-	var records []store.Item
-	for i, instance := range instances {
-		records = append(records, record(t, instance, uint64(i+1)))
-	}
+	instances, records := largeFleet(t)
 	random := rand.New(rand.NewPCG(1, 2))
 	reads, fresh := 0, 0
 	for _, self := range instances {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
+	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/headroom"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -155,10 +156,11 @@
 func (f *Forwarder) open(ctx context.Context, j *job, r *run, lastID string) (err error) {
 	first := r.path[0].Server
 	j.last, j.path = first.ID, describePath(r.path)
-	request := f.outgoing(j, first, nil, lastID)
+	var along []call.Hop
 	if r.service.Engine != nil {
-		request = f.outgoing(j, first, hops(r.path), lastID)
+		along = hops(r.path)
 	}
+	request := f.outgoing(j, first, along, lastID)
 	r.since = time.Now()
 	request.Timeout = part(j.route.Target, firstCheck)
 	request.OnTimeout = func() time.Duration {
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -194,7 +194,6 @@
 	for _, stage := range path {
 		held := c.load(stage.Server.ID)
 		held.tokens = max(held.tokens-c.need(request, stage.Layers.Len()), 0)
-		held.health.ended()
 	}
 }
 
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -24,7 +24,6 @@
 
 // health is what this instance saw of one engine lately.
 type health struct {
-	streams  int       // requests in progress
 	event    time.Time // when a request through the engine last made progress
 	failed   time.Time
 	until    time.Time // until when it is left alone
@@ -34,14 +33,11 @@
 }
 
 func (h *health) started(now time.Time) {
-	h.streams++
 	if h.failures > 0 {
 		h.tried = now
 	}
 }
 
-func (h *health) ended() { h.streams = max(h.streams-1, 0) }
-
 // fail leaves the engine alone for a while; requests that fail together count once.
 func (h *health) fail(now time.Time) {
 	if now.Before(h.until) {
