Bound what is read from servers, the store and callers

Cause: the client to backend servers read heads without a limit (net/http limits neither status lines nor headers of a response that is read with ReadResponse), and bodies of plain calls were cut at 16 MiB and sent to the caller with the length of the part. Requests bodies, held responses and pending events had a limit each but none together.

Change: package rail/limit names the sizes and has a budget of memory that all requests of an instance share. upstream meters heads as they arrive (32 KiB, 256 lines, 8 interim responses); its error is repeated without bytes, since the parser ignores errors inside a continued header line. Plain responses are held up to 32 KiB, so that a broken one can be retried, and passed on while they are read beyond that; a part is broken off, never completed. Only whole events count as progress of a stream, so that one that trickles is replaced. A response to another request is held against the server also in streams; a caller that disconnects is not; streams to plain servers count for the balancer. Clients built on http.Transport get the same limit of headers, reports of engines 256 KiB.

--- a/comfreyrail/internal/gateway/forward/events.go
+++ b/comfreyrail/internal/gateway/forward/events.go
@@ -6,29 +6,40 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
 // errPartialEvent is the error of a stream that ended in the middle of an event.
 const errPartialEvent = errors.ConstError("the stream ended within an event")
 
-// maxEventBytes is the maximum size of an incomplete event in bytes.
-const maxEventBytes = 1 << 20
+// errEventTooLarge is the error of a stream with an event that is larger than limit.EventBytes.
+const errEventTooLarge = errors.ConstError("an event is too large")
 
 // eventWriter writes complete events to a caller and records the ID of the last one.
 type eventWriter struct {
 	w          http.ResponseWriter
 	headerSent bool
 	lastID     string
-	pending    []byte
+	pending    *limit.Buffer // beginning of the next event
 	count      int
 
 	resumed      bool // whether the current attempt continues an earlier one and the last event ID before it is a number
 	resumedAfter int  // that ID
 }
 
+// newEventWriter returns an eventWriter for a stream whose caller has the events up to lastID. Large events take their
+// memory from the budget. Close must be called at the end.
+func newEventWriter(w http.ResponseWriter, lastID string, budget *limit.Budget) *eventWriter {
+	return &eventWriter{w: w, lastID: lastID, pending: limit.NewBuffer(budget, limit.EventBytes+relayBufferBytes)}
+}
+
+// close returns the memory of the pending event.
+func (e *eventWriter) close() { e.pending.Release() }
+
 // beginAttempt begins an attempt: it sends the response headers of the first attempt and ignores those of later ones.
 func (e *eventWriter) beginAttempt(header http.Header) {
-	e.pending = e.pending[:0]
+	e.pending.Reset()
 	if e.headerSent {
 		e.resumedAfter, e.resumed = eventNumber(e.lastID)
 		return
@@ -38,18 +49,23 @@
 	e.w.WriteHeader(http.StatusOK)
 }
 
-// write buffers bytes of the stream, and writes and flushes the complete events. It returns an error if an event is larger
-// than maxEventBytes or if writing to the caller fails.
+// write buffers bytes of the stream, and writes and flushes the complete events. It returns errEventTooLarge if an event
+// is larger than limit.EventBytes, and another error if no memory is left for it or if writing to the caller fails.
 func (e *eventWriter) write(b []byte) (err error) {
-	e.pending = append(e.pending, b...)
-	end := bytes.LastIndex(e.pending, []byte("\n\n"))
+	searchFrom := max(len(e.pending.Bytes())-1, 0) // a line feed there may begin the end of the event
+	if _, err = e.pending.Write(b); err != nil {
+		return errors.Annotate(err, "buffer event")
+	}
+	content := e.pending.Bytes()
+	end := bytes.LastIndex(content[searchFrom:], []byte("\n\n"))
 	if end < 0 {
-		if len(e.pending) > maxEventBytes {
-			return errors.New("an event is too large")
+		if len(content) > limit.EventBytes {
+			return errEventTooLarge
 		}
 		return nil
 	}
-	complete := e.pending[:end+2]
+	end += searchFrom + len("\n\n")
+	complete := content[:end]
 	if e.resumed {
 		complete = e.dropDuplicates(complete)
 	}
@@ -57,7 +73,7 @@
 	if _, err = e.w.Write(complete); err != nil {
 		return err
 	}
-	e.pending = append(e.pending[:0], e.pending[end+2:]...)
+	e.pending.Skip(end)
 	return http.NewResponseController(e.w).Flush()
 }
 
@@ -98,7 +114,7 @@
 
 // finish returns errPartialEvent if the stream ended in the middle of an event.
 func (e *eventWriter) finish() error {
-	if len(e.pending) > 0 {
+	if len(e.pending.Bytes()) > 0 {
 		return errPartialEvent
 	}
 	return nil
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
@@ -50,6 +50,10 @@
 	FetchState func(ctx context.Context, server backend.Server) (state backend.State, err error)
 	// Reroute instructs the first engine of a request to continue it along another chain.
 	Reroute func(ctx context.Context, first backend.Server, request string, stages []call.Stage) error
+	// RequestMemory bounds the memory of large request bodies; nil means no bound.
+	RequestMemory *limit.Budget
+	// ResponseMemory bounds the memory of large responses and events; nil means no bound.
+	ResponseMemory *limit.Budget
 	// Log is the logger of the Forwarder.
 	Log *logrus.Entry
 	// Metrics is the registry of the request counters and time histograms.
@@ -99,7 +103,7 @@
 	target          string
 	host            string
 	header          http.Header
-	body            []byte
+	body            *limit.Buffer // the whole body once it has been read
 	startedAt       time.Time
 	attempts        int
 	avoid           []string // IDs of plain servers that the request must not be sent to again
@@ -117,6 +121,7 @@
 // its body cannot be read, or the response fails after its beginning was sent.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{startedAt: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, request: f.config.ReadRequest(r.Header)}
+	defer j.releaseBody()
 	err := f.accept(j, r)
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
@@ -124,7 +129,7 @@
 		if j.route.Kind == route.Stream {
 			err = f.serveStream(ctx, w, j)
 		} else {
-			err = f.serveBuffered(ctx, w, j)
+			err = f.servePlain(ctx, w, j)
 		}
 	}
 	f.finish(w, r, j, err)
@@ -202,7 +207,8 @@
 	j.deadline = j.startedAt.Add(timeout)
 }
 
-// readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit.
+// readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit, and one
+// for which no memory is left.
 func (f *Forwarder) readBody(j *job, r *http.Request, limits route.Limits) (err error) {
 	maxBytes := limits.MaxBodyBytes
 	if maxBytes <= 0 {
@@ -211,16 +217,27 @@
 	if r.ContentLength > maxBytes {
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
 	}
-	if j.body, err = io.ReadAll(io.LimitReader(r.Body, maxBytes+1)); err != nil {
+	j.body = limit.NewBuffer(f.config.RequestMemory, int(maxBytes)+1)
+	ended, err := j.body.Fill(r.Body)
+	switch {
+	case err != nil:
 		return errors.Annotate(err, "read body")
-	}
-	if int64(len(j.body)) > maxBytes {
+	case int64(len(j.body.Bytes())) > maxBytes:
 		return &errorResponse{status: http.StatusRequestEntityTooLarge, code: "body-too-large"}
+	case !ended:
+		return &errorResponse{status: http.StatusServiceUnavailable, code: "no-memory", retryAfter: jitter(retryAfter, rand.Float64())}
 	}
 	j.header = endToEnd(r.Header)
 	return nil
 }
 
+// releaseBody returns the memory of the body.
+func (j *job) releaseBody() {
+	if j.body != nil {
+		j.body.Release()
+	}
+}
+
 // pickService returns the service of the request, its servers and the current snapshot. The service is drawn by the route's
 // weights at the first attempt; later attempts use the same service.
 func (f *Forwarder) pickService(j *job) (service *route.Service, servers []backend.Server, snapshot *catalog.Snapshot) {
@@ -263,7 +280,7 @@
 	// then not be sent again, so it gets a new connection.
 	return upstream.Request{
 		MaxIdle: f.maxIdleConns(service, len(snapshot.Instances)),
-		Address: server.Address, Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body,
+		Address: server.Address, Method: j.method, Target: j.target, Host: j.host, Header: header, Body: j.body.Bytes(),
 		NewConnection: !j.route.Repeatable(),
 	}
 }
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/retry"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -113,8 +114,16 @@
 type gateway struct {
 	url       string
 	configAge atomic.Int64
+	memory    *limit.Budget // for responses
+	requests  *limit.Budget // for request bodies
 }
 
+// Memory of a gateway in bytes, that of an instance with 160 MB.
+const (
+	requestMemory  = 10 << 20
+	responseMemory = 5 << 18
+)
+
 func discardLog() *logrus.Entry {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -125,7 +134,7 @@
 // configuration.
 func newGateway(t *testing.T, modify func(*route.Config), servers ...*server) *gateway {
 	t.Helper()
-	g := &gateway{}
+	g := &gateway{memory: limit.NewBudget(responseMemory), requests: limit.NewBudget(requestMemory)}
 	config := route.Config{
 		Version: 1,
 		Routes: []route.Route{
@@ -151,7 +160,8 @@
 	c := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
 	f := New(Config{
-		Catalog: c, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second}), Log: discardLog(), Metrics: registry,
+		Catalog: c, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second, Budget: g.memory}), Log: discardLog(), Metrics: registry,
+		RequestMemory: g.requests, ResponseMemory: g.memory,
 		MaxConfigAge: 4 * time.Second, MaxApplyDelay: 2 * time.Second,
 		Retries: NewBudgets(BudgetConfig{
 			Window:    retry.WindowBudgetConfig{Ratio: 1, Burst: 100, Period: 10 * time.Second},
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,49 +11,52 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
-// maxResponseBytes is the maximum number of bytes that are read of a response's body, unless it is relayed as a stream. The
-// rest is dropped.
-const maxResponseBytes = 16 << 20
-
 // errWrongRequest is the error of a response that carries the ID of another request.
 const errWrongRequest = errors.ConstError("the response belongs to another request")
 
-// bufferedResponse is a backend server's response with the first maxResponseBytes of its body.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-	meta   call.Response
+// heldResponse is a backend server's response that has been read up to limit.HeldBytes. Exactly one of deliver and discard
+// must be called.
+type heldResponse struct {
+	meta     call.Response
+	response *upstream.Response
+	body     *limit.Buffer
+	complete bool   // whether body is the whole body
+	ended    func() // called once the response has been delivered or discarded
 }
 
-// serveBuffered forwards a request and sends the response once the whole response of the server has been read, so that a
-// failed attempt can be retried at another server.
-func (f *Forwarder) serveBuffered(ctx context.Context, w http.ResponseWriter, j *job) error {
-	var failure *bufferedResponse
+// servePlain forwards a request to plain servers. It sends the response once it has been read whole, so that a failed attempt
+// can be retried at another server; a response that is larger than limit.HeldBytes is sent while it is read.
+func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, j *job) error {
+	var failure *heldResponse
+	defer func() { failure.discard() }()
 	for j.attempts < j.route.MaxAttempts {
 		server, ok := f.nextPlainServer(j)
 		if !ok {
 			break
 		}
-		response, err := f.attemptBuffered(ctx, j, server)
+		held, err := f.attemptPlain(ctx, j, server)
 		if err != nil && ctx.Err() != nil {
 			return j.timeoutResponse()
 		}
-		if err == nil && response.succeeded() {
-			return response.writeTo(w)
+		if err == nil && held.succeeded() {
+			return held.deliver(ctx, w)
 		}
-		if err == nil && !response.meta.NotRun {
-			failure = response
+		if err == nil && held.meta.NotRun {
+			held.discard()
+		} else if err == nil {
+			failure.discard()
+			failure = held
 		}
 		if j.mayHaveRun && j.route.Kind == route.AtMostOnce {
 			break
 		}
 	}
 	if failure != nil {
-		return failure.writeTo(w)
+		return failure.deliver(ctx, w)
 	}
 	return j.failureResponse("no-server")
 }
@@ -79,65 +80,58 @@
 	return server, true
 }
 
-// succeeded reports whether the server ran the request and returned a status below 500.
-func (r *bufferedResponse) succeeded() bool {
-	return !r.meta.NotRun && r.status < http.StatusInternalServerError
-}
-
-// attemptBuffered sends the request to one server and reads the whole response. It sets mayHaveRun unless the server
-// certainly did not run the request.
-func (f *Forwarder) attemptBuffered(ctx context.Context, j *job, server backend.Server) (result *bufferedResponse, err error) {
+// attemptPlain sends the request to one server and reads the response up to limit.HeldBytes. It sets mayHaveRun unless the
+// server certainly did not run the request.
+func (f *Forwarder) attemptPlain(ctx context.Context, j *job, server backend.Server) (held *heldResponse, err error) {
 	f.selector.startedPlain(server.ID)
-	defer f.selector.endedPlain(server.ID)
+	defer func() {
+		if err != nil {
+			f.selector.endedPlain(server.ID)
+			f.recordFailedPlainAttempt(ctx, j, server, err)
+		}
+	}()
 	response, err := f.config.Upstream.Send(ctx, f.upstreamRequest(j, server, nil, ""))
 	if err != nil {
 		var failure *upstream.Error
 		j.mayHaveRun = j.mayHaveRun || !errors.As(err, &failure) || failure.MayHaveBeenSent
-		f.recordFailedBufferedAttempt(j, server, err)
 		return nil, err
 	}
 	meta := f.config.ReadResponse(response.Status, response.Header)
 	if meta.ID != j.request.ID {
 		response.Discard()
 		j.mayHaveRun = true
-		f.recordFailedBufferedAttempt(j, server, errWrongRequest)
 		return nil, errWrongRequest
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxResponseBytes))
+	held, err = f.hold(response, meta, func() { f.selector.endedPlain(server.ID) })
 	if err != nil {
-		response.Discard()
 		j.mayHaveRun = true
-		f.recordFailedBufferedAttempt(j, server, err)
 		return nil, err
 	}
-	response.Close()
-	if meta.Slots > 0 {
-		f.selector.updatePlainLoad(server.ID, meta.Running+meta.Waiting)
+	f.recordPlainResponse(j, server, held)
+	return held, nil
+}
+
+// recordPlainResponse records the load that a server reported, and that the server did not run the request if it says so.
+func (f *Forwarder) recordPlainResponse(j *job, server backend.Server, held *heldResponse) {
+	if held.meta.Slots > 0 {
+		f.selector.updatePlainLoad(server.ID, held.meta.Running+held.meta.Waiting)
 	}
-	if meta.NotRun {
-		f.selector.suspectPlain(server.ID)
-		notRun := event.FailedAttempt{
-			Request: j.request.ID, Server: server.ID, MayHaveRun: j.mayHaveRun, Status: response.Status, Elapsed: time.Since(j.startedAt),
-		}
-		f.config.Log.WithFields(notRun.Fields()).Info(event.RequestNotRun)
-	} else {
+	if !held.meta.NotRun {
 		j.mayHaveRun = true
+		return
+	}
+	f.selector.suspectPlain(server.ID)
+	notRun := event.FailedAttempt{
+		Request: j.request.ID, Server: server.ID, MayHaveRun: j.mayHaveRun, Status: held.response.Status, Elapsed: time.Since(j.startedAt),
 	}
-	return &bufferedResponse{status: response.Status, header: response.Header, body: body, meta: meta}, nil
+	f.config.Log.WithFields(notRun.Fields()).Info(event.RequestNotRun)
 }
 
-// recordFailedBufferedAttempt logs a failed attempt and marks the server as suspected.
-func (f *Forwarder) recordFailedBufferedAttempt(j *job, server backend.Server, err error) {
-	f.selector.suspectPlain(server.ID)
+// recordFailedPlainAttempt logs a failed attempt and marks the server as suspected, unless the caller disconnected.
+func (f *Forwarder) recordFailedPlainAttempt(ctx context.Context, j *job, server backend.Server, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		f.selector.suspectPlain(server.ID)
+	}
 	attempt := event.FailedAttempt{Request: j.request.ID, Server: server.ID, MayHaveRun: j.mayHaveRun, Elapsed: time.Since(j.startedAt)}
 	f.config.Log.WithError(err).WithFields(attempt.Fields()).Info(event.AttemptFailed)
 }
-
-// writeTo sends the response to the caller.
-func (r *bufferedResponse) writeTo(w http.ResponseWriter) error {
-	copyHeader(w.Header(), r.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	w.WriteHeader(r.status)
-	_, err := w.Write(r.body)
-	return err
-}
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 )
@@ -88,16 +90,18 @@
 
 // recordFailedStreamAttempt logs a failed attempt and marks the server at fault as suspected: the plain server or, in a
 // chain, the engine at the address. If the address is empty, it is the engine that the first engine is waiting for, or else
-// the first engine.
+// the first engine. If the caller disconnected, no server is at fault.
 func (f *Forwarder) recordFailedStreamAttempt(ctx context.Context, j *job, a *streamAttempt, address string, cause error) {
 	first := a.chain[0].Server
-	if a.service.Engine == nil {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case a.service.Engine == nil:
 		f.selector.suspectPlain(first.ID)
 		j.avoid = append(j.avoid, first.ID)
-	} else {
-		if address == "" {
-			address = f.faultyEngine(ctx, first)
-		}
+	case address == "":
+		address = f.faultyEngine(ctx, first)
+		fallthrough
+	default:
 		f.selector.suspectEngine(a.service.Name, address)
 	}
 	attempt := event.FailedAttempt{
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -55,7 +55,8 @@
 	demand     pipeline.Request
 	class      headroom.Class
 	response   *upstream.Response
-	progressAt time.Time // when the attempt started, or when its headers or its last data arrived
+	progressAt time.Time // when the attempt started, or when its headers or its last event arrived
+	checkAt    time.Time // when to check for a stall if no event arrives until then
 	reroutes   int
 
 	probedAt      time.Time     // time of the last liveness probes of its engines
@@ -66,11 +67,12 @@
 // serveStream forwards a request whose response is a stream of events. If an attempt fails, it continues the stream with
 // another attempt, as far as the route and the retry budget allow.
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, j *job) error {
-	out := &eventWriter{w: w, lastID: j.request.LastEventID}
+	out := newEventWriter(w, j.request.LastEventID, f.config.ResponseMemory)
+	defer out.close()
 	for {
 		a, err := f.startAttempt(ctx, j, out.lastID)
 		if err == nil && a.response.Status != http.StatusOK {
-			return f.relayErrorResponse(w, j, out, a)
+			return f.relayErrorResponse(ctx, w, j, out, a)
 		}
 		if err == nil {
 			err = f.relay(ctx, j, out, a)
@@ -106,16 +108,19 @@
 
 // relayErrorResponse sends the caller the response of a server that ran the request and returned a status other than 200. It
 // returns an error if an earlier attempt has sent headers, or if the body cannot be read.
-func (f *Forwarder) relayErrorResponse(w http.ResponseWriter, j *job, out *eventWriter, a *streamAttempt) error {
+func (f *Forwarder) relayErrorResponse(ctx context.Context, w http.ResponseWriter, j *job, out *eventWriter, a *streamAttempt) error {
+	response := a.response
+	a.response = nil // hold, deliver and discard end its use
 	defer f.endAttempt(a, nil)
 	if out.headerSent {
-		return errors.Errorf("the server responded with status %d", a.response.Status)
+		response.Discard()
+		return errors.Errorf("the server responded with status %d", response.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response, maxResponseBytes))
+	held, err := f.hold(response, call.Response{}, func() {})
 	if err != nil {
 		return j.failureResponse("stream-failed")
 	}
-	return (&bufferedResponse{status: a.response.Status, header: a.response.Header, body: body}).writeTo(w)
+	return held.deliver(ctx, w)
 }
 
 // startAttempt chooses a chain or a plain server, sends the request and waits for the headers of the response. It returns
@@ -129,6 +134,7 @@
 			return nil, errNoChain
 		}
 		a.chain = pipeline.Chain{{Server: server}}
+		f.selector.startedPlain(server.ID)
 	} else {
 		chain, ok := f.selector.chooseChain(service, snapshot, a.demand, a.class)
 		if !ok {
@@ -160,7 +166,7 @@
 }
 
 // sendRequest sends the request to the first server of the attempt's chain and reads the headers of the response. It
-// records a failed attempt if the request fails or was not run, but not if the response belongs to another request.
+// records a failed attempt if the request fails, was not run or got the response to another request.
 func (f *Forwarder) sendRequest(ctx context.Context, j *job, a *streamAttempt, lastID string) (err error) {
 	first := a.chain[0].Server
 	j.lastServer, j.chainText = first.ID, describeChain(a.chain)
@@ -190,6 +196,7 @@
 	case meta.ID != j.request.ID:
 		response.Discard()
 		j.mayHaveRun = true
+		f.recordFailedStreamAttempt(ctx, j, a, first.Address, errWrongRequest)
 		return errWrongRequest
 	case meta.NotRun:
 		response.Discard()
@@ -215,7 +222,7 @@
 // scale returns the duration multiplied by the factor.
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
-// endAttempt releases the connection of an attempt and its load on engines. The connection is reused only if err is nil.
+// endAttempt releases the connection of an attempt and its load on the engines or the plain server. The connection is reused only if err is nil.
 func (f *Forwarder) endAttempt(a *streamAttempt, err error) {
 	if a.response != nil {
 		if err != nil {
@@ -226,6 +233,8 @@
 	}
 	if a.service.Engine != nil {
 		f.selector.endChain(a)
+	} else {
+		f.selector.endedPlain(a.chain[0].Server.ID)
 	}
 }
 
@@ -233,13 +242,12 @@
 // fails before that.
 func (f *Forwarder) relay(ctx context.Context, j *job, out *eventWriter, a *streamAttempt) (err error) {
 	out.beginAttempt(a.response.Header)
-	timeout := max(scale(j.route.GapTarget, gapTimeoutFactor), minStallTimeout)
-	checkAfter := scale(j.route.GapTarget, gapCheckFactor)
-	a.response.SetOnReadTimeout(func() time.Duration { return f.checkStall(ctx, j, a, timeout) })
-	var buffer [4096]byte
-	f.recordProgress(a, 0)
+	f.recordProgress(a, time.Now(), 0)
+	f.watchForStalls(ctx, j, a)
+	var buffer [relayBufferBytes]byte
 	for {
-		a.response.SetReadDeadline(time.Now().Add(checkAfter))
+		// Bytes that complete no event do not move checkAt, so that a server that sends a byte now and then is checked.
+		a.response.SetReadDeadline(a.checkAt)
 		// Canceling the context also sets a deadline, which the line above may have overwritten.
 		if err = ctx.Err(); err != nil {
 			return err
@@ -247,10 +255,8 @@
 		var n int
 		n, err = a.response.Read(buffer[:])
 		if n > 0 {
-			f.recordProgress(a, time.Since(a.progressAt))
-			j.recordData(out.count, tokensPerEvent(a.service))
-			if writeErr := out.write(buffer[:n]); writeErr != nil {
-				return writeErr
+			if relayErr := f.relayData(ctx, j, out, a, buffer[:n]); relayErr != nil {
+				return relayErr
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -265,15 +271,43 @@
 	}
 }
 
-// recordProgress records that an attempt made progress after a gap, and resets the backoff of its probes.
-func (f *Forwarder) recordProgress(a *streamAttempt, gap time.Duration) {
+// watchForStalls makes the attempt check for a stall at checkAt, which each check and each progress moves.
+func (f *Forwarder) watchForStalls(ctx context.Context, j *job, a *streamAttempt) {
+	timeout := max(scale(j.route.GapTarget, gapTimeoutFactor), minStallTimeout)
+	a.checkAt = a.progressAt.Add(scale(j.route.GapTarget, gapCheckFactor))
+	a.response.SetOnReadTimeout(func() time.Duration {
+		more := f.checkStall(ctx, j, a, timeout)
+		a.checkAt = time.Now().Add(more)
+		return more
+	})
+}
+
+// relayData writes data of an attempt to the caller. Only complete events count as progress, so that an attempt counts as
+// stalled also if its server sends a byte now and then.
+func (f *Forwarder) relayData(ctx context.Context, j *job, out *eventWriter, a *streamAttempt, data []byte) error {
+	arrivedAt, events := time.Now(), out.count
+	if err := out.write(data); err != nil {
+		if errors.Is(err, errEventTooLarge) {
+			f.recordFailedStreamAttempt(ctx, j, a, a.chain[0].Server.Address, err)
+		}
+		return err
+	}
+	if out.count > events {
+		f.recordProgress(a, arrivedAt, arrivedAt.Sub(a.progressAt))
+		j.recordData(arrivedAt, events, tokensPerEvent(a.service))
+		a.checkAt = arrivedAt.Add(scale(j.route.GapTarget, gapCheckFactor))
+	}
+	return nil
+}
+
+// recordProgress records that an attempt made progress at a time after a gap, and resets the backoff of its probes.
+func (f *Forwarder) recordProgress(a *streamAttempt, at time.Time, gap time.Duration) {
 	f.selector.progressed(a, gap)
-	a.progressAt, a.probeBackoff = time.Now(), 0
+	a.progressAt, a.probeBackoff = at, 0
 }
 
 // recordData records the arrival of data, with the numbers of events and tokens that were written before it.
-func (j *job) recordData(events, tokensPerEvent int) {
-	now := time.Now()
+func (j *job) recordData(now time.Time, events, tokensPerEvent int) {
 	j.events, j.tokens = events, events*tokensPerEvent
 	if j.timeToFirstData == 0 {
 		j.timeToFirstData = now.Sub(j.startedAt)
--- a/comfreyrail/internal/gateway/mirror/mirror.go
+++ b/comfreyrail/internal/gateway/mirror/mirror.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
 // changesPath is the URL path of the request for changes.
@@ -26,8 +27,6 @@
 	requestTimeout = 2 * time.Second
 	// idleTimeout is how long a connection stays open without a request.
 	idleTimeout = 30 * time.Second
-	// maxResponseBytes is the maximum size of a response's body in bytes; the rest is not read.
-	maxResponseBytes = 16 << 20
 )
 
 // Config configures a Server.
@@ -102,7 +101,7 @@
 		return changes, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := io.ReadAll(io.LimitReader(response.Body, limit.ChangesBytes))
 	if err != nil {
 		return changes, err
 	}
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -21,6 +21,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/platform"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/retry"
 )
@@ -45,6 +46,32 @@
 	return time.Duration(float64(cfg.ConfigDelays.MaxRevocationDelay) * configAgeFraction)
 }
 
+// Memory for what callers and backend servers send, beyond the limit.FreeBytes of each request and response.
+const (
+	// requestMemoryFraction is the fraction of the memory limit for request bodies.
+	requestMemoryFraction = 1.0 / 16
+	// responseMemoryFraction is the fraction of the memory limit for responses, their headers and events.
+	responseMemoryFraction = 1.0 / 128
+	// defaultMemoryMB is the memory in megabytes of which these are fractions if the settings set no limit.
+	defaultMemoryMB = 512
+	// megabyte is the number of bytes in a megabyte of the settings.
+	megabyte = 1 << 20
+)
+
+// memoryBudgets bounds the memory for the requests and responses in progress.
+type memoryBudgets struct{ requests, responses *limit.Budget }
+
+func provideMemoryBudgets(cfg settings.Gateway) memoryBudgets {
+	megabytes := cfg.Memory.LimitMB
+	if megabytes <= 0 {
+		megabytes = defaultMemoryMB
+	}
+	total := float64(megabytes) * megabyte
+	return memoryBudgets{
+		requests: limit.NewBudget(int64(total * requestMemoryFraction)), responses: limit.NewBudget(int64(total * responseMemoryFraction)),
+	}
+}
+
 func provideLog(cfg settings.Gateway) (*logrus.Entry, error) {
 	level, err := logrus.ParseLevel(cfg.Log.Level)
 	if err != nil {
@@ -72,7 +99,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
-			DisableCompression: true, DisableKeepAlives: maxIdle == 0,
+			DisableCompression: true, DisableKeepAlives: maxIdle == 0, MaxResponseHeaderBytes: limit.HeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -119,9 +146,9 @@
 	})
 }
 
-func provideUpstream(registry metrics.Registry) *upstream.Client {
+func provideUpstream(memory memoryBudgets, registry metrics.Registry) *upstream.Client {
 	opened := metrics.GetOrRegisterCounter("upstream.opened", registry)
-	return upstream.New(upstream.Config{DialTimeout: dialTimeout, Opened: func() { opened.Inc(1) }})
+	return upstream.New(upstream.Config{DialTimeout: dialTimeout, Budget: memory.responses, Opened: func() { opened.Inc(1) }})
 }
 
 func provideBudgets(cfg settings.Gateway, cat *catalog.Catalog) *forward.Budgets {
@@ -133,12 +160,12 @@
 	})
 }
 
-func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
+func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, memory memoryBudgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
 	return forward.New(forward.Config{
 		Catalog: cat, Upstream: client, PeerUsage: usages.PeerUsage, Zone: cfg.Zone, Retries: budgets, Log: log, Metrics: registry,
 		MaxConfigAge: maxConfigAge(cfg), MaxApplyDelay: time.Duration(cfg.ConfigDelays.MaxApplyDelay),
 		ReadRequest: platform.ReadRequest, WriteBackendRequest: platform.WriteBackendRequest, ReadResponse: platform.ReadResponse,
-		Reroute: engines.Reroute, FetchState: engines.FetchState,
+		Reroute: engines.Reroute, FetchState: engines.FetchState, RequestMemory: memory.requests, ResponseMemory: memory.responses,
 	})
 }
 
--- a/comfreyrail/internal/gateway/process/wire.go
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -14,6 +14,7 @@
 	wire.Build(
 		provideLog,
 		provideMetrics,
+		provideMemoryBudgets,
 		provideChecker,
 		provideStore,
 		provideEngines,
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
 // Times and sizes of connections.
@@ -36,6 +38,8 @@
 	DialTimeout time.Duration
 	// Opened is called after each new connection is opened; it may be nil.
 	Opened func()
+	// Budget bounds the memory of large response headers; nil means no bound.
+	Budget *limit.Budget
 }
 
 // Client sends requests to backend servers and keeps a pool of idle connections to them; its methods may be called
@@ -59,14 +63,20 @@
 	net.Conn
 
 	reader        *bufio.Reader
+	head          headMeter
 	idleUntil     time.Time
 	onReadTimeout func() time.Duration
 }
 
-// Read reads from the connection. When the read deadline passes, it calls onReadTimeout, which returns how long to continue.
+// Read reads from the connection, and fails if a response's heads become too large. When the read deadline passes, it calls
+// onReadTimeout, which returns how long to continue.
 func (c *conn) Read(b []byte) (n int, err error) {
 	for {
 		n, err = c.Conn.Read(b)
+		// No bytes are returned with the error: the parser ignores errors within a continued header line as long as bytes arrive.
+		if headErr := c.head.count(b[:n]); headErr != nil {
+			return 0, headErr
+		}
 		if n > 0 || c.onReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -157,7 +167,7 @@
 	defer func() {
 		if err != nil {
 			detachContext()
-			_ = c.Close()
+			c.close()
 		}
 	}()
 	c.onReadTimeout = nil
@@ -173,10 +183,10 @@
 	if err = ctx.Err(); err != nil {
 		return nil, &Error{Cause: err}
 	}
-	if _, err = c.Write(encode(request)); err != nil {
+	if err = c.send(request); err != nil {
 		return nil, &Error{MayHaveBeenSent: true, Cause: err}
 	}
-	parsed, err := readResponse(c.reader, request.Method) //nolint:bodyclose // the Response closes or reuses the connection
+	parsed, err := c.readResponse(request.Method) //nolint:bodyclose // the Response closes or reuses the connection
 	if err != nil {
 		return nil, &Error{MayHaveBeenSent: true, Cause: err}
 	}
@@ -191,27 +201,51 @@
 }
 
 // readResponse reads the status and headers of the final response and skips those with status 1xx.
-func readResponse(reader *bufio.Reader, method string) (response *http.Response, err error) {
-	for {
-		response, err = http.ReadResponse(reader, &http.Request{Method: method})
+func (c *conn) readResponse(method string) (response *http.Response, err error) {
+	c.head.begin()
+	for range limit.InterimResponses + 1 {
+		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
+			c.head.active = false
 			return response, err
 		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errUnexpectedUpgrade
+		}
+		arrived, _ := c.reader.Peek(c.reader.Buffered())
+		if err = c.head.next(arrived); err != nil {
+			return nil, err
+		}
 	}
+	return nil, errInterimResponses
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func encode(request Request) []byte {
+// send writes the request in the HTTP/1.1 wire format. A small body is sent together with the headers.
+func (c *conn) send(request Request) error {
 	var out bytes.Buffer
-	out.Grow(len(request.Body) + readBufferSize)
+	out.Grow(readBufferSize + min(len(request.Body), limit.FreeBytes))
 	out.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	_ = request.Header.Write(&out)
 	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(request.Body)
-	return out.Bytes()
+	if len(request.Body) <= limit.FreeBytes {
+		out.Write(request.Body)
+		_, err := c.Write(out.Bytes())
+		return err
+	}
+	if _, err := c.Write(out.Bytes()); err != nil {
+		return err
+	}
+	_, err := c.Write(request.Body)
+	return err
+}
+
+// close closes the connection and returns the memory of the headers.
+func (c *conn) close() {
+	c.head.release()
+	_ = c.Close()
 }
 
 // acquire returns a reusable idle connection or a new one.
@@ -234,9 +268,14 @@
 	}
 	client.config.Opened()
 	setTCPUserTimeout(netConn)
-	c := &conn{Conn: netConn}
+	return newConn(netConn, client.config.Budget), nil
+}
+
+// newConn returns a conn with an empty read buffer.
+func newConn(netConn net.Conn, budget *limit.Budget) *conn {
+	c := &conn{Conn: netConn, head: headMeter{budget: budget}}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
-	return c, nil
+	return c
 }
 
 func (client *Client) popIdle(address string) *conn {
@@ -309,26 +348,27 @@
 func (r *Response) Close() {
 	contextActive := r.detachContext()
 	if !contextActive || !r.complete || r.closeAfter || r.conn.reader.Buffered() > 0 {
-		_ = r.conn.Close()
+		r.conn.close()
 		return
 	}
 	timeout := idleTimeout(r.Header)
 	if timeout <= 0 {
-		_ = r.conn.Close()
+		r.conn.close()
 		return
 	}
 	r.conn.onReadTimeout = nil
 	_ = r.conn.SetDeadline(time.Time{})
 	r.conn.idleUntil = time.Now().Add(timeout)
+	r.conn.head.release()
 	if !r.client.pushIdle(r.address, r.conn, r.maxIdle) {
-		_ = r.conn.Close()
+		r.conn.close()
 	}
 }
 
 // Discard closes the connection.
 func (r *Response) Discard() {
 	r.detachContext()
-	_ = r.conn.Close()
+	r.conn.close()
 }
 
 // idleTimeout returns how long the connection of a response may stay idle: the timeout in its Keep-Alive header less
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -29,6 +29,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/claim"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/member"
 )
 
@@ -53,7 +54,7 @@
 // follows no redirects.
 func provideHTTPClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, DisableCompression: true},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, DisableCompression: true, MaxResponseHeaderBytes: limit.HeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/comfreyrail/internal/traffic/completion/call.go
+++ b/comfreyrail/internal/traffic/completion/call.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
 // callError is the error of a call to an engine that got no successful response.
@@ -67,7 +68,7 @@
 	}
 	defer drainAndClose(response)
 	var refusal engine.Refusal
-	_ = json.NewDecoder(response.Body).Decode(&refusal)
+	_ = json.NewDecoder(io.LimitReader(response.Body, limit.EngineMessageBytes)).Decode(&refusal)
 	r.config.Control.ReportRefusal(ctx, address, refusal.Reason, sentAt)
 	cause := fmt.Errorf("answered with status code %d: %s", response.StatusCode, refusal.Reason)
 	return nil, &callError{cause: cause, notRun: refusal.Refused}
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/stall"
 	"github.com/comfreyrail/comfreyrail/rail/stream"
@@ -105,7 +106,7 @@
 	if config.Stall == (stall.Config{}) {
 		config.Stall = stall.DefaultConfig()
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: limit.HeadBytes}
 	return &Runner{config: config, noKeepAlive: &http.Client{Transport: transport}}
 }
 
--- a/comfreyrail/internal/traffic/completion/driver.go
+++ b/comfreyrail/internal/traffic/completion/driver.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 	"github.com/comfreyrail/comfreyrail/rail/stream"
 )
@@ -228,7 +229,7 @@
 	response, err := d.runner.post(callCtx, stage.Address, engine.PathProbe, engine.StreamQuery{Stream: d.request.ID}, true)
 	if err == nil {
 		defer response.Body.Close()
-		result.Responded = json.NewDecoder(response.Body).Decode(&result.Progress) == nil
+		result.Responded = json.NewDecoder(io.LimitReader(response.Body, limit.EngineMessageBytes)).Decode(&result.Progress) == nil
 	}
 	if !result.Responded && callCtx.Err() == nil {
 		d.runner.config.Control.Send(ctx, control.ServerFailed{Name: stage.Server, SentAt: sentAt, At: time.Now()})
--- a/comfreyrail/internal/traffic/dispatch/dispatch.go
+++ b/comfreyrail/internal/traffic/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/header"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/outcome"
 )
 
@@ -27,8 +28,6 @@
 	idleTimeout = 30 * time.Second
 	// maxIdlePerServer is the maximum number of idle connections to each backend server.
 	maxIdlePerServer = 64
-	// maxHeaderBytes is the maximum size of the headers of a response.
-	maxHeaderBytes = 64 << 10
 	// maxResponseBytes is the maximum size of the body of a response.
 	maxResponseBytes = 8 << 20
 	// maxRefusalBytes is the maximum size of a body that is parsed as a refusal.
@@ -100,7 +99,7 @@
 	// stream the server refuses.
 	d.transport = &http.Transport{
 		DialContext: d.dial, Protocols: protocols, DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: limit.HeadBytes,
 	}
 	return d
 }
--- a/rail/kv/kv.go
+++ b/rail/kv/kv.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
 // Paths of the HTTP interface of the platform's store.
@@ -159,7 +161,7 @@
 // sharedClient is the HTTP client of Clients without their own; it uses no proxy.
 //
 // The transport repeats a PUT, POST or DELETE only if nothing of it was sent, so it does not carry out a write twice.
-var sharedClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}
+var sharedClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: limit.HeadBytes}}
 
 // call makes one call and decodes the response into result, which may be nil.
 func (c *Client) call(ctx context.Context, method, path string, body, result any) (err error) {
