Share the permits for probes and the load on links between model services

Cause: the prober took its permits once for each model service, so with two of them the number went below zero and a list was cut at a negative length; what an instance tells others of a link was that of one service only.

Change: one limit over all services, in random order of the services; the usage of links is summed.

--- a/comfreyrail/internal/gateway/forward/prober.go
+++ b/comfreyrail/internal/gateway/forward/prober.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// probeNext starts the probes that are due, for each service at most as many as there are permits.
+// probeNext starts the probes that are due, at most as many as there are permits.
 func (p *Prober) probeNext(ctx context.Context) {
 	instances := float64(max(len(p.forwarder.config.Catalog.Snapshot().Instances), 1))
 	p.permits = min(p.permits+slownessProbeRate*slownessProbeInterval.Seconds()/instances, slownessProbeBurst)
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -96,13 +95,16 @@
 }
 
 // Usage returns this instance's usage of engines and of links between availability zones, by ID; pipeline.Chooser.Usage
-// defines which unused ones it leaves out.
+// defines which unused ones it leaves out. The services share the links, whose usage is the sum.
 func (f *Forwarder) Usage() map[string]pipeline.Usage {
 	f.selector.mu.Lock()
 	defer f.selector.mu.Unlock()
 	usage := make(map[string]pipeline.Usage)
 	for _, engines := range f.selector.engines {
-		maps.Copy(usage, engines.chooser.Usage(time.Now()))
+		for id, use := range engines.chooser.Usage(time.Now()) {
+			use.WorkRate += usage[id].WorkRate
+			usage[id] = use
+		}
 	}
 	return usage
 }
@@ -152,12 +154,13 @@
 	s.engines[a.service.Name].chooser.HeadersDelayed(a.chain)
 }
 
-// nextProbes returns the engines that should be probed now, at most limit for each service.
+// nextProbes returns the engines that should be probed now, at most limit over all services. The services come in random
+// order, so that none takes all probes for itself.
 func (s *selector) nextProbes(limit int) (servers []backend.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, engines := range s.engines {
-		servers = append(servers, engines.chooser.NextProbes(time.Now(), limit)...)
+		servers = append(servers, engines.chooser.NextProbes(time.Now(), limit-len(servers))...)
 	}
 	return servers
 }
--- a/rail/pipeline/speed.go
+++ b/rail/pipeline/speed.go
@@ -160,7 +160,7 @@
 	slices.SortFunc(probes, func(a, b backend.Server) int {
 		return cmp.Compare(c.states[b.ID].slowness.slowEvents, c.states[a.ID].slowness.slowEvents)
 	})
-	probes = probes[:min(len(probes), limit)]
+	probes = probes[:min(len(probes), max(limit, 0))]
 	for _, server := range probes {
 		c.states[server.ID].slowness.probedAt = now
 	}
