Move one engine at a time to layers that have become scarce

Cause: engines that hold layers kept them for good.

A block that is given up keeps two other engines, an engine is moved only if it holds what its entry shows, and after an order without a response nothing else moves until its deadline.

--- a/comfreyrail/internal/gateway/placer/placer.go
+++ b/comfreyrail/internal/gateway/placer/placer.go
@@ -27,6 +27,9 @@
 	settleTime = 1500 * time.Millisecond
 	// roleRetryDelay is the minimum time between two attempts of an instance to become the placer.
 	roleRetryDelay = time.Second
+	// moveDelay is how long a move of layers must stay worth its load before it is ordered: engines that were lost may come
+	// back.
+	moveDelay = 2 * time.Second
 	// entryLag is how long after a load an engine's entry in the store may still show no layers.
 	entryLag = 5 * time.Second
 )
@@ -63,10 +66,11 @@
 	config   Config
 	inFlight sync.WaitGroup
 
-	// The next three fields are used only by the goroutine that runs Serve.
+	// The next four fields are used only by the goroutine that runs Serve.
 
 	engineCounts    map[string]engineCount
-	nextRoleAttempt time.Time // when this instance may try again to become the placer
+	moveWantedSince map[string]time.Time // since when a move has been worth its load, by service
+	nextRoleAttempt time.Time            // when this instance may try again to become the placer
 	hasRole         bool
 
 	mu                 sync.Mutex // guards pendingAssignments
@@ -81,7 +85,8 @@
 
 // pendingAssignment is an assignment of layers to an engine whose entry does not show the layers yet.
 type pendingAssignment struct {
-	born     int64 // backend.Server.Born of the engine when the assignment was made
+	born     int64         // backend.Server.Born of the engine when the assignment was made
+	before   backend.Range // layers that the entry showed when the assignment was made
 	layers   backend.Range
 	deadline time.Time
 }
@@ -91,7 +96,7 @@
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
-	return &Placer{config: config, pendingAssignments: make(map[string]pendingAssignment), engineCounts: make(map[string]engineCount)}
+	return &Placer{config: config, pendingAssignments: make(map[string]pendingAssignment), engineCounts: make(map[string]engineCount), moveWantedSince: make(map[string]time.Time)}
 }
 
 // Serve assigns layers whenever this instance is the placer, until the context ends.
@@ -141,7 +146,8 @@
 	}
 }
 
-// place assigns layers to the engines that hold none, and sends the orders, each in its own goroutine.
+// place assigns layers to the engines that hold none, and moves one engine at a time to layers that are scarce. It sends the
+// orders, each in its own goroutine.
 func (p *Placer) place(ctx context.Context) {
 	snapshot := p.config.Catalog.Snapshot()
 	for i := range snapshot.Index.Config.Services {
@@ -153,7 +159,12 @@
 		if !p.readyForPlacement(service.Name, servers) {
 			continue
 		}
-		for _, assignment := range placement.Plan(service.Engine, servers, p.pending(servers)) {
+		pending := p.pending(servers)
+		plan := placement.Plan(service.Engine, servers, pending)
+		if move, ok := placement.Rebalance(service.Engine, servers, pending); p.moveIsDue(service.Name, ok, time.Now()) {
+			plan = append(plan, move)
+		}
+		for _, assignment := range plan {
 			p.addPending(assignment, pendingTimeout(service))
 			p.inFlight.Add(1)
 			go p.orderLoad(ctx, assignment)
@@ -161,6 +172,21 @@
 	}
 }
 
+// moveIsDue reports whether a move in the service has been worth its load for moveDelay; wanted is whether it is now.
+func (p *Placer) moveIsDue(service string, wanted bool, now time.Time) bool {
+	since, ok := p.moveWantedSince[service]
+	switch {
+	case !wanted:
+		delete(p.moveWantedSince, service)
+		return false
+	case !ok:
+		p.moveWantedSince[service] = now
+		return false
+	default:
+		return now.Sub(since) >= moveDelay
+	}
+}
+
 // readyForPlacement reports whether layers may be assigned in a service: some engine holds layers, or the number of
 // engines has not changed for settleTime, so that probably all engines are listed.
 func (p *Placer) readyForPlacement(service string, servers []backend.Server) bool {
@@ -181,7 +207,7 @@
 func pendingTimeout(service *route.Service) time.Duration { return service.Engine.LoadTime + entryLag }
 
 // pending returns the layers that are assigned to engines but not shown in their entries yet, by engine ID. It discards an
-// assignment once the entry shows layers, the engine has restarted, or the deadline has passed.
+// assignment once the entry shows other layers than before, the engine has restarted, or the deadline has passed.
 func (p *Placer) pending(servers []backend.Server) map[string]backend.Range {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,7 +218,7 @@
 		if !ok {
 			continue
 		}
-		if server.Layers.Len() > 0 || server.Born != assignment.born || now.After(assignment.deadline) {
+		if server.Layers.Len() > 0 && server.Layers != assignment.before || server.Born != assignment.born || now.After(assignment.deadline) {
 			delete(p.pendingAssignments, server.ID)
 			continue
 		}
@@ -205,7 +231,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pendingAssignments[assignment.Server.ID] = pendingAssignment{
-		born: assignment.Server.Born, layers: assignment.Layers, deadline: time.Now().Add(timeout),
+		born: assignment.Server.Born, before: assignment.Server.Layers, layers: assignment.Layers, deadline: time.Now().Add(timeout),
 	}
 }
 
@@ -215,8 +241,8 @@
 	delete(p.pendingAssignments, id)
 }
 
-// orderLoad reads an engine's state and orders the engine to load layers if it is idle and empty and the lease is still
-// held.
+// orderLoad reads an engine's state and orders the engine to load layers if it is idle, holds what its entry shows and the
+// lease is still held.
 func (p *Placer) orderLoad(ctx context.Context, assignment placement.Assignment) {
 	defer p.inFlight.Done()
 	server, layers := assignment.Server, assignment.Layers
@@ -232,9 +258,9 @@
 		p.removePending(server.ID)
 		return
 	}
-	if state.Busy || state.Layers.Len() > 0 {
+	if state.Busy || state.Layers != server.Layers && state.Layers.Len()+server.Layers.Len() > 0 {
 		// The assignment stays pending until the engine's entry shows its layers or the deadline passes.
-		log.WithField("busy", state.Busy).WithField("holds", state.Layers.Len()).Info("the engine is busy or holds layers; no order sent")
+		log.WithField("busy", state.Busy).WithField("holds", state.Layers.Len()).Info("the engine is busy or holds other layers; no order sent")
 		return
 	}
 	if _, ok := p.config.Lease.Held(); !ok {
@@ -248,6 +274,9 @@
 	case p.config.Refused(err):
 		log.WithError(err).Info("the engine refused the order")
 		p.removePending(server.ID)
+	case server.Layers.Len() > 0:
+		// The assignment stays pending until its deadline, so that no other engine is moved while this one may still be.
+		log.WithError(err).Warn("no response to the order to move; the engine may still execute it later")
 	default:
 		log.WithError(err).Warn("no response to the order; the engine may still execute it later")
 		p.removePending(server.ID)
--- a/comfreyrail/internal/gateway/placer/placer_test.go
+++ b/comfreyrail/internal/gateway/placer/placer_test.go
@@ -72,15 +72,22 @@
 // newPlacer returns a Placer for eight engines; loaded is the number of those that already hold layers. The lease is held
 // if leased is true.
 func newPlacer(t *testing.T, e *fakeEngines, loaded int, leased bool) *Placer {
+	t.Helper()
+	layers := make([]backend.Range, 8)
+	for i := range loaded {
+		layers[i] = backend.Range{From: i * 10, To: (i + 1) * 10}
+	}
+	return newPlacerOf(t, e, layers, leased)
+}
+
+// newPlacerOf returns a Placer for engines that hold the given layers. The lease is held if leased is true.
+func newPlacerOf(t *testing.T, e *fakeEngines, layers []backend.Range, leased bool) *Placer {
 	t.Helper()
 	engine := &backend.EngineSpec{Layers: 80, LayerMB: 1750, KVTokenBytes: 918000, Cards: []backend.Card{{Name: "small", MemoryMB: 26600, DecodeFactor: 1, PrefillFactor: 1}}}
 	e.states = make(map[string]backend.State)
 	items := []store.Item{{Key: "config", Revision: 1}}
-	for i := range 8 {
-		server := backend.Server{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: "x:1", Zone: "a", Card: "small"}
-		if i < loaded {
-			server.Layers = backend.Range{From: i * 10, To: (i + 1) * 10}
-		}
+	for i := range layers {
+		server := backend.Server{ID: fmt.Sprintf("e%d", i), Service: "llm", Address: "x:1", Zone: "a", Card: "small", Layers: layers[i]}
 		e.states[server.ID] = backend.State{Layers: server.Layers}
 		value, err := json.Marshal(server)
 		if err != nil {
@@ -179,6 +186,59 @@
 	}
 }
 
+// scarceLayers returns the layers of engines of which four hold each block but the first, which one engine holds.
+func scarceLayers() (layers []backend.Range) {
+	for block := range 8 {
+		for range 1 + 3*min(block, 1) {
+			layers = append(layers, backend.Range{From: block * 10, To: (block + 1) * 10})
+		}
+	}
+	return layers
+}
+
+// Guards against layers staying scarce after engines that held them were lost for good: once that has lasted, the Placer must
+// move one engine, and no other one before the entry of the first shows its new layers.
+func TestPlaceMovesEngineToScarceLayers(t *testing.T) {
+	var e fakeEngines
+	p := newPlacerOf(t, &e, scarceLayers(), true)
+	placeAndWait(p)
+	if got := e.orderCount(); got != 0 {
+		t.Fatalf("got orders %v at once, want none before the lack has lasted", e.orders)
+	}
+	p.moveWantedSince["llm"] = time.Now().Add(-moveDelay)
+	for range 3 {
+		placeAndWait(p)
+	}
+	if got := e.orderCount(); got != 1 || !strings.HasSuffix(e.orders[0], "=0-10") {
+		t.Errorf("got orders %v, want one for the layers 0-10", e.orders)
+	}
+}
+
+// Guards against a second engine being moved while the first order may still be executed, and against moving an engine that
+// holds other layers than its entry shows.
+func TestPlaceMovesNothingWhileUnknown(t *testing.T) {
+	e := fakeEngines{dropOrders: true}
+	p := newPlacerOf(t, &e, scarceLayers(), true)
+	p.moveWantedSince["llm"] = time.Now().Add(-time.Hour)
+	for range 3 {
+		placeAndWait(p)
+		p.moveWantedSince["llm"] = time.Now().Add(-time.Hour)
+	}
+	if got := e.orderCount(); got != 1 {
+		t.Errorf("got orders %v, want no other after one without a response", e.orders)
+	}
+	e = fakeEngines{}
+	p = newPlacerOf(t, &e, scarceLayers(), true)
+	for id := range e.states {
+		e.states[id] = backend.State{Layers: backend.Range{From: 5, To: 15}, Orders: 1}
+	}
+	p.moveWantedSince["llm"] = time.Now().Add(-time.Hour)
+	placeAndWait(p)
+	if got := e.orderCount(); got != 0 {
+		t.Errorf("got orders %v to engines that hold other layers than their entries show, want none", e.orders)
+	}
+}
+
 // After an order without a response, the Placer must send a new one with the engine's current number of orders, so that
 // the engine refuses the earlier one if it arrives late.
 func TestLateOrderRefused(t *testing.T) {
--- a/rail/placement/capacity.go
+++ b/rail/placement/capacity.go
@@ -56,10 +56,7 @@
 	blocks := max(layers.Len()/s.blockSize, 1)
 	added := s.capacityPerBlock(card, blocks)
 	zone := s.zones[server.Zone]
-	for i := range s.fleet {
-		if !layers.Contains(backend.Range{From: i * s.blockSize, To: (i + 1) * s.blockSize}) {
-			continue
-		}
+	for _, i := range s.blocksIn(layers) {
 		s.fleet[i].speed += sign * added.speed
 		s.fleet[i].kvTokens += sign * added.kvTokens
 		zone[i].speed += sign * added.speed
@@ -67,25 +64,39 @@
 	}
 }
 
-// bestRange returns the layers with which the engine reduces the shortage of blocks the most.
-func (s *blockCapacities) bestRange(server backend.Server) backend.Range {
+// bestRange returns the layers with which the engine reduces the shortage of blocks the most, and by how much it does.
+func (s *blockCapacities) bestRange(server backend.Server) (best backend.Range, highest float64) {
 	card, _ := s.spec.Card(server.Card)
 	blocks := s.blockCount(card)
-	added := s.capacityPerBlock(card, blocks)
-	zone := s.zones[server.Zone]
-	start, highest := 0, -1.0
+	highest = -1
 	for first := 0; first+blocks <= len(s.fleet); first++ {
-		gain := 0.0
-		for i := first; i < first+blocks; i++ {
-			gain += s.shortage(s.fleet[i], 1, fleetOffset) - s.shortage(sum(s.fleet[i], added), 1, fleetOffset)
-			zoneCount := float64(len(s.zones))
-			gain += zoneWeight * (s.shortage(zone[i], zoneCount, zoneOffset) - s.shortage(sum(zone[i], added), zoneCount, zoneOffset))
-		}
-		if gain > highest {
-			start, highest = first, gain
+		layers := backend.Range{From: first * s.blockSize, To: (first + blocks) * s.blockSize}
+		if gain := s.gain(server, layers); gain > highest {
+			best, highest = layers, gain
 		}
 	}
-	return backend.Range{From: start * s.blockSize, To: (start + blocks) * s.blockSize}
+	return best, highest
+}
+
+// gain returns by how much the engine reduces the shortage of blocks with the layers.
+func (s *blockCapacities) gain(server backend.Server, layers backend.Range) (gain float64) {
+	card, _ := s.spec.Card(server.Card)
+	added := s.capacityPerBlock(card, max(layers.Len()/s.blockSize, 1))
+	zone, zoneCount := s.zones[server.Zone], float64(len(s.zones))
+	for _, i := range s.blocksIn(layers) {
+		gain += s.shortage(s.fleet[i], 1, fleetOffset) - s.shortage(sum(s.fleet[i], added), 1, fleetOffset)
+		gain += zoneWeight * (s.shortage(zone[i], zoneCount, zoneOffset) - s.shortage(sum(zone[i], added), zoneCount, zoneOffset))
+	}
+	return gain
+}
+
+// blocksIn returns the indexes of the blocks that the layers contain.
+func (s *blockCapacities) blocksIn(layers backend.Range) (blocks []int) {
+	first := (layers.From + s.blockSize - 1) / s.blockSize
+	for i := first; (i+1)*s.blockSize <= layers.To; i++ {
+		blocks = append(blocks, i)
+	}
+	return blocks
 }
 
 func sum(a, b capacity) capacity {
--- a/rail/placement/placement.go
+++ b/rail/placement/placement.go
@@ -55,15 +55,15 @@
 }
 
 // Plan returns the assignments of the engines that neither hold layers nor have a pending assignment; pending holds the layers
-// of these assignments by the ID of the engine. Engines that are draining or have an unknown card are left out.
+// of these assignments, also of engines that hold others, by the ID of the engine. Engines that are draining or have an unknown card are left out.
 func Plan(spec *backend.EngineSpec, servers []backend.Server, pending map[string]backend.Range) (plan []Assignment) {
 	blockSize := BlockSize(spec)
 	capacities := newBlockCapacities(spec, servers, blockSize)
 	var unassigned []backend.Server
 	for _, server := range servers {
-		layers := server.Layers
-		if layers.Len() == 0 {
-			layers = pending[server.ID]
+		layers, loading := pending[server.ID]
+		if !loading {
+			layers = server.Layers
 		}
 		if _, ok := spec.Card(server.Card); !ok || server.Draining {
 			continue
@@ -76,7 +76,7 @@
 	}
 	sortBySize(spec, unassigned)
 	for _, server := range unassigned {
-		layers := capacities.bestRange(server)
+		layers, _ := capacities.bestRange(server)
 		capacities.add(server, layers, 1)
 		plan = append(plan, Assignment{Server: server, Layers: layers})
 	}
@@ -90,7 +90,7 @@
 		changed := false
 		for i := range plan {
 			capacities.add(plan[i].Server, plan[i].Layers, -1)
-			best := capacities.bestRange(plan[i].Server)
+			best, _ := capacities.bestRange(plan[i].Server)
 			changed = changed || best != plan[i].Layers
 			plan[i].Layers = best
 			capacities.add(plan[i].Server, best, 1)
