Forget a server that leaves soon after an outage at the end of the grace

Cause: a server whose entry is removed within 2.5 s after an outage, as this instance saw it, was kept for 2.5 s from the removal, up to 5 s after the outage.

Change: such a server is kept until 2.5 s after the outage, whenever its entry was removed. TestServerThatLeavesAfterOutage fails without it.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -43,8 +43,8 @@
 	// storeBackoffPerInstance times the number of live instances is the backoff after a failed call to the store. It
 	// grows with the number of instances, so that their total rate of calls is bounded.
 	storeBackoffPerInstance = 40 * time.Millisecond
-	// reappearTimeout is how long a server that isn't draining stays listed after its entry was removed during an outage of
-	// the store or shortly after it. It counts from the removal or the end of the outage, whichever is later.
+	// reappearTimeout is how long after an outage of the store a server that isn't draining stays listed although its entry was
+	// removed during the outage or since.
 	reappearTimeout = 2500 * time.Millisecond
 )
 
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -182,6 +182,33 @@
 	}
 }
 
+// Guards against a server that leaves soon after an outage getting requests for longer than one whose entry expired in it: an
+// entry that is missing when reappearTimeout has passed since the outage stands for a server that is gone, whenever it was
+// removed.
+func TestServerThatLeavesAfterOutage(t *testing.T) {
+	const outageEnd = 6 * time.Second
+	tests := []struct{ removedAt, at time.Duration }{
+		{outageEnd, outageEnd + reappearTimeout}, {outageEnd + time.Second, outageEnd + reappearTimeout}, {outageEnd + 2*time.Second, outageEnd + reappearTimeout},
+		{outageEnd + reappearTimeout, outageEnd + reappearTimeout},
+	}
+	for _, test := range tests {
+		fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1)}}
+		c := newCatalog(fake, Instance{Name: "a"})
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = errDown, 3*time.Second
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = nil, outageEnd
+		refreshOnce(t, c, fake)
+		fake.changes, fake.now = []store.Item{removed("servers/one", 20)}, test.removedAt
+		refreshOnce(t, c, fake)
+		fake.changes, fake.now = nil, test.at+time.Millisecond
+		refreshOnce(t, c, fake)
+		if got := servers(c); len(got) != 0 {
+			t.Errorf("entry removed %v after the outage: got %v at %v after it, want none", test.removedAt-outageEnd, got, test.at-outageEnd)
+		}
+	}
+}
+
 // Guards against a removed server still getting requests although there was no outage.
 func TestServerRemovedImmediately(t *testing.T) {
 	fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1)}}
--- a/comfreyrail/internal/gateway/catalog/instance.go
+++ b/comfreyrail/internal/gateway/catalog/instance.go
@@ -39,7 +39,7 @@
 }
 
 // instancesPerReader is the maximum number of instances of an availability zone for each of its readers of the store.
-const instancesPerReader = 24
+const instancesPerReader = 48
 
 // storeReader returns the instance from which self fetches the changes of the store. It returns false if self must read
 // the store itself, because it is a reader or because no instance of its zone is listed.
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -118,16 +118,19 @@
 }
 
 // removeServer removes a backend server and reports whether it was known. If its entry may have expired because of an
-// outage, a server that isn't draining is kept for reappearTimeout.
+// outage, a server that isn't draining is kept until reappearTimeout after the outage.
 func (c *Catalog) removeServer(id string) (changed bool) {
 	server, known := c.servers[id]
 	if !known {
 		return false
 	}
-	inOrAfterOutage := !c.upToDate || c.config.Elapsed()-c.upToDateSince < reappearTimeout
-	if !server.Draining && c.hadOutage && inOrAfterOutage {
+	now, until := c.config.Elapsed(), c.upToDateSince+reappearTimeout
+	if !c.upToDate {
+		until = now + reappearTimeout
+	}
+	if !server.Draining && c.hadOutage && now < until {
 		if _, expiring := c.expiring[id]; !expiring {
-			c.expiring[id] = c.config.Elapsed() + reappearTimeout
+			c.expiring[id] = until
 		}
 		return true
 	}
--- a/comfreyrail/internal/gateway/placer/lease.go
+++ b/comfreyrail/internal/gateway/placer/lease.go
@@ -8,27 +8,19 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
-// Times of keeping the lease.
+// Times of leases.
 const (
-	// leaseTTL is the time after which the lease expires unless it is renewed.
-	leaseTTL = 4 * time.Second
-	// renewInterval is the pause between attempts to renew or acquire the lease.
-	renewInterval = 1200 * time.Millisecond
 	// expiryMargin is how long before its expiry a lease no longer counts as held.
 	expiryMargin = time.Second
-	// callTimeout is the timeout of acquiring, renewing and revoking the lease, and of an attempt to become the placer.
+	// callTimeout is the timeout of acquiring, renewing and revoking a lease.
 	callTimeout = time.Second
 )
 
-// LeaseKeeperConfig configures a LeaseKeeper.
-type LeaseKeeperConfig struct {
-	// Self is the record of this instance, which is stored under the lease.
-	Self catalog.Instance
+// LeaseConfig configures the leases of an instance.
+type LeaseConfig struct {
 	// Grant creates a lease with the given time to live.
 	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	// Renew restarts the time to live of a lease. It returns store.ErrNotFound if the lease has ended.
@@ -43,94 +35,86 @@
 	Log *logrus.Entry
 }
 
-// LeaseKeeper keeps the lease of this instance and the record that lists it among the live instances.
-type LeaseKeeper struct {
-	config LeaseKeeperConfig
+// lease is a lease in the store with what this instance knows of it. Its methods may be called concurrently.
+type lease struct {
+	config LeaseConfig
+	ttl    time.Duration
 
 	mu       sync.Mutex
-	id       uint64
+	id       uint64 // zero if there is none
 	expiry   time.Duration
 	released bool
 }
 
-// NewLeaseKeeper returns a LeaseKeeper without a lease; Serve acquires one.
-func NewLeaseKeeper(config LeaseKeeperConfig) *LeaseKeeper { return &LeaseKeeper{config: config} }
+// held returns the ID of the lease, and false if the lease may have expired or was released.
+func (l *lease) held() (id uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id, l.id != 0 && !l.released && l.config.Elapsed() < l.expiry-expiryMargin
+}
 
-// Held returns the ID of the lease, and false if the lease may have expired or was released.
-func (k *LeaseKeeper) Held() (id uint64, ok bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.id, k.id != 0 && !k.released && k.config.Elapsed() < k.expiry-expiryMargin
+// current returns the ID of the lease, zero if there is none, and whether it was released for good.
+func (l *lease) current() (id uint64, released bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id, l.released
 }
 
-// Serve acquires the lease and renews it until the context ends or Release is called.
-func (k *LeaseKeeper) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := k.renewOrAcquire(ctx); err != nil && ctx.Err() == nil {
-			k.config.Log.WithError(err).Warn("cannot renew or acquire the lease")
-		}
-		_ = pause.For(ctx, renewInterval)
-	}
-	return ctx.Err()
+func (l *lease) set(id uint64, expiry time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.expiry = id, expiry
 }
 
-// renewOrAcquire renews the lease, or acquires a new one if there is none or it has ended. After Release it does nothing.
-func (k *LeaseKeeper) renewOrAcquire(ctx context.Context) (err error) {
+// renew renews the lease. If the lease has ended, it returns store.ErrNotFound and there is no lease any more.
+func (l *lease) renew(ctx context.Context) error {
+	id, _ := l.current()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	k.mu.Lock()
-	id, released := k.id, k.released
-	k.mu.Unlock()
-	if released {
-		return nil
-	}
-	start := k.config.Elapsed()
-	if id != 0 {
-		err = k.config.Renew(ctx, id)
-		if err == nil {
-			k.set(id, start+leaseTTL)
-			return nil
-		}
-		if !errors.Is(err, store.ErrNotFound) {
-			return err
-		}
-		k.config.Log.WithField("lease", id).Warn("the lease has expired; acquiring a new one")
-		k.set(0, 0)
-	}
-	granted, err := k.config.Grant(ctx, leaseTTL)
-	if err != nil {
-		return err
+	start := l.config.Elapsed()
+	err := l.config.Renew(ctx, id)
+	switch {
+	case err == nil:
+		l.set(id, start+l.ttl)
+	case errors.Is(err, store.ErrNotFound):
+		l.set(0, 0)
 	}
-	value, err := k.config.Self.Encode()
+	return err
+}
+
+// acquire creates a lease and commits the transaction that uses it. If the transaction fails, the lease is left to expire.
+func (l *lease) acquire(ctx context.Context, transaction func(id uint64) store.Transaction) error {
+	return l.acquireUnless(ctx, transaction, func(error) bool { return true })
+}
+
+// acquireUnless is like acquire, but keeps the lease after a failure of the transaction that notDone does not report as one
+// after which the transaction is certainly not executed.
+func (l *lease) acquireUnless(ctx context.Context, transaction func(id uint64) store.Transaction, notDone func(error) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	start := l.config.Elapsed()
+	granted, err := l.config.Grant(ctx, l.ttl)
 	if err != nil {
 		return err
 	}
-	record := store.Write{Key: catalog.InstancePrefix + k.config.Self.Name, Value: value, Lease: granted.ID}
-	if _, err = k.config.Commit(ctx, store.Transaction{Writes: []store.Write{record}}); err != nil {
-		return err
+	if _, err = l.config.Commit(ctx, transaction(granted.ID)); err == nil || !notDone(err) {
+		l.set(granted.ID, start+granted.TTL)
 	}
-	k.set(granted.ID, start+granted.TTL)
-	return nil
-}
-
-func (k *LeaseKeeper) set(id uint64, expiry time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.id, k.expiry = id, expiry
+	return err
 }
 
-// Release ends the lease for good, so that another instance can take over the placer role at once.
-func (k *LeaseKeeper) Release(ctx context.Context) {
-	k.mu.Lock()
-	id := k.id
-	k.released = true
-	k.mu.Unlock()
+// release ends the lease for good.
+func (l *lease) release(ctx context.Context) {
+	l.mu.Lock()
+	id := l.id
+	l.released = true
+	l.mu.Unlock()
 	if id == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := k.config.Revoke(ctx, id); err != nil {
-		k.config.Log.WithError(err).Warn("cannot revoke the lease; it will expire")
+	if err := l.config.Revoke(ctx, id); err != nil {
+		l.config.Log.WithError(err).Warn("cannot revoke the lease; it will expire")
 	}
 }
--- /dev/null
+++ b/comfreyrail/internal/gateway/placer/lease_test.go
@@ -0,0 +1,111 @@
+package placer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// fakeLeases counts the calls for leases and answers them with the given errors.
+type fakeLeases struct {
+	grants, renewals, commits, revocations int
+	commitErr, renewErr                    error
+}
+
+func (f *fakeLeases) config() LeaseConfig {
+	return LeaseConfig{
+		Elapsed: func() time.Duration { return time.Hour }, Log: discardLog(),
+		Grant: func(_ context.Context, ttl time.Duration) (store.Lease, error) {
+			f.grants++
+			return store.Lease{ID: uint64(f.grants), TTL: ttl}, nil
+		},
+		Renew:  func(context.Context, uint64) error { f.renewals++; return f.renewErr },
+		Commit: func(context.Context, store.Transaction) (uint64, error) { f.commits++; return 1, f.commitErr },
+		Revoke: func(context.Context, uint64) error { f.revocations++; return nil },
+	}
+}
+
+// Guards against hundreds of instances paying for short leases that only the placer needs: in a minute an instance that is
+// listed makes a renewal every few seconds and no other call.
+func TestListedInstancesMakeFewCalls(t *testing.T) {
+	var f fakeLeases
+	m := NewMembership(catalog.Instance{Name: "i"}, f.config())
+	for range int(time.Minute / memberRenewInterval) {
+		if err := m.renewOrAcquire(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if f.grants != 1 || f.commits != 1 || f.renewals > 15 {
+		t.Errorf("got %d grants, %d transactions, %d renewals in a minute, want 1, 1 and at most 15", f.grants, f.commits, f.renewals)
+	}
+	if memberRenewInterval >= memberTTL/2 {
+		t.Errorf("got a renewal every %v for a lease of %v, want time for a second attempt", memberRenewInterval, memberTTL)
+	}
+}
+
+// A lease that has ended must be replaced at once, and one of a transaction that failed must not count as this instance's.
+func TestMembershipIsRestored(t *testing.T) {
+	f := fakeLeases{commitErr: store.ErrUnavailable}
+	m := NewMembership(catalog.Instance{Name: "i"}, f.config())
+	if err := m.renewOrAcquire(context.Background()); !errors.Is(err, store.ErrUnavailable) {
+		t.Errorf("got %v, want %v", err, store.ErrUnavailable)
+	}
+	f.commitErr = nil
+	for _, renewErr := range []error{nil, store.ErrNotFound} {
+		f.renewErr = renewErr
+		if err := m.renewOrAcquire(context.Background()); err != nil {
+			t.Errorf("got %v with the renewal %v, want the lease renewed or replaced", err, renewErr)
+		}
+	}
+	if f.commits != 3 {
+		t.Errorf("got %d transactions, want the record written after the failure and after the end of the lease", f.commits)
+	}
+	m.Release(context.Background())
+	if err := m.renewOrAcquire(context.Background()); err != nil || f.commits != 3 || f.revocations != 1 {
+		t.Errorf("got %v, %d transactions, %d revocations, want nothing after the release", err, f.commits, f.revocations)
+	}
+}
+
+// If the answer to the transaction that takes the role is lost, the instance must know its role by the item in the store;
+// if the store says that nothing was done, it must not.
+func TestRoleAfterLostAnswer(t *testing.T) {
+	tests := []struct {
+		err  error
+		want bool
+	}{{nil, true}, {context.DeadlineExceeded, true}, {store.ErrConflict, false}, {store.ErrUnavailable, false}, {store.ErrThrottled, false}}
+	for _, test := range tests {
+		f := fakeLeases{commitErr: test.err}
+		p := NewPlacer(Config{Name: "me", Catalog: newCatalog(t, []store.Item{{Key: "config", Revision: 1}}, nil), Lease: f.config(), Log: discardLog()})
+		p.acquireRole(context.Background())
+		if _, got := p.role.held(); got != test.want {
+			t.Errorf("%v: got the lease kept %v, want %v", test.err, got, test.want)
+		}
+	}
+}
+
+// The placer alone renews the short lease of its role, and gives it up when it stops.
+func TestRoleIsRenewedAndReleased(t *testing.T) {
+	var f fakeLeases
+	p := NewPlacer(Config{Name: "me", Catalog: newCatalog(t, []store.Item{{Key: "config", Revision: 1}}, nil), Lease: f.config(), Log: discardLog()})
+	p.renewRole(context.Background())
+	if f.renewals != 0 {
+		t.Errorf("got %d renewals without the role, want none", f.renewals)
+	}
+	p.acquireRole(context.Background())
+	for range 3 {
+		p.roleRenewedAt = p.roleRenewedAt.Add(-roleRenewInterval)
+		p.renewRole(context.Background())
+		p.renewRole(context.Background())
+	}
+	if f.renewals != 3 {
+		t.Errorf("got %d renewals, want one each %v", f.renewals, roleRenewInterval)
+	}
+	p.Release(context.Background())
+	if _, ok := p.role.held(); ok || f.revocations != 1 || p.isCandidate(time.Now().Add(time.Hour)) {
+		t.Errorf("got held %v after %d revocations, want the role given up for good", ok, f.revocations)
+	}
+}
--- a/comfreyrail/internal/gateway/placer/placer.go
+++ b/comfreyrail/internal/gateway/placer/placer.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
@@ -14,7 +13,6 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/placement"
 	"github.com/comfreyrail/comfreyrail/rail/route"
-	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
 // Times of the placer.
@@ -25,8 +23,6 @@
 	orderTimeout = time.Second
 	// settleTime is how long the number of engines must stay the same, while all are empty, before the first gets layers.
 	settleTime = 1500 * time.Millisecond
-	// roleRetryDelay is the minimum time between two attempts of an instance to become the placer.
-	roleRetryDelay = time.Second
 	// moveDelay is how long a move of layers must stay worth its load before it is ordered: engines that were lost may come
 	// back.
 	moveDelay = 2 * time.Second
@@ -34,20 +30,14 @@
 	entryLag = 5 * time.Second
 )
 
-// meanCandidates is the mean number of instances that try to become the placer at each check while there is none. More
-// would only cause conflicting calls to the store.
-const meanCandidates = 2.0
-
 // Config configures a Placer.
 type Config struct {
 	// Name is the name of this instance.
 	Name string
 	// Catalog provides the configuration, the engines with the layers that they hold, and the placer's item.
 	Catalog *catalog.Catalog
-	// Lease keeps the lease of this instance.
-	Lease *LeaseKeeper
-	// Commit commits a transaction and returns its revision.
-	Commit func(ctx context.Context, transaction store.Transaction) (uint64, error)
+	// Lease configures the lease of the placer role.
+	Lease LeaseConfig
 	// FetchState returns the state of an engine, read from the engine itself.
 	FetchState func(ctx context.Context, server backend.Server) (backend.State, error)
 	// OrderLoad orders an engine to load layers; the engine refuses unless it has accepted exactly acceptedOrders orders so
@@ -65,12 +55,14 @@
 type Placer struct {
 	config   Config
 	inFlight sync.WaitGroup
+	role     *lease
 
-	// The next four fields are used only by the goroutine that runs Serve.
+	// The next five fields are used only by the goroutine that runs Serve.
 
 	engineCounts    map[string]engineCount
 	moveWantedSince map[string]time.Time // since when a move has been worth its load, by service
 	nextRoleAttempt time.Time            // when this instance may try again to become the placer
+	roleRenewedAt   time.Time            // when the lease of the role was last acquired or renewed, or this was tried
 	hasRole         bool
 
 	mu                 sync.Mutex // guards pendingAssignments
@@ -96,7 +88,10 @@
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
-	return &Placer{config: config, pendingAssignments: make(map[string]pendingAssignment), engineCounts: make(map[string]engineCount), moveWantedSince: make(map[string]time.Time)}
+	return &Placer{
+		config: config, role: &lease{config: config.Lease, ttl: roleTTL}, engineCounts: make(map[string]engineCount),
+		moveWantedSince: make(map[string]time.Time), pendingAssignments: make(map[string]pendingAssignment),
+	}
 }
 
 // Serve assigns layers whenever this instance is the placer, until the context ends.
@@ -111,41 +106,6 @@
 	return ctx.Err()
 }
 
-// checkRole reports whether this instance is the placer. If there is no placer, it may try to become the placer.
-func (p *Placer) checkRole(ctx context.Context) bool {
-	id, ok := p.config.Lease.Held()
-	item := p.config.Catalog.Snapshot().Placer
-	hasRole := ok && item.Revision != 0 && item.Lease == id
-	if hasRole != p.hasRole {
-		p.hasRole = hasRole
-		p.config.Log.WithField("held", hasRole).WithField("lease", id).Info("placer role changed")
-	}
-	if !hasRole && ok && item.Revision == 0 && p.config.Catalog.Snapshot().Index != nil && p.isCandidate(time.Now()) {
-		p.acquireRole(ctx, id)
-	}
-	return hasRole
-}
-
-// isCandidate reports whether this instance is one of the few, drawn at random, that try to become the placer now.
-func (p *Placer) isCandidate(now time.Time) bool {
-	instances := float64(len(p.config.Catalog.Snapshot().Instances))
-	return now.After(p.nextRoleAttempt) && p.config.Random()*instances < meanCandidates
-}
-
-// acquireRole writes the placer's item under the lease unless another instance has written it in the meantime.
-func (p *Placer) acquireRole(ctx context.Context, lease uint64) {
-	p.nextRoleAttempt = time.Now().Add(roleRetryDelay)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := p.config.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{{Key: catalog.PlacerKey}},
-		Writes:     []store.Write{{Key: catalog.PlacerKey, Value: []byte(p.config.Name), Lease: lease}},
-	})
-	if err != nil && !errors.Is(err, store.ErrConflict) {
-		p.config.Log.WithError(err).Info("cannot acquire the placer role")
-	}
-}
-
 // place assigns layers to the engines that hold none, and moves one engine at a time to layers that are scarce. It sends the
 // orders, each in its own goroutine.
 func (p *Placer) place(ctx context.Context) {
@@ -263,7 +223,7 @@
 		log.WithField("busy", state.Busy).WithField("holds", state.Layers.Len()).Info("the engine is busy or holds other layers; no order sent")
 		return
 	}
-	if _, ok := p.config.Lease.Held(); !ok {
+	if _, ok := p.role.held(); !ok {
 		p.removePending(server.ID)
 		return
 	}
--- a/comfreyrail/internal/gateway/placer/placer_test.go
+++ b/comfreyrail/internal/gateway/placer/placer_test.go
@@ -95,14 +95,15 @@
 		}
 		items = append(items, store.Item{Key: "servers/" + server.ID, Value: value, Revision: uint64(i + 2)})
 	}
-	lease := NewLeaseKeeper(LeaseKeeperConfig{Elapsed: func() time.Duration { return time.Hour }})
-	if leased {
-		lease.set(7, 2*time.Hour)
-	}
-	return NewPlacer(Config{
-		Name: "me", Catalog: newCatalog(t, items, engine), Lease: lease, FetchState: e.fetchState, OrderLoad: e.orderLoad, Log: discardLog(),
+	p := NewPlacer(Config{
+		Name: "me", Catalog: newCatalog(t, items, engine), FetchState: e.fetchState, OrderLoad: e.orderLoad, Log: discardLog(),
+		Lease:   LeaseConfig{Elapsed: func() time.Duration { return time.Hour }},
 		Refused: func(err error) bool { return errors.Is(err, errRefused) },
 	})
+	if leased {
+		p.role.set(7, 2*time.Hour)
+	}
+	return p
 }
 
 func newCatalog(t *testing.T, items []store.Item, engine *backend.EngineSpec) *catalog.Catalog {
@@ -283,13 +284,17 @@
 				items = append(items, store.Item{Key: catalog.InstancePrefix + self.Name, Value: value, Revision: uint64(i + 2)})
 			}
 			attempts := 0
-			lease := NewLeaseKeeper(LeaseKeeperConfig{Elapsed: func() time.Duration { return time.Hour }})
-			lease.set(7, 2*time.Hour)
 			p := NewPlacer(Config{
-				Name: "i0", Catalog: newCatalog(t, items, nil), Lease: lease, Log: discardLog(), Random: func() float64 { return test.draw },
-				Commit: func(context.Context, store.Transaction) (uint64, error) {
-					attempts++
-					return 0, store.ErrConflict
+				Name: "i0", Catalog: newCatalog(t, items, nil), Log: discardLog(), Random: func() float64 { return test.draw },
+				Lease: LeaseConfig{
+					Elapsed: func() time.Duration { return time.Hour },
+					Grant: func(context.Context, time.Duration) (store.Lease, error) {
+						return store.Lease{ID: 7, TTL: roleTTL}, nil
+					},
+					Commit: func(context.Context, store.Transaction) (uint64, error) {
+						attempts++
+						return 0, store.ErrConflict
+					},
 				},
 			})
 			for range 3 {
@@ -308,24 +313,23 @@
 // suspended.
 func TestLeaseNotHeldNearExpiry(t *testing.T) {
 	now := time.Hour
-	lease := NewLeaseKeeper(LeaseKeeperConfig{
+	role := &lease{ttl: roleTTL, config: LeaseConfig{
 		Elapsed: func() time.Duration { return now }, Log: discardLog(),
 		Grant: func(context.Context, time.Duration) (store.Lease, error) {
-			return store.Lease{ID: 3, TTL: leaseTTL}, nil
+			return store.Lease{ID: 3, TTL: roleTTL}, nil
 		},
 		Commit: func(context.Context, store.Transaction) (uint64, error) { return 1, nil },
-		Renew:  func(context.Context, uint64) error { return store.ErrUnavailable },
-	})
-	if err := lease.renewOrAcquire(context.Background()); err != nil {
+	}}
+	if err := role.acquire(context.Background(), func(uint64) store.Transaction { return store.Transaction{} }); err != nil {
 		t.Fatal(err)
 	}
 	tests := []struct {
 		after time.Duration
 		want  bool
-	}{{0, true}, {leaseTTL - expiryMargin - time.Millisecond, true}, {leaseTTL - expiryMargin, false}, {time.Minute, false}}
+	}{{0, true}, {roleTTL - expiryMargin - time.Millisecond, true}, {roleTTL - expiryMargin, false}, {time.Minute, false}}
 	for _, test := range tests {
 		now = time.Hour + test.after
-		if _, got := lease.Held(); got != test.want {
+		if _, got := role.held(); got != test.want {
 			t.Errorf("after %v, which may include suspended time: got held %v, want %v", test.after, got, test.want)
 		}
 	}
--- a/comfreyrail/internal/gateway/process/caller_server.go
+++ b/comfreyrail/internal/gateway/process/caller_server.go
@@ -38,8 +38,9 @@
 	maxConfigAge time.Duration
 }
 
-// NewCallerServer returns a CallerServer that passes requests to the forwarder and releases the lease when it stops.
-func NewCallerServer(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, lease *placer.LeaseKeeper, checker *invariant.Checker, log *logrus.Entry) *CallerServer {
+// NewCallerServer returns a CallerServer that passes requests to the forwarder and releases the leases when it
+// stops.
+func NewCallerServer(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, membership *placer.Membership, role *placer.Placer, checker *invariant.Checker, log *logrus.Entry) *CallerServer {
 	s := &CallerServer{catalog: cat, maxConfigAge: maxConfigAge(cfg)}
 	s.server = graceful.New(graceful.Config{
 		Listen:        cfg.Listen.Caller,
@@ -54,8 +55,11 @@
 			now := time.Now()
 			forwarder.PlanStop(now.Add(time.Duration(cfg.Stop.BalancerLag)), now.Add(time.Duration(cfg.Stop.Timeout)))
 		},
-		ReleaseLease: lease.Release,
-		Log:          log,
+		ReleaseLease: func(ctx context.Context) {
+			role.Release(ctx)
+			membership.Release(ctx)
+		},
+		Log: log,
 	})
 	return s
 }
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -21,8 +21,8 @@
 type Components struct {
 	// Catalog keeps a copy of the store's content.
 	Catalog *catalog.Catalog
-	// Lease keeps the lease of this instance.
-	Lease *placer.LeaseKeeper
+	// Membership keeps this instance listed in the store.
+	Membership *placer.Membership
 	// Placer assigns layers to engines while this instance has the placer role.
 	Placer *placer.Placer
 	// Mirror serves changes of the store to other instances.
@@ -57,8 +57,8 @@
 	stopTimeout = 200 * time.Millisecond
 )
 
-// New returns a Gateway with two supervisors below the root: control runs the catalog, the mirror, the lease and the
-// placer; traffic runs the components that serve requests and exchange usage. The operators' listener is directly below
+// New returns a Gateway with two supervisors below the root: control runs the catalog, the mirror, the membership and
+// the placer; traffic runs the components that serve requests and exchange usage. The operators' listener is directly below
 // the root.
 func New(components Components, log *logrus.Entry) *Gateway {
 	spec := suture.Spec{FailureBackoff: failureBackoff, Timeout: stopTimeout, EventHook: func(event suture.Event) {
@@ -68,7 +68,7 @@
 	control := suture.New("control", spec)
 	control.Add(components.Catalog)
 	control.Add(components.Mirror)
-	control.Add(components.Lease)
+	control.Add(components.Membership)
 	control.Add(components.Placer)
 	traffic := suture.New("traffic", spec)
 	traffic.Add(components.CallerServer)
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -128,16 +128,15 @@
 	})
 }
 
-func provideLease(self catalog.Instance, store *platform.Store, log *logrus.Entry) *placer.LeaseKeeper {
-	return placer.NewLeaseKeeper(placer.LeaseKeeperConfig{
-		Self: self, Grant: store.Grant, Renew: store.Renew, Revoke: store.Revoke, Commit: store.Commit,
-		Elapsed: clock.Monotonic, Log: log,
-	})
+func provideLeaseConfig(store *platform.Store, log *logrus.Entry) placer.LeaseConfig {
+	return placer.LeaseConfig{
+		Grant: store.Grant, Renew: store.Renew, Revoke: store.Revoke, Commit: store.Commit, Elapsed: clock.Monotonic, Log: log,
+	}
 }
 
-func providePlacer(cfg settings.Gateway, cat *catalog.Catalog, lease *placer.LeaseKeeper, store *platform.Store, engines *platform.Engines, log *logrus.Entry) *placer.Placer {
+func providePlacer(cfg settings.Gateway, cat *catalog.Catalog, lease placer.LeaseConfig, engines *platform.Engines, log *logrus.Entry) *placer.Placer {
 	return placer.NewPlacer(placer.Config{
-		Name: cfg.Name, Catalog: cat, Lease: lease, Commit: store.Commit, OrderLoad: engines.OrderLoad,
+		Name: cfg.Name, Catalog: cat, Lease: lease, OrderLoad: engines.OrderLoad,
 		FetchState: engines.FetchState,
 		Refused: func(err error) bool {
 			return errors.Is(err, platform.ErrStateChanged) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrInvalid)
--- a/comfreyrail/internal/gateway/process/wire.go
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -6,6 +6,7 @@
 	"github.com/google/wire"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/placer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 )
 
@@ -21,7 +22,8 @@
 		provideSelf,
 		provideCatalog,
 		provideMirror,
-		provideLease,
+		provideLeaseConfig,
+		placer.NewMembership,
 		providePlacer,
 		provideUpstream,
 		provideBudgets,
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/placer"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 )
 
@@ -22,9 +23,10 @@
 		return nil, err
 	}
 	catalog := provideCatalog(loaded, instance, store, entry)
-	leaseKeeper := provideLease(instance, store, entry)
+	leaseConfig := provideLeaseConfig(store, entry)
+	membership := placer.NewMembership(instance, leaseConfig)
 	engines := provideEngines()
-	placer := providePlacer(loaded, catalog, leaseKeeper, store, engines, entry)
+	placerPlacer := providePlacer(loaded, catalog, leaseConfig, engines, entry)
 	server := provideMirror(loaded, catalog, entry)
 	processPeerUsage := providePeerUsage()
 	processMemoryBudgets := provideMemoryBudgets(loaded)
@@ -35,12 +37,12 @@
 	exchange := provideExchange(loaded, catalog, forwarder, processPeerUsage, entry)
 	prober := forward.NewProber(forwarder)
 	checker := provideChecker(entry, registry)
-	callerServer := NewCallerServer(loaded, catalog, forwarder, leaseKeeper, checker, entry)
+	callerServer := NewCallerServer(loaded, catalog, forwarder, membership, placerPlacer, checker, entry)
 	operatorServer := provideOperatorServer(loaded, callerServer, catalog, registry, entry)
 	components := Components{
 		Catalog:        catalog,
-		Lease:          leaseKeeper,
-		Placer:         placer,
+		Membership:     membership,
+		Placer:         placerPlacer,
 		Mirror:         server,
 		Exchange:       exchange,
 		Prober:         prober,
--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -48,7 +48,7 @@
 	// Address is the host:port of the store.
 	Address string `toml:"address"`
 	// WatchInterval is the longest time that a watch request waits for changes, and the minimum time from its start to that
-	// of the next one, unless it fails.
+	// of the next one, unless it fails. If it is not set, it follows from ConfigDelays.
 	WatchInterval Duration `toml:"pace"`
 }
 
@@ -79,7 +79,6 @@
 
 // Default values of the settings of a gateway.
 const (
-	defaultWatchInterval      = 500 * time.Millisecond
 	defaultMaxRevocationDelay = 5 * time.Second
 	defaultMaxApplyDelay      = 2 * time.Second
 	defaultRetryRatio         = 0.1
@@ -90,13 +89,26 @@
 	defaultGatewayStopTimeout = 8 * time.Second
 )
 
+// Limits of the default of Store.WatchInterval.
+const (
+	// watchesPerDelay is the number of watches within the shorter of the two ConfigDelays. A change reaches most instances
+	// through another one, after up to two watch intervals.
+	watchesPerDelay = 4
+	// maxDefaultWatchInterval is the longest default.
+	maxDefaultWatchInterval = time.Second
+)
+
+// defaultWatchInterval returns the watch interval that keeps the configuration within the delays with few calls.
+func defaultWatchInterval(delays ConfigDelays) Duration {
+	return min(min(delays.MaxApplyDelay, delays.MaxRevocationDelay)/watchesPerDelay, Duration(maxDefaultWatchInterval))
+}
+
 // exitDuration is the part of Stop.Timeout that is reserved for the exit of the process.
 const exitDuration = 700 * time.Millisecond
 
 // DefaultGateway returns the default settings of a gateway.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Store:        Store{WatchInterval: Duration(defaultWatchInterval)},
 		ConfigDelays: ConfigDelays{MaxRevocationDelay: Duration(defaultMaxRevocationDelay), MaxApplyDelay: Duration(defaultMaxApplyDelay)},
 		RetryBudget:  RetryBudget{Ratio: defaultRetryRatio, Burst: defaultRetryBurst, Period: Duration(defaultRetryPeriod)},
 		Stop:         Stop{BalancerLag: Duration(defaultGatewayBalancerLag), IdleTimeout: Duration(defaultGatewayIdleTimeout), Timeout: Duration(defaultGatewayStopTimeout)},
@@ -121,6 +133,9 @@
 	if err = decode(content, &parsed); err != nil {
 		return Gateway{}, err
 	}
+	if parsed.Store.WatchInterval == 0 {
+		parsed.Store.WatchInterval = defaultWatchInterval(parsed.ConfigDelays)
+	}
 	if err = joinProblems(parsed.problems()); err != nil {
 		return Gateway{}, err
 	}
--- a/comfreyrail/internal/settings/gateway_test.go
+++ b/comfreyrail/internal/settings/gateway_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got.Name != "edge-1" || got.Store.WatchInterval != Duration(defaultWatchInterval) {
+	if got.Name != "edge-1" || got.Store.WatchInterval != Duration(500*time.Millisecond) {
 		t.Errorf("got %+v, want the name in the file and the default watch interval", got)
 	}
 	if limit := time.Duration(got.Stop.Timeout); limit >= 8*time.Second || limit < 7*time.Second {
@@ -50,3 +50,28 @@
 		}
 	}
 }
+
+// Many instances watch one store, so that the watches must be as rare as the delays of the configuration allow: a change
+// that passes through another instance takes up to two intervals.
+func TestWatchIntervalFollowsDelays(t *testing.T) {
+	tests := []struct {
+		name, apply, revoke, pace string
+		want                      time.Duration
+	}{
+		{"small deployment", "2s", "5s", "", 500 * time.Millisecond},
+		{"large deployment", "4s", "5s", "", time.Second},
+		{"very slow", "1m", "1m", "", time.Second},
+		{"quick revocation", "4s", "1s", "", 250 * time.Millisecond},
+		{"set by the operator", "4s", "5s", "pace = \"300ms\"\n", 300 * time.Millisecond},
+	}
+	for _, test := range tests {
+		content := strings.Replace(sampleGateway, "[stop]\n", test.pace+"[stop]\n", 1)
+		parsed, err := ParseGateway([]byte(content + "[key]\napply = \"" + test.apply + "\"\nrevoke = \"" + test.revoke + "\"\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := time.Duration(parsed.Store.WatchInterval); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
