Say in the log what decided a refusal for lack of memory

Change: pipeline.Shortage names the first layers that no engine offers, how many engines hold them, how many of these are dead or suspected, the lowest fill with this instance's and the others' share, and the fill limit; the line carries them and the delay that the caller was told.

--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -10,8 +10,10 @@
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 )
 
 // errorResponse is an error response that this instance generates itself.
@@ -19,6 +21,7 @@
 	status     int
 	code       string
 	retryAfter time.Duration
+	shortage   *pipeline.Shortage // why there was no chain of engines, nil for other reasons
 }
 
 // Error returns the status and code of the response.
@@ -33,6 +36,16 @@
 	return &errorResponse{status: http.StatusServiceUnavailable, code: code, retryAfter: jitter(retryAfter, rand.Float64())}
 }
 
+// noRoomResponse returns the response to a request for which there is no chain or server.
+func (j *job) noRoomResponse(cause error) *errorResponse {
+	response := j.failureResponse("no-room")
+	var reason *noChainError
+	if errors.As(cause, &reason) {
+		response.shortage = &reason.shortage
+	}
+	return response
+}
+
 // jitter returns a duration between base and twice base for a fraction between 0 and 1, so that callers refused at the same
 // time do not retry at the same time.
 func jitter(base time.Duration, fraction float64) time.Duration {
@@ -67,6 +80,9 @@
 	case errors.As(err, &errResponse):
 		metrics.GetOrRegisterCounter("requests.refused."+errResponse.code, f.config.Metrics).Inc(1)
 		response := event.ErrorResponse{Status: errResponse.status, Code: errResponse.code, MayHaveRun: j.mayHaveRun}
+		if errResponse.shortage != nil {
+			entry = entry.WithFields(shortageFields(*errResponse.shortage, errResponse.retryAfter))
+		}
 		entry.WithFields(response.Fields()).Info(event.ErrorResponsePrefix + errResponse.code)
 		writeErrorResponse(w, errResponse)
 	default:
@@ -76,6 +92,14 @@
 	}
 }
 
+// shortageFields returns the fields of the log line for a request that was refused for lack of memory: what decided it.
+func shortageFields(s pipeline.Shortage, retryAfter time.Duration) logrus.Fields {
+	return event.Shortage{
+		From: s.Layers.From, To: s.Layers.To, Engines: s.Engines, Dead: s.Dead, Suspected: s.Suspected, LowestFill: s.LowestFill,
+		FillLimit: s.FillLimit, OwnKV: s.OwnKV, PeerKV: s.PeerKV, PeersKnown: s.PeersKnown, RetryAfter: retryAfter,
+	}.Fields()
+}
+
 // requestEnd returns the fields of the log line for the end of a request.
 func (f *Forwarder) requestEnd(j *job) event.RequestEnd {
 	age, _ := f.config.Catalog.Age()
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -109,21 +109,22 @@
 	return usage
 }
 
-// chooseChain returns a chain for a request and counts the request at its engines. It returns false if no chain with enough
-// free memory covers every layer.
-func (s *selector) chooseChain(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request, class headroom.Class) (chain pipeline.Chain, ok bool) {
+// chooseChain returns a chain for a request and counts the request at its engines. If no chain with enough free memory covers
+// every layer, it returns a *noChainError.
+func (s *selector) chooseChain(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request, class headroom.Class) (chain pipeline.Chain, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engines, now := s.refreshedEngines(service, snapshot), time.Now()
 	request.Zone = s.config.Zone
 	request.FillLimit = engines.limiter.FillLimit(now, class)
-	if chain, ok = engines.chooser.Choose(now, request); !ok {
+	chain, ok := engines.chooser.Choose(now, request)
+	if !ok {
 		engines.limiter.Refused(now, class)
-		return nil, false
+		return nil, &noChainError{shortage: engines.chooser.Shortage(now, request)}
 	}
 	engines.chooser.Started(now, chain, request)
 	engines.limiter.Started(class, request.KVTokens())
-	return chain, true
+	return chain, nil
 }
 
 func (s *selector) endChain(a *streamAttempt) {
--- a/comfreyrail/internal/gateway/forward/services_test.go
+++ b/comfreyrail/internal/gateway/forward/services_test.go
@@ -125,3 +125,25 @@
 		t.Errorf("got a chain %v with the fill limit %v, want one and %v", ok, request.FillLimit, headroomConfig.MaxFill)
 	}
 }
+
+// Guards against a refusal for lack of memory whose log line does not say what decided it.
+func TestRefusalForLackOfMemoryIsExplained(t *testing.T) {
+	f, _ := newTwoServices(t, new(atomic.Int32))
+	service, snapshot := &route.Service{Name: "large", Engine: twoServicesSpec()}, f.config.Catalog.Snapshot()
+	f.selector.engines["large"].sequence = snapshot.Sequence
+	for _, server := range []string{"large2", "large3"} {
+		f.selector.engines["large"].chooser.ProbeFailed(time.Now(), server)
+	}
+	_, err := f.selector.chooseChain(service, snapshot, pipeline.Request{PromptTokens: 40, OutputTokens: 10}, headroom.Class{})
+	if !errors.Is(err, errNoChain) {
+		t.Fatalf("got %v, want %v", err, errNoChain)
+	}
+	response := (&job{}).noRoomResponse(err)
+	if response.shortage == nil || response.retryAfter <= 0 {
+		t.Fatalf("got %+v, want the shortage and a delay before a retry", response)
+	}
+	got := shortageFields(*response.shortage, response.retryAfter)
+	if got["from"] != 4 || got["to"] != 8 || got["dead"] != 1 || got["engines"] != 1 || got["limit"] != headroomConfig.MaxFill {
+		t.Errorf("got fields %v, want the layers 4 to 8, their one dead engine and the fill limit", got)
+	}
+}
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -48,6 +48,15 @@
 // errNoChain is the error if no chain with enough free memory covers every layer, or no plain server accepts requests.
 const errNoChain = errors.ConstError("no chain or server is available")
 
+// noChainError is an errNoChain with the reason why there is no chain of engines.
+type noChainError struct{ shortage pipeline.Shortage }
+
+// Error returns the text of errNoChain.
+func (e *noChainError) Error() string { return string(errNoChain) }
+
+// Unwrap returns errNoChain.
+func (e *noChainError) Unwrap() error { return errNoChain }
+
 // streamAttempt is one attempt at a stream, along a chain that a reroute may change.
 type streamAttempt struct {
 	service    *route.Service
@@ -86,7 +95,7 @@
 		case ctx.Err() != nil:
 			return err
 		case errors.Is(err, errNoChain) && !out.headerSent:
-			return j.failureResponse("no-room")
+			return j.noRoomResponse(err)
 		case errors.Is(err, errNoChain):
 			_ = pause.For(ctx, noChainDelay)
 		case !f.takeRetry(j):
@@ -136,11 +145,9 @@
 		a.chain = pipeline.Chain{{Server: server}}
 		f.selector.startedPlain(server.ID)
 	} else {
-		chain, ok := f.selector.chooseChain(service, snapshot, a.demand, a.class)
-		if !ok {
-			return nil, errNoChain
+		if a.chain, err = f.selector.chooseChain(service, snapshot, a.demand, a.class); err != nil {
+			return nil, err
 		}
-		a.chain = chain
 	}
 	if j.attempts == 0 {
 		f.config.Retries.CountRequest(service.Name)
@@ -200,8 +207,9 @@
 		return errWrongRequest
 	case meta.NotRun:
 		response.Discard()
-		f.recordFailedStreamAttempt(ctx, j, a, meta.FaultyAddress, errors.Errorf("status %d: the request was not run", response.Status))
-		return errors.Errorf("status %d: the request was not run", response.Status)
+		err = errors.Errorf("status %d: the request was not run", response.Status)
+		f.recordFailedStreamAttempt(ctx, j, a, meta.FaultyAddress, err)
+		return err
 	}
 	j.mayHaveRun = true
 	return nil
--- a/rail/pipeline/chooser.go
+++ b/rail/pipeline/chooser.go
@@ -37,6 +37,14 @@
 // KVTokens returns the number of tokens that the request holds in the KV cache when it ends.
 func (r Request) KVTokens() float64 { return float64(r.PromptTokens + r.OutputTokens) }
 
+// fillLimit returns FillLimit, or MaxFill if it is zero.
+func (r Request) fillLimit() float64 {
+	if r.FillLimit > 0 {
+		return r.FillLimit
+	}
+	return MaxFill
+}
+
 // Usage is the load on an engine, or on a link between two availability zones.
 type Usage struct {
 	// ReservedKV is the KV memory reserved for requests, in tokens times layers.
@@ -246,6 +254,15 @@
 	fixedCost float64 // seconds per stage
 }
 
+// fill returns the filled fraction of an engine's KV memory, and whether it has memory for the request.
+func (c *Chooser) fill(server backend.Server, usage Usage, request Request) (fill float64, fits bool) {
+	card, _ := c.spec.Card(server.Card)
+	capacity := max(c.spec.KVCapacity(card, server.Layers.Len())*float64(server.Layers.Len()), 1)
+	fill = usage.ReservedKV * c.kvUseRatio / capacity
+	fits = fill <= request.fillLimit() && (fill <= 0 || fill+c.kvDemand(request, server.Layers.Len())/capacity <= 1)
+	return fill, fits
+}
+
 // fullSpan returns the span of all layers.
 func (c *Chooser) fullSpan() span { return span{to: c.spec.Layers} }
 
@@ -288,20 +305,15 @@
 // candidates returns the engines that are neither excluded nor dead and have memory for the request, with their costs. An
 // engine without reserved memory accepts a request of any size.
 func (c *Chooser) candidates(now time.Time, request Request, excluded map[string]bool) (found []candidate) {
-	fillLimit := MaxFill
-	if request.FillLimit > 0 {
-		fillLimit = request.FillLimit
-	}
 	for _, server := range c.servers {
 		state := c.state(server.ID)
 		if excluded[server.ID] || state.health.isDead(now) {
 			continue
 		}
 		card, _ := c.spec.Card(server.Card)
-		capacity := c.spec.KVCapacity(card, server.Layers.Len()) * float64(server.Layers.Len())
 		usage := c.totalUsage(now, server.ID, state)
-		fill := usage.ReservedKV * c.kvUseRatio / max(capacity, 1)
-		if fill+c.kvDemand(request, server.Layers.Len())/max(capacity, 1) > 1 && fill > 0 || fill > fillLimit {
+		fill, fits := c.fill(server, usage, request)
+		if !fits {
 			continue
 		}
 		slowness := c.slowness(now, server.ID)
