Try other engines if one cannot take over a stage

Change: the refusal of such an order names the engine that cannot take its stage (call.StageRejectedError); that one is left out and others are tried.

--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -207,13 +207,15 @@
 }
 
 // planReroute marks the engine of a stage as suspected and returns the chain of the attempt with the layers of that stage
-// moved to other engines. It returns false if there is no such chain.
-func (s *selector) planReroute(a *streamAttempt, stage int) (chain pipeline.Chain, ok bool) {
+// moved to other engines, without those whose IDs are in rejected. It returns false if there is no such chain.
+func (s *selector) planReroute(a *streamAttempt, stage int, rejected []string) (chain pipeline.Chain, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, chooser := time.Now(), s.engines[a.service.Name].chooser
 	chooser.MarkSuspected(now, a.chain[stage].Server.Address)
-	return chooser.Reroute(now, a.chain, stage, a.demand)
+	demand := a.demand
+	demand.Avoid = rejected
+	return chooser.Reroute(now, a.chain, stage, demand)
 }
 
 // moveToChain moves an attempt to another chain, and its load from the engines of the old chain to those of the new one.
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -7,7 +7,9 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 )
 
 // checkStall is called while an attempt makes no progress. It looks for the engine that delays the attempt and reroutes the
@@ -65,27 +67,59 @@
 // maxReroutes is the maximum number of reroutes tried in one attempt at a stream.
 const maxReroutes = 2
 
-// reroute instructs the first engine of an attempt to replace the engine of a stage, and counts the reroute. If it fails,
-// the attempt stays on its chain.
+// maxRerouteTries is the maximum number of chains that one reroute tries, since engines that many requests are moved to at the
+// same time may have no memory left.
+const maxRerouteTries = 3
+
+// reroute instructs the first engine of an attempt to replace the engine of a stage, and counts the reroute. If an engine cannot
+// take over, it tries others. If it fails, the attempt stays on its chain.
 func (f *Forwarder) reroute(ctx context.Context, j *job, a *streamAttempt, stage int) {
 	a.reroutes++
 	faulty := a.chain[stage].Server
 	reroute := event.Reroute{Request: j.request.ID, FirstEngine: a.chain[0].Server.ID, SilentEngine: faulty.ID, Waited: time.Since(a.progressAt)}
 	log := f.config.Log.WithFields(reroute.Fields())
-	chain, ok := f.selector.planReroute(a, stage)
-	if !ok {
-		log.WithError(errNoChain).Info(event.StreamNotRerouted)
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
-	if err := f.config.Reroute(ctx, a.chain[0].Server, j.request.ID, callStages(chain)); err != nil {
-		log.WithError(err).Info(event.StreamNotRerouted)
-		return
+	var rejected []string // IDs of the engines that cannot take over
+	var err error
+	for range maxRerouteTries {
+		chain, ok := f.selector.planReroute(a, stage, rejected)
+		if !ok {
+			err = errNoChain
+			break
+		}
+		if err = f.config.Reroute(ctx, a.chain[0].Server, j.request.ID, callStages(chain)); err == nil {
+			f.selector.moveToChain(a, chain)
+			j.chainText = describeChain(chain)
+			log.WithField("rejected", len(rejected)).Info(event.StreamRerouted)
+			return
+		}
+		var rejection *call.StageRejectedError
+		if !errors.As(err, &rejection) {
+			break
+		}
+		rejected = append(rejected, rejectedStages(a.chain, chain, rejection.Address)...)
+	}
+	log.WithError(err).WithField("rejected", len(rejected)).Info(event.StreamNotRerouted)
+}
+
+// rejectedStages returns the IDs of the engines that a reroute must not use again: the one at the address if it is new in the
+// planned chain, or else all that are new.
+func rejectedStages(current, planned pipeline.Chain, address string) (ids []string) {
+	used := make(map[string]bool, len(current))
+	for _, stage := range current {
+		used[stage.Server.ID] = true
+	}
+	for _, stage := range planned {
+		if used[stage.Server.ID] {
+			continue
+		}
+		if stage.Server.Address == address {
+			return []string{stage.Server.ID}
+		}
+		ids = append(ids, stage.Server.ID)
 	}
-	f.selector.moveToChain(a, chain)
-	j.chainText = describeChain(chain)
-	log.Info(event.StreamRerouted)
+	return ids
 }
 
 // recordFailedStreamAttempt logs a failed attempt and marks the server at fault as suspected: the plain server or, in a
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -174,12 +174,15 @@
 }
 
 // Reroute returns the chain with the layers of one stage moved to other engines, and false if there is no such chain. The
-// first stage cannot be replaced.
+// first stage cannot be replaced. Engines that the request avoids are not used.
 func (c *Chooser) Reroute(now time.Time, chain Chain, stage int, request Request) (rerouted Chain, ok bool) {
 	if stage <= 0 || stage >= len(chain) || c.spec == nil {
 		return nil, false
 	}
-	excluded := make(map[string]bool, len(chain))
+	excluded := make(map[string]bool, len(chain)+len(request.Avoid))
+	for _, id := range request.Avoid {
+		excluded[id] = true
+	}
 	for i := range chain {
 		excluded[chain[i].Server.ID] = true
 	}
