--- a/comfreyrail/internal/gateway/forward/reroute_test.go
+++ b/comfreyrail/internal/gateway/forward/reroute_test.go
@@ -36,7 +36,7 @@
 			}
 			return nil
 		}, 2, true},
-		{"all full", func(_ int, address string) error { return &call.StageRejectedError{Address: address, Cause: errFull} }, maxRerouteTries, false},
+		{"all full", func(_ int, address string) error { return &call.StageRejectedError{Address: address, Cause: errFull} }, 3, false},
 		{"response lost", func(int, string) error { return errLost }, 1, false},
 	}
 	for _, test := range tests {
@@ -67,8 +67,44 @@
 	}
 }
 
-// If the engine that cannot take over is not named, or is one that the chain had before, all new engines must be left out.
-func TestRejectedStages(t *testing.T) {
+// When engines die at the same time, a chain may hold two of them. The first engine names the second dead one when it refuses to
+// replace the first, and both must then be replaced with one order.
+func TestRerouteReplacesTwoDeadEngines(t *testing.T) {
+	f, j, a := newStreamAttempt(t, func(string) (backend.State, error) { return backend.State{}, nil }, new(atomic.Int32))
+	var servers []backend.Server
+	for i, stage := range a.chain {
+		servers = append(servers, stage.Server)
+		if i > 0 {
+			spare := stage.Server
+			spare.ID, spare.Address = "spare-"+spare.ID, "spare-"+spare.Address
+			servers = append(servers, spare)
+		}
+	}
+	f.selector.engines["llm"].chooser.SetEngines(a.service.Engine, servers, 1)
+	dead := []string{a.chain[1].Server.Address, a.chain[3].Server.Address}
+	tries := 0
+	f.config.Reroute = func(_ context.Context, _ backend.Server, _ string, stages []call.Stage) error {
+		tries++
+		for _, stage := range stages {
+			if slices.Contains(dead, stage.Address) {
+				return &call.StageRejectedError{Address: stage.Address, Cause: errors.New("not there")}
+			}
+		}
+		return nil
+	}
+	f.reroute(context.Background(), j, a, 1)
+	want := []string{"e0", "spare-e1", "e2", "spare-e3"}
+	var got []string
+	for _, stage := range a.chain {
+		got = append(got, stage.Server.ID)
+	}
+	if !slices.Equal(got, want) || tries != 2 {
+		t.Errorf("got the chain %v after %d orders, want %v after 2", got, tries, want)
+	}
+}
+
+// If the engine that cannot take over is not named, all new engines must be left out; a dead engine of the chain is replaced.
+func TestReroutePlanRejects(t *testing.T) {
 	chain := func(ids ...string) (chain pipeline.Chain) {
 		for _, id := range ids {
 			chain = append(chain, pipeline.Stage{Server: backend.Server{ID: id, Address: id + ":1"}})
@@ -77,12 +113,14 @@
 	}
 	current, planned := chain("a", "dead", "c"), chain("a", "new1", "new2", "c")
 	tests := []struct {
-		address string
-		want    []string
-	}{{"new2:1", []string{"new2"}}, {"", []string{"new1", "new2"}}, {"c:1", []string{"new1", "new2"}}}
+		address           string
+		replaced, avoided []string
+	}{{"new2:1", []string{"dead"}, []string{"new2"}}, {"", []string{"dead"}, []string{"new1", "new2"}}, {"c:1", []string{"dead", "c"}, nil}}
 	for _, test := range tests {
-		if got := rejectedStages(current, planned, test.address); !slices.Equal(got, test.want) {
-			t.Errorf("address %q: got %v, want %v", test.address, got, test.want)
+		plan := reroutePlan{replaced: []string{"dead"}}
+		plan.reject(current, planned, test.address)
+		if !slices.Equal(plan.replaced, test.replaced) || !slices.Equal(plan.avoided, test.avoided) {
+			t.Errorf("address %q: got %+v, want %v replaced and %v avoided", test.address, plan, test.replaced, test.avoided)
 		}
 	}
 }
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -206,16 +207,22 @@
 	}
 }
 
-// planReroute marks the engine of a stage as suspected and returns the chain of the attempt with the layers of that stage
-// moved to other engines, without those whose IDs are in rejected. It returns false if there is no such chain.
-func (s *selector) planReroute(a *streamAttempt, stage int, rejected []string) (chain pipeline.Chain, ok bool) {
+// planReroute returns the chain of the attempt with the layers of the replaced engines moved to other engines. It returns false if
+// there is no such chain.
+func (s *selector) planReroute(a *streamAttempt, plan reroutePlan) (chain pipeline.Chain, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now, chooser := time.Now(), s.engines[a.service.Name].chooser
-	chooser.MarkSuspected(now, a.chain[stage].Server.Address)
 	demand := a.demand
-	demand.Avoid = rejected
-	return chooser.Reroute(now, a.chain, stage, demand)
+	demand.Avoid = slices.Concat(plan.replaced, plan.avoided)
+	chain = a.chain
+	for _, id := range plan.replaced {
+		stage := slices.IndexFunc(chain, func(stage pipeline.Stage) bool { return stage.Server.ID == id })
+		if chain, ok = chooser.Reroute(now, chain, stage, demand); !ok {
+			return nil, false
+		}
+	}
+	return chain, true
 }
 
 // moveToChain moves an attempt to another chain, and its load from the engines of the old chain to those of the new one.
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -67,12 +68,13 @@
 // maxReroutes is the maximum number of reroutes tried in one attempt at a stream.
 const maxReroutes = 2
 
-// maxRerouteTries is the maximum number of chains that one reroute tries, since engines that many requests are moved to at the
-// same time may have no memory left.
-const maxRerouteTries = 3
+// maxRerouteTries is the maximum number of chains that one reroute tries. Engines that die at the same time are found one by
+// one, and engines that many requests are moved to may have no memory left.
+const maxRerouteTries = 4
 
-// reroute instructs the first engine of an attempt to replace the engine of a stage, and counts the reroute. If an engine cannot
-// take over, it tries others. If it fails, the attempt stays on its chain.
+// reroute instructs the first engine of an attempt to replace the engine of a stage, and counts the reroute. If another engine
+// of the chain turns out to be dead, that is replaced as well; if an engine cannot take over, others are tried. If the reroute
+// fails, the attempt stays on its chain.
 func (f *Forwarder) reroute(ctx context.Context, j *job, a *streamAttempt, stage int) {
 	a.reroutes++
 	faulty := a.chain[stage].Server
@@ -80,10 +82,11 @@
 	log := f.config.Log.WithFields(reroute.Fields())
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
-	var rejected []string // IDs of the engines that cannot take over
+	f.selector.suspectEngine(a.service.Name, faulty.Address)
+	plan := reroutePlan{replaced: []string{faulty.ID}}
 	var err error
 	for range maxRerouteTries {
-		chain, ok := f.selector.planReroute(a, stage, rejected)
+		chain, ok := f.selector.planReroute(a, plan)
 		if !ok {
 			err = errNoChain
 			break
@@ -91,35 +94,50 @@
 		if err = f.config.Reroute(ctx, a.chain[0].Server, j.request.ID, callStages(chain)); err == nil {
 			f.selector.moveToChain(a, chain)
 			j.chainText = describeChain(chain)
-			log.WithField("rejected", len(rejected)).Info(event.StreamRerouted)
+			log.WithField("rejected", len(plan.avoided)).Info(event.StreamRerouted)
 			return
 		}
 		var rejection *call.StageRejectedError
 		if !errors.As(err, &rejection) {
 			break
 		}
-		rejected = append(rejected, rejectedStages(a.chain, chain, rejection.Address)...)
+		if dead, found := plan.reject(a.chain, chain, rejection.Address); found {
+			f.selector.probeFailed(dead)
+		}
 	}
-	log.WithError(err).WithField("rejected", len(rejected)).Info(event.StreamNotRerouted)
+	log.WithError(err).WithField("rejected", len(plan.avoided)).Info(event.StreamNotRerouted)
+}
+
+// reroutePlan says which engines of a chain a reroute replaces and which others it must not use.
+type reroutePlan struct {
+	replaced []string // IDs of engines of the chain
+	avoided  []string // IDs of engines that cannot take over
 }
 
-// rejectedStages returns the IDs of the engines that a reroute must not use again: the one at the address if it is new in the
-// planned chain, or else all that are new.
-func rejectedStages(current, planned pipeline.Chain, address string) (ids []string) {
+// reject adds the engine at the address, because of which the planned chain was rejected. An engine of the current chain that
+// does not answer is dead: it is replaced as well, and returned. A new engine that cannot take over is avoided. If the address
+// is that of neither, all new engines are avoided.
+func (p *reroutePlan) reject(current, planned pipeline.Chain, address string) (dead backend.Server, found bool) {
 	used := make(map[string]bool, len(current))
 	for _, stage := range current {
 		used[stage.Server.ID] = true
+		if stage.Server.Address == address && !slices.Contains(p.replaced, stage.Server.ID) {
+			p.replaced = append(p.replaced, stage.Server.ID)
+			return stage.Server, true
+		}
 	}
+	var added []string
 	for _, stage := range planned {
-		if used[stage.Server.ID] {
-			continue
-		}
-		if stage.Server.Address == address {
-			return []string{stage.Server.ID}
+		if !used[stage.Server.ID] {
+			added = append(added, stage.Server.ID)
+			if stage.Server.Address == address {
+				added = added[len(added)-1:]
+				break
+			}
 		}
-		ids = append(ids, stage.Server.ID)
 	}
-	return ids
+	p.avoided = append(p.avoided, added...)
+	return backend.Server{}, false
 }
 
 // recordFailedStreamAttempt logs a failed attempt and marks the server at fault as suspected: the plain server or, in a
