--- /dev/null
+++ b/comfreyrail/internal/gateway/catalog/outage_test.go
@@ -0,0 +1,73 @@
+package catalog
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// Entries expire during a store outage. Their servers must stay until reappearTimeout after the outage, and those whose
+// entries have not been written again by then must be removed.
+func TestEntriesExpiredDuringOutage(t *testing.T) {
+	fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
+	c := newCatalog(fake, Instance{Name: "a"})
+	refreshOnce(t, c, fake)
+	fake.err = errDown
+	fake.now = 3 * time.Second
+	refreshOnce(t, c, fake)
+	fake.err, fake.now = nil, 6*time.Second
+	fake.changes = []store.Item{removed("servers/one", 20), removed("servers/two", 21)}
+	refreshOnce(t, c, fake)
+	if got, want := servers(c), []string{"one", "two"}; !slices.Equal(got, want) {
+		t.Errorf("at the end of the outage: got %v, want %v", got, want)
+	}
+	fake.now = 7 * time.Second
+	fake.changes = []store.Item{item("servers/one", "ready", 22)}
+	refreshOnce(t, c, fake)
+	fake.changes, fake.now = nil, 9*time.Second
+	refreshOnce(t, c, fake)
+	if got, want := servers(c), []string{"one"}; !slices.Equal(got, want) {
+		t.Errorf("after reappearTimeout: got %v, want %v", got, want)
+	}
+}
+
+// Guards against a server that leaves soon after an outage getting requests for longer than one whose entry expired in it: an
+// entry that is missing when reappearTimeout has passed since the outage stands for a server that is gone, whenever it was
+// removed.
+func TestServerThatLeavesAfterOutage(t *testing.T) {
+	const outageEnd = 6 * time.Second
+	tests := []struct{ removedAt, at time.Duration }{
+		{outageEnd, outageEnd + reappearTimeout}, {outageEnd + time.Second, outageEnd + reappearTimeout}, {outageEnd + 2*time.Second, outageEnd + reappearTimeout},
+		{outageEnd + reappearTimeout, outageEnd + reappearTimeout},
+	}
+	for _, test := range tests {
+		fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1)}}
+		c := newCatalog(fake, Instance{Name: "a"})
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = errDown, 3*time.Second
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = nil, outageEnd
+		refreshOnce(t, c, fake)
+		fake.changes, fake.now = []store.Item{removed("servers/one", 20)}, test.removedAt
+		refreshOnce(t, c, fake)
+		fake.changes, fake.now = nil, test.at+time.Millisecond
+		refreshOnce(t, c, fake)
+		if got := servers(c); len(got) != 0 {
+			t.Errorf("entry removed %v after the outage: got %v at %v after it, want none", test.removedAt-outageEnd, got, test.at-outageEnd)
+		}
+	}
+}
+
+// Guards against a removed server still getting requests although there was no outage.
+func TestServerRemovedImmediately(t *testing.T) {
+	fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1)}}
+	c := newCatalog(fake, Instance{Name: "a"})
+	refreshOnce(t, c, fake)
+	fake.changes = []store.Item{removed("servers/one", 20)}
+	refreshOnce(t, c, fake)
+	if got := servers(c); len(got) != 0 {
+		t.Errorf("got %v, want none without an outage", got)
+	}
+}
--- a/comfreyrail/internal/gateway/forward/hostile_test.go
+++ b/comfreyrail/internal/gateway/forward/hostile_test.go
@@ -7,14 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/limit"
+	"github.com/comfreyrail/comfreyrail/rail/limit/limittest"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -189,7 +188,7 @@
 // an ordinary one may be complete.
 func (g *gateway) heapGrowth(t *testing.T, path string) uint64 {
 	t.Helper()
-	return heapGrowth(func() {
+	return limittest.HeapGrowth(func() {
 		var wait sync.WaitGroup
 		for range 100 {
 			wait.Add(1)
@@ -204,33 +203,6 @@
 	})
 }
 
-// heapGrowth returns the largest growth of the heap in bytes while run runs. The collector runs often, so that the growth is
-// that of memory in use.
-func heapGrowth(run func()) uint64 {
-	defer debug.SetGCPercent(debug.SetGCPercent(10))
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	before, peak := stats.HeapAlloc, stats.HeapAlloc
-	done, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(2 * time.Millisecond):
-				runtime.ReadMemStats(&stats)
-				peak = max(peak, stats.HeapAlloc)
-			}
-		}
-	}()
-	run()
-	close(done)
-	<-stopped
-	return peak - before
-}
-
 // A request body for which no memory is left must be refused as not run, and smaller ones still be served.
 func TestRequestBodiesAreBounded(t *testing.T) {
 	s := newServer(t, "only", respondOK)
--- a/comfreyrail/internal/gateway/upstream/hostile_test.go
+++ b/comfreyrail/internal/gateway/upstream/hostile_test.go
@@ -7,46 +7,18 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/limit"
+	"github.com/comfreyrail/comfreyrail/rail/limit/limittest"
 )
 
 // maxHeapGrowth is how much the heap may grow while 100 requests meet a hostile server, in bytes.
 const maxHeapGrowth = 8 << 20
 
-// heapGrowth returns the largest growth of the heap in bytes while run runs. The collector runs often, so that the growth is
-// that of memory in use.
-func heapGrowth(run func()) uint64 {
-	defer debug.SetGCPercent(debug.SetGCPercent(10))
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	before, peak := stats.HeapAlloc, stats.HeapAlloc
-	done, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(2 * time.Millisecond):
-				runtime.ReadMemStats(&stats)
-				peak = max(peak, stats.HeapAlloc)
-			}
-		}
-	}()
-	run()
-	close(done)
-	<-stopped
-	return peak - before
-}
-
 // sendWithoutEnd writes the prefix and then the repeated text until the connection fails.
 func sendWithoutEnd(prefix, repeated string) func(*net.TCPConn, int) {
 	block := []byte(strings.Repeat(repeated, 16<<10/len(repeated)))
@@ -89,7 +61,7 @@
 			budget := limit.NewBudget(4 << 20)
 			client := New(Config{DialTimeout: time.Second, Budget: budget})
 			start := time.Now()
-			growth := heapGrowth(func() {
+			growth := limittest.HeapGrowth(func() {
 				var wait sync.WaitGroup
 				for range 100 {
 					wait.Add(1)
--- /dev/null
+++ b/rail/limit/limittest/doc.go
@@ -0,0 +1,2 @@
+// Package limittest measures in tests how much memory requests to hostile servers take.
+package limittest
