Name the services in the supervisor's events

Cause: the supervisor prints a service that has no String method with its whole value; of the transport between instances that is the fleet's secret and its private key, in the log, at the first failure.

Change: every service is added under a name.

--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/usage"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/supervised"
 )
 
 // Components holds the components of a gateway.
@@ -66,18 +67,18 @@
 	}}
 	root := suture.New("gateway", spec)
 	control := suture.New("control", spec)
-	control.Add(components.Catalog)
-	control.Add(components.Mirror)
-	control.Add(components.Membership)
-	control.Add(components.Placer)
+	control.Add(supervised.Named("catalog", components.Catalog))
+	control.Add(supervised.Named("mirror", components.Mirror))
+	control.Add(supervised.Named("membership", components.Membership))
+	control.Add(supervised.Named("placer", components.Placer))
 	traffic := suture.New("traffic", spec)
-	traffic.Add(components.CallerServer)
-	traffic.Add(components.Exchange)
-	traffic.Add(components.Prober)
-	traffic.Add(&idleCloser{client: components.Upstream, catalog: components.Catalog})
+	traffic.Add(supervised.Named("callers' listener", components.CallerServer))
+	traffic.Add(supervised.Named("usage exchange", components.Exchange))
+	traffic.Add(supervised.Named("prober", components.Prober))
+	traffic.Add(supervised.Named("idle connections", &idleCloser{client: components.Upstream, catalog: components.Catalog}))
 	root.Add(control)
 	root.Add(traffic)
-	root.Add(components.OperatorServer)
+	root.Add(supervised.Named("operators' listener", components.OperatorServer))
 	return &Gateway{Catalog: components.Catalog, root: root, callerServer: components.CallerServer, log: log}
 }
 
--- a/comfreyrail/internal/process/process.go
+++ b/comfreyrail/internal/process/process.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/supervised"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/claims"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/entry"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/graceful"
@@ -65,19 +66,19 @@
 	}}
 	root := suture.New("root", spec)
 	state := suture.New("control", spec)
-	state.Add(components.Control)
-	state.Add(components.ConfigSync)
-	state.Add(components.Membership)
-	state.Add(components.Link)
-	state.Add(components.Prober)
-	state.Add(components.Lister)
+	state.Add(supervised.Named("control state", components.Control))
+	state.Add(supervised.Named("configuration", components.ConfigSync))
+	state.Add(supervised.Named("membership", components.Membership))
+	state.Add(supervised.Named("link", components.Link))
+	state.Add(supervised.Named("prober", components.Prober))
+	state.Add(supervised.Named("lister", components.Lister))
 	traffic := suture.New("traffic", spec)
-	traffic.Add(components.Claims)
-	traffic.Add(components.CallerServer)
+	traffic.Add(supervised.Named("claims", components.Claims))
+	traffic.Add(supervised.Named("callers' listener", components.CallerServer))
 	root.Add(state)
 	root.Add(traffic)
-	root.Add(components.PeerTransport)
-	root.Add(components.AdminServer)
+	root.Add(supervised.Named("transport", components.PeerTransport))
+	root.Add(supervised.Named("operators' listener", components.AdminServer))
 	return &Process{
 		root: root, callers: components.CallerServer.GracefulServer(), admin: components.AdminServer, log: log, forcedExit: make(chan struct{}),
 	}
