Go back to own reports between zones; keep the most important entries

Kept from it: a datagram with more engines than it holds leaves out those with the least work, never one that failed or is slow.

--- a/comfreyrail/internal/gateway/usage/datagram.go
+++ b/comfreyrail/internal/gateway/usage/datagram.go
@@ -27,12 +27,12 @@
 
 // message is the content of a datagram, encoded as a CBOR array.
 type message struct {
-	_          struct{} `cbor:",toarray"`
-	Name       string
-	Zone       string
-	Recipients int    // number of instances of the sender's zone that it sends its reports to in a round
-	Total      bool   // whether the entries are an estimate of the total of the sender's zone
-	Entries    []byte // concatenated entries, each in big-endian byte order
+	_                   struct{} `cbor:",toarray"`
+	Name                string
+	Zone                string
+	SameZoneRecipients  int    `cbor:"SameZone"`   // number of instances of the sender's zone that it sends to in a round
+	OtherZoneRecipients int    `cbor:"OtherZones"` // number of instances of other zones that it sends to in a round
+	Entries             []byte // concatenated entries, each in big-endian byte order
 }
 
 // entry is the usage of one engine or link, encoded in a fixed number of bytes.
@@ -57,49 +57,34 @@
 
 func hashID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// hashed returns the usage by the hashes of the IDs.
-func hashed(usage map[string]pipeline.Usage) map[uint32]pipeline.Usage {
-	byHash := make(map[uint32]pipeline.Usage, len(usage))
-	for id, u := range usage {
-		byHash[hashID(id)] = u
-	}
-	return byHash
-}
-
-// mostLoaded returns up to count entries of the usage: those of engines that failed or are slow, which others must hear of, and
+// mostImportant returns up to count IDs of the usage: those of engines that failed or are slow, which others must hear of, and
 // then those with the most work.
-func mostLoaded(usage map[uint32]pipeline.Usage, count int) map[uint32]pipeline.Usage {
-	if len(usage) <= count {
-		return usage
-	}
-	ids := slices.SortedFunc(maps.Keys(usage), func(a, b uint32) int {
+func mostImportant(usage map[string]pipeline.Usage, count int) []string {
+	ids := slices.SortedFunc(maps.Keys(usage), func(a, b string) int {
 		first, second := usage[a], usage[b]
 		switch {
-		case troubled(first) && !troubled(second):
+		case isTroubled(first) && !isTroubled(second):
 			return -1
-		case troubled(second) && !troubled(first):
+		case isTroubled(second) && !isTroubled(first):
 			return 1
 		default:
 			return cmp.Compare(second.WorkRate, first.WorkRate)
 		}
 	})
-	kept := make(map[uint32]pipeline.Usage, count)
-	for _, id := range ids[:count] {
-		kept[id] = usage[id]
-	}
-	return kept
+	return ids[:min(count, len(ids))]
 }
 
-// troubled reports whether an engine failed recently or is slow.
-func troubled(u pipeline.Usage) bool { return u.FailedRecently || u.Slowness > 1 }
+// isTroubled reports whether an engine failed recently or is slow.
+func isTroubled(u pipeline.Usage) bool { return u.FailedRecently || u.Slowness > 1 }
 
-// encode returns a datagram with the header and the entries of the usage.
-func encode(header message, usage map[uint32]pipeline.Usage) (datagram []byte, err error) {
+// encode returns a datagram with the header and up to maxEntries entries of the usage, the most important ones.
+func encode(header message, usage map[string]pipeline.Usage) (datagram []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "encode datagram")
-	entries := make([]entry, 0, len(usage))
-	for id, u := range usage {
+	entries := make([]entry, 0, min(len(usage), maxEntries))
+	for _, id := range mostImportant(usage, maxEntries) {
+		u := usage[id]
 		entries = append(entries, entry{
-			ID: id, ReservedKV: toSteps(u.ReservedKV / kvPerStep), WorkRate: toSteps(u.WorkRate * stepsPerRate),
+			ID: hashID(id), ReservedKV: toSteps(u.ReservedKV / kvPerStep), WorkRate: toSteps(u.WorkRate * stepsPerRate),
 			Slowness: uint8(min(math.Round(u.Slowness*stepsPerSlowness), math.MaxUint8)), FailedRecently: u.FailedRecently,
 		})
 	}
@@ -118,7 +103,7 @@
 	if err = cbor.Unmarshal(datagram, &m); err != nil {
 		return "", received, err
 	}
-	if m.Name == "" || m.Recipients < 1 ||
+	if m.Name == "" || m.SameZoneRecipients < 1 || m.OtherZoneRecipients < 1 ||
 		len(m.Entries)%entryBytes != 0 || len(m.Entries) > maxEntries*entryBytes {
 		return "", received, errMalformed
 	}
@@ -126,7 +111,10 @@
 	if err = binary.Read(bytes.NewReader(m.Entries), binary.BigEndian, entries); err != nil {
 		return "", received, err
 	}
-	received = report{zone: m.Zone, recipients: m.Recipients, total: m.Total, usage: make(map[uint32]pipeline.Usage, len(entries))}
+	received = report{
+		zone: m.Zone, sameZoneRecipients: m.SameZoneRecipients, otherZoneRecipients: m.OtherZoneRecipients,
+		usage: make(map[uint32]pipeline.Usage, len(entries)),
+	}
 	for _, e := range entries {
 		received.usage[e.ID] = pipeline.Usage{
 			ReservedKV: float64(e.ReservedKV) * kvPerStep, WorkRate: float64(e.WorkRate) / stepsPerRate, FailedRecently: e.FailedRecently,
