Confirm an old configuration with the store at once

The store turned two of a zone's three machines away, both of them readers. The third took their changes, which they had from others, up to 1.1 s old; when these got older it left reading the store to others with two in three chances, and when it did read it, the watch waited half a second before it confirmed anything. Its configuration was up to 2.6 s old (bound 2 s).

Change: a reader's changes count only up to a quarter of a second above the watch interval (other instances' as before, where neither reader nor store can be used); content older than three intervals is always read from the store, and old content is confirmed by a watch that does not wait.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -36,8 +36,17 @@
 	fetchTimeout = 300 * time.Millisecond
 	// peerCooldown is how long a reader whose changes could not be fetched or were stale is not used again.
 	peerCooldown = 4 * time.Second
-	// freshMargin is how much the age of another instance's changes may exceed WatchInterval.
+	// minWatchWait is the wait of a watch that only asks for the changes so far.
+	minWatchWait = time.Millisecond
+	// readerMargin is how much the age of a reader's changes may exceed WatchInterval. A reader that the store turns away has
+	// its changes from others, which are older.
+	readerMargin = 250 * time.Millisecond
+	// freshMargin is how much the age of another instance's changes may exceed WatchInterval if neither the reader nor the store
+	// can be used.
 	freshMargin = 600 * time.Millisecond
+	// maxSkipIntervals times WatchInterval is the age of the content from which this instance does not leave reading the store to
+	// others.
+	maxSkipIntervals = 3
 	// minStoreBackoff is the minimum backoff after a failed call to the store, for instances that aren't readers.
 	minStoreBackoff = 1500 * time.Millisecond
 	// storeBackoffPerInstance times the number of live instances is the backoff after a failed call to the store. It
--- a/comfreyrail/internal/gateway/catalog/outage_test.go
+++ b/comfreyrail/internal/gateway/catalog/outage_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"context"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -60,6 +62,54 @@
 	}
 }
 
+// Guards against a change that takes effect too late at an instance whose zone's readers are turned away by the store: their
+// changes, which they have from other instances, are older each time they are passed on, and a watch of the store confirms
+// nothing while it waits. The content of an instance that reaches the store must always be less than two seconds old, with
+// watches twice a second.
+func TestReadersTurnedAwayDoNotDelayChanges(t *testing.T) {
+	const maxAge = 2 * time.Second
+	instances := fleetOf("a", "b", "c")
+	self := highestRanked(instances, len(instances))[len(instances)-1]
+	oldest := time.Duration(0)
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		fake := &fakeStore{}
+		for i, instance := range instances {
+			fake.items = append(fake.items, record(t, instance, uint64(i+1)))
+		}
+		c := newCatalog(fake, self)
+		c.config.Random = random.Float64
+		takes := func(d time.Duration) {
+			fake.now += d
+			if age, ok := c.Age(); ok {
+				oldest = max(oldest, age)
+			}
+		}
+		c.config.Watch = func(_ context.Context, _ string, _ uint64, wait time.Duration) (store.Changes, error) {
+			takes(wait + 5*time.Millisecond)
+			return store.Changes{Revision: 20}, nil
+		}
+		c.config.FetchChanges = func(context.Context, string, uint64) (Changes, error) {
+			takes(10 * time.Millisecond)
+			return Changes{Revision: 20, Age: time.Duration(500+random.IntN(900)) * time.Millisecond}, nil
+		}
+		refreshOnce(t, c, fake)
+		for fake.now < 20*time.Second {
+			start, before := fake.now, c.confirmedAt.Load()
+			refreshOnce(t, c, fake)
+			delay := retryDelay
+			if c.confirmedAt.Load() != before {
+				delay = max(c.config.WatchInterval-(fake.now-start), 0)
+			}
+			takes(delay)
+		}
+	}
+	if oldest >= maxAge {
+		t.Errorf("got content of age %v, want less than %v", oldest, maxAge)
+	}
+	t.Logf("oldest content %v", oldest)
+}
+
 // Guards against a removed server still getting requests although there was no outage.
 func TestServerRemovedImmediately(t *testing.T) {
 	fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1)}}
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -16,7 +16,7 @@
 func (c *Catalog) refresh(ctx context.Context) (age time.Duration, err error) {
 	if reader, ok := storeReader(c.availableInstances(), c.config.Self); ok && c.revision > 0 {
 		age, fetchErr := c.fetchFrom(ctx, reader)
-		if fetchErr == nil && age <= c.maxPeerAge() {
+		if fetchErr == nil && age <= c.config.WatchInterval+readerMargin {
 			return age, nil
 		}
 		c.cooldowns[reader.Name] = c.config.Elapsed() + peerCooldown
@@ -49,8 +49,12 @@
 const meanFallbackReads = 3.0
 
 // skipsStore reports whether this instance skips the store in this refresh. Instances that aren't assigned readers skip
-// it at random, so that on average meanFallbackReads of them read it.
+// it at random, so that on average meanFallbackReads of them read it. None does while its content is so old that a change could
+// take effect too late.
 func (c *Catalog) skipsStore() bool {
+	if age, ok := c.Age(); ok && age > maxSkipIntervals*c.config.WatchInterval {
+		return false
+	}
 	instances := c.Snapshot().Instances
 	_, hasReader := storeReader(instances, c.config.Self)
 	return hasReader && c.config.Random()*float64(len(instances)) >= meanFallbackReads
@@ -131,7 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.WatchInterval+callTimeout)
 	defer cancel()
-	changes, err := c.config.Watch(ctx, "", c.revision, c.config.WatchInterval)
+	changes, err := c.config.Watch(ctx, "", c.revision, c.watchWait())
 	if err != nil {
 		return err
 	}
@@ -140,6 +144,15 @@
 	return nil
 }
 
+// watchWait returns how long a watch waits for changes. If the content is old, as when this instance took it from others until
+// now, the store must confirm it at once.
+func (c *Catalog) watchWait() time.Duration {
+	if age, _ := c.Age(); age > c.config.WatchInterval+readerMargin {
+		return minWatchWait
+	}
+	return c.config.WatchInterval
+}
+
 func (c *Catalog) applyAll(items []store.Item) {
 	for _, item := range items {
 		c.apply(item)
