--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 LINT_DIR := $(shell go env GOPATH)/bin/comfreyrail-tools/$(LINT_VERSION)
 LINT := $(LINT_DIR)/golangci-lint
 
-.PHONY: build demo test race lint format format-check generate generate-check tidy-check clean
+.PHONY: build demo test regression race lint format format-check generate generate-check tidy-check clean
 
 build:
 	@mkdir -p build
@@ -23,6 +23,11 @@
 test:
 	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PACKAGES)
 
+# Plays the deployments of the regression runs on the users' bench: make regression FLEETBENCH=PROGRAM SITES="FILE..."
+regression:
+	@test -n "$(FLEETBENCH)" -a -n "$(SITES)" || { echo 'usage: make regression FLEETBENCH=PROGRAM SITES="FILE..."' >&2; exit 2; }
+	@for site in $(SITES); do $(FLEETBENCH) score "$$site" --quick --why "regression" || exit 1; done
+
 race:
 	go test -count=1 -race $(PACKAGES)
 
--- a/comfreyrail/internal/gateway/forward/held.go
+++ b/comfreyrail/internal/gateway/forward/held.go
@@ -16,6 +16,16 @@
 // relayBufferBytes is the size in bytes of the buffer through which a body is passed on.
 const relayBufferBytes = 4 << 10
 
+// heldResponse is a backend server's response that has been read up to limit.HeldBytes. Exactly one of deliver and discard
+// must be called.
+type heldResponse struct {
+	meta     call.Response
+	response *upstream.Response
+	body     *limit.Buffer
+	complete bool   // whether body is the whole body
+	ended    func() // called once the response has been delivered or discarded
+}
+
 // hold reads a response up to limit.HeldBytes, or less if no memory is left for more. If it fails, it discards the response.
 func (f *Forwarder) hold(response *upstream.Response, meta call.Response, ended func()) (held *heldResponse, err error) {
 	held = &heldResponse{meta: meta, response: response, body: limit.NewBuffer(f.config.ResponseMemory, limit.HeldBytes), ended: ended}
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -9,25 +9,13 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
-	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
-	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
 // errWrongRequest is the error of a response that carries the ID of another request.
 const errWrongRequest = errors.ConstError("the response belongs to another request")
 
-// heldResponse is a backend server's response that has been read up to limit.HeldBytes. Exactly one of deliver and discard
-// must be called.
-type heldResponse struct {
-	meta     call.Response
-	response *upstream.Response
-	body     *limit.Buffer
-	complete bool   // whether body is the whole body
-	ended    func() // called once the response has been delivered or discarded
-}
-
 // servePlain forwards a request to plain servers. It sends the response once it has been read whole, so that a failed attempt
 // can be retried at another server; a response that is larger than limit.HeldBytes is sent while it is read.
 func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, j *job) error {
