Say where a configuration came from and how long the content was unconfirmed

The log could not tell apart whether a late version came through the reader of the zone, from another instance or from the store, nor how large it was. "configuration in force" now has source, bytes and unconfirmed_ms, and the counters catalog.refresh.* count the refreshes by their source. No decision changes.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
@@ -78,6 +79,8 @@
 	// WatchInterval is the longest wait of a watch and the minimum time from its start to that of the next one, unless it
 	// fails.
 	WatchInterval time.Duration
+	// Metrics counts the refreshes by their source; nil means that nothing is counted.
+	Metrics metrics.Registry
 	// Random returns numbers in [0, 1); nil uses the global source.
 	Random func() float64
 	// Elapsed returns the reading of a monotonic clock that includes the time that the machine is suspended.
@@ -110,6 +113,7 @@
 	// The fields below are used only by the goroutine that runs Serve.
 
 	revision      uint64
+	source        source // where the changes that are being applied come from
 	index         *route.Index
 	servers       map[string]backend.Server
 	expiring      map[string]time.Duration // when to remove a server whose entry was removed in or after an outage, by ID
@@ -129,6 +133,9 @@
 	if config.Random == nil {
 		config.Random = rand.Float64
 	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewRegistry()
+	}
 	c := &Catalog{
 		config: config, servers: make(map[string]backend.Server), expiring: make(map[string]time.Duration), malformed: make(map[string]bool),
 		instances: make(map[string]Instance), cooldowns: make(map[string]time.Duration), changeLog: newChangeLog(),
@@ -155,6 +162,7 @@
 	for ctx.Err() == nil {
 		start := c.config.Elapsed()
 		age, err := c.refresh(ctx)
+		c.countRefresh(err)
 		delay := c.config.WatchInterval - (c.config.Elapsed() - start)
 		switch {
 		case err == nil:
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -15,6 +15,7 @@
 // the store. It returns store.ErrCompacted at once.
 func (c *Catalog) refresh(ctx context.Context) (age time.Duration, err error) {
 	if reader, ok := storeReader(c.availableInstances(), c.config.Self); ok && c.revision > 0 {
+		c.source = fromReader
 		age, fetchErr := c.fetchFrom(ctx, reader)
 		if fetchErr == nil && age <= c.config.WatchInterval+readerMargin {
 			return age, nil
@@ -25,6 +26,7 @@
 		}).Info("no fresh changes from the instance that reads the store")
 	}
 	if c.revision == 0 || !c.skipsStore() {
+		c.source = fromStore
 		if err = c.readWithBackoff(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
 			return 0, err
 		}
@@ -32,6 +34,7 @@
 		err = errStoreSkipped
 	}
 	if peer, ok := fallbackPeer(c.Snapshot().Instances, c.config.Self); ok {
+		c.source = fromPeer
 		age, fetchErr := c.fetchFrom(ctx, peer)
 		if fetchErr == nil && age <= c.maxPeerAge() {
 			return age, nil
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -85,7 +85,10 @@
 		return
 	}
 	c.index = route.New(config)
-	c.config.Log.WithFields(logrus.Fields{"version": config.Version, "routes": len(config.Routes)}).Info("configuration in force")
+	age, _ := c.Age()
+	c.config.Log.WithFields(logrus.Fields{
+		"version": config.Version, "routes": len(config.Routes), "bytes": len(item.Value), "source": string(c.source), "unconfirmed_ms": age.Milliseconds(),
+	}).Info("configuration in force")
 }
 
 // applyServer adds, replaces or removes a backend server and reports whether it has changed.
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -22,7 +22,8 @@
 	if err != nil {
 		return nil, err
 	}
-	catalog := provideCatalog(loaded, instance, store, entry)
+	registry := provideMetrics()
+	catalog := provideCatalog(loaded, instance, store, entry, registry)
 	leaseConfig := provideLeaseConfig(store, entry)
 	membership := placer.NewMembership(instance, leaseConfig)
 	engines := provideEngines()
@@ -30,7 +31,6 @@
 	server := provideMirror(loaded, catalog, entry)
 	processPeerUsage := providePeerUsage()
 	processMemoryBudgets := provideMemoryBudgets(loaded)
-	registry := provideMetrics()
 	client := provideUpstream(processMemoryBudgets, registry)
 	budgets := provideBudgets(loaded, catalog)
 	forwarder := provideForwarder(loaded, catalog, processPeerUsage, client, engines, budgets, processMemoryBudgets, entry, registry)
