Read the store before others are asked while the content is old

Callers saw: a configuration that was acknowledged more than the allowed time ago was not in force at single instances (rule CONFIG), with the store sound.

Cause: ages added up along a chain of instances. One answer of the zone's reader that was slightly too old put it aside for 4 s; the next in rank took its place, though it has its own changes from the first, so its answers were older still, and so on through the zone. Meanwhile the store was read by three instances by lot, the others only once their content was older than three quarters of the allowed delay, after another fetch and another pause.

Change: content older than two and a half intervals is old; then the store is read first, and a pause after a skipped store ends there. A reader is put aside only if it does not respond or is old itself. Readers watch twice in an interval. Reads of instances that aren't readers do not wait.

TestConfigInForceInTimeBesideSilentInstances failed before (2.16 to 2.19 s of 2 s) and passes.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -42,12 +42,15 @@
 	// readerMargin is how much the age of a reader's changes may exceed WatchInterval. A reader that the store turns away has
 	// its changes from others, which are older.
 	readerMargin = 250 * time.Millisecond
-	// freshMargin is how much the age of another instance's changes may exceed WatchInterval if neither the reader nor the store
-	// can be used.
-	freshMargin = 600 * time.Millisecond
-	// maxSkipIntervals times WatchInterval is the age of the content from which this instance does not leave reading the store to
-	// others.
-	maxSkipIntervals = 3
+	// readerWatches is the number of watches of a reader in WatchInterval. Its changes are thus fresh for the others also if
+	// nothing changes and each watch waits to its end.
+	readerWatches = 2
+	// freshIntervals times WatchInterval is the maximum age of a random other instance's changes if neither the reader nor the
+	// store can be used.
+	freshIntervals = 1.5
+	// oldIntervals times WatchInterval is the age from which content is old, so that the store must be read before others are
+	// asked. WatchInterval is a quarter of the delay within which a change must take effect.
+	oldIntervals = 2.5
 	// minStoreBackoff is the minimum backoff after a failed call to the store, for instances that aren't readers.
 	minStoreBackoff = 1500 * time.Millisecond
 	// storeBackoffPerInstance times the number of live instances is the backoff after a failed call to the store. It
@@ -163,7 +166,7 @@
 		start := c.config.Elapsed()
 		age, err := c.refresh(ctx)
 		c.countRefresh(err)
-		delay := c.config.WatchInterval - (c.config.Elapsed() - start)
+		delay := c.refreshInterval() - (c.config.Elapsed() - start)
 		switch {
 		case err == nil:
 			c.recordConfirmed(start - age)
@@ -172,7 +175,7 @@
 			c.revision = 0
 			delay = 0
 		case errors.Is(err, errStoreSkipped):
-			delay = retryDelay
+			delay = c.skippedDelay()
 		default:
 			c.recordFailure(ctx, err)
 			delay = retryDelay
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -11,21 +11,17 @@
 )
 
 // refresh applies new changes and returns their age. It tries the reader that this instance is assigned to, then the
-// store, then a random other instance. If all fail, it returns the error of the store, or errStoreSkipped if it skipped
-// the store. It returns store.ErrCompacted at once.
+// store, then a random other instance. While its content is old, the store comes first: the reader may have its changes
+// from others, and reading the store must not wait until another source has failed. If all fail, it returns the error of
+// the store, or errStoreSkipped if it skipped the store. It returns store.ErrCompacted at once.
 func (c *Catalog) refresh(ctx context.Context) (age time.Duration, err error) {
-	if reader, ok := storeReader(c.availableInstances(), c.config.Self); ok && c.revision > 0 {
-		c.source = fromReader
-		age, fetchErr := c.fetchFrom(ctx, reader)
-		if fetchErr == nil && age <= c.config.WatchInterval+readerMargin {
+	storeFirst := c.mustReadStore()
+	if !storeFirst {
+		if age, ok := c.refreshFromReader(ctx); ok {
 			return age, nil
 		}
-		c.cooldowns[reader.Name] = c.config.Elapsed() + peerCooldown
-		c.config.Log.WithError(fetchErr).WithFields(logrus.Fields{
-			"reader": reader.Name, "age": age.String(),
-		}).Info("no fresh changes from the instance that reads the store")
 	}
-	if c.revision == 0 || !c.skipsStore() {
+	if storeFirst || c.mustReadStore() || !c.skipsStore() {
 		c.source = fromStore
 		if err = c.readWithBackoff(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
 			return 0, err
@@ -33,6 +29,11 @@
 	} else {
 		err = errStoreSkipped
 	}
+	if storeFirst && c.revision > 0 {
+		if age, ok := c.refreshFromReader(ctx); ok {
+			return age, nil
+		}
+	}
 	if peer, ok := fallbackPeer(c.Snapshot().Instances, c.config.Self); ok {
 		c.source = fromPeer
 		age, fetchErr := c.fetchFrom(ctx, peer)
@@ -43,6 +44,46 @@
 	return 0, err
 }
 
+// mustReadStore reports whether this instance has no content, or content so old that a change could take effect too late if
+// it waited for others.
+func (c *Catalog) mustReadStore() bool {
+	age, ok := c.Age()
+	return c.revision == 0 || ok && age > c.oldAge()
+}
+
+// oldAge returns the age from which content counts as old.
+func (c *Catalog) oldAge() time.Duration {
+	return time.Duration(oldIntervals * float64(c.config.WatchInterval))
+}
+
+// skippedDelay returns the pause after a refresh that skipped the store. It ends when the content becomes old.
+func (c *Catalog) skippedDelay() time.Duration {
+	age, _ := c.Age()
+	return max(min(retryDelay, c.oldAge()-age), 0)
+}
+
+// refreshFromReader applies new changes of the reader that this instance is assigned to, and returns their age; it returns
+// false if there is no reader or if its changes are not fresh. A reader that does not respond, or has old content itself, is
+// not used again until its cooldown ends.
+func (c *Catalog) refreshFromReader(ctx context.Context) (age time.Duration, ok bool) {
+	reader, ok := storeReader(c.availableInstances(), c.config.Self)
+	if !ok {
+		return 0, false
+	}
+	c.source = fromReader
+	age, err := c.fetchFrom(ctx, reader)
+	if err == nil && age <= c.config.WatchInterval+readerMargin {
+		return age, true
+	}
+	if err != nil && !errors.Is(err, errPeerBehind) || age > c.oldAge() {
+		c.cooldowns[reader.Name] = c.config.Elapsed() + peerCooldown
+	}
+	c.config.Log.WithError(err).WithFields(logrus.Fields{
+		"reader": reader.Name, "age": age.String(),
+	}).Info("no fresh changes from the instance that reads the store")
+	return 0, false
+}
+
 // errStoreSkipped means that this instance did not call the store in this refresh, so that only a few instances call it.
 // Serve tries again after retryDelay.
 const errStoreSkipped = errors.ConstError("store skipped in favor of other instances")
@@ -52,12 +93,8 @@
 const meanFallbackReads = 3.0
 
 // skipsStore reports whether this instance skips the store in this refresh. Instances that aren't assigned readers skip
-// it at random, so that on average meanFallbackReads of them read it. None does while its content is so old that a change could
-// take effect too late.
+// it at random, so that on average meanFallbackReads of them read it.
 func (c *Catalog) skipsStore() bool {
-	if age, ok := c.Age(); ok && age > maxSkipIntervals*c.config.WatchInterval {
-		return false
-	}
 	instances := c.Snapshot().Instances
 	_, hasReader := storeReader(instances, c.config.Self)
 	return hasReader && c.config.Random()*float64(len(instances)) >= meanFallbackReads
@@ -75,8 +112,25 @@
 	return available
 }
 
+// isReader reports whether this instance reads the store for its zone, because it is assigned to or in place of a reader that
+// has a cooldown.
+func (c *Catalog) isReader() bool {
+	_, hasReader := storeReader(c.availableInstances(), c.config.Self)
+	return !hasReader
+}
+
+// refreshInterval returns the time from the start of a refresh that succeeds to that of the next one.
+func (c *Catalog) refreshInterval() time.Duration {
+	if c.isReader() {
+		return c.config.WatchInterval / readerWatches
+	}
+	return c.config.WatchInterval
+}
+
 // maxPeerAge returns the maximum age at which another instance's changes count as fresh.
-func (c *Catalog) maxPeerAge() time.Duration { return c.config.WatchInterval + freshMargin }
+func (c *Catalog) maxPeerAge() time.Duration {
+	return time.Duration(freshIntervals * float64(c.config.WatchInterval))
+}
 
 // fetchFrom fetches the changes after the known revision from another instance, applies them and returns their age.
 func (c *Catalog) fetchFrom(ctx context.Context, peer Instance) (age time.Duration, err error) {
@@ -136,9 +190,10 @@
 	if c.revision == 0 {
 		return c.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.config.WatchInterval+callTimeout)
+	wait := c.watchWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	changes, err := c.config.Watch(ctx, "", c.revision, c.watchWait())
+	changes, err := c.config.Watch(ctx, "", c.revision, wait)
 	if err != nil {
 		return err
 	}
@@ -147,13 +202,13 @@
 	return nil
 }
 
-// watchWait returns how long a watch waits for changes. If the content is old, as when this instance took it from others until
-// now, the store must confirm it at once.
+// watchWait returns how long a watch waits for changes. A watch that waits confirms the content only as of its start, so a
+// reader waits for a part of WatchInterval, and no one waits whose content is to be confirmed at once.
 func (c *Catalog) watchWait() time.Duration {
-	if age, _ := c.Age(); age > c.config.WatchInterval+readerMargin {
+	if age, _ := c.Age(); age > c.config.WatchInterval+readerMargin || !c.isReader() {
 		return minWatchWait
 	}
-	return c.config.WatchInterval
+	return c.config.WatchInterval / readerWatches
 }
 
 func (c *Catalog) applyAll(items []store.Item) {
