Read large values from the store rather than from the reader of the zone

Cause: the reader of a zone sent the whole configuration, 470 KiB with 1,893 routes, to each of up to 23 instances over a link of 20 Mbit/s, which takes 0.2 s each; every fetch was given up after 0.3 s and its bytes were lost, and callers' responses waited behind them. Notification and transfer of the content shared one path whose capacity does not grow with the fleet.

Change: an instance asks others only for values of 16 KiB at most while the store responds to it. They name the larger ones, and the instance reads these from the store. While its last call to the store has failed it asks for values of any size; an instance sends two such responses at a time and refuses more. Instances of the old build ignore the limit and send everything; requests without a limit get everything.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -35,6 +35,11 @@
 	retryDelay = 250 * time.Millisecond
 	// fetchTimeout is the timeout of fetching changes from another instance.
 	fetchTimeout = 300 * time.Millisecond
+	// fetchAllTimeout is the timeout of fetching changes with values of any size from another instance.
+	fetchAllTimeout = time.Second
+	// maxFetchedValue is the maximum size in bytes of a value that an instance fetches from another one while the store responds to
+	// it. An instance may send its changes to all of its zone over a narrow link, so larger values are read from the store.
+	maxFetchedValue = 16 << 10
 	// peerCooldown is how long a reader whose changes could not be fetched or were stale is not used again.
 	peerCooldown = 4 * time.Second
 	// minWatchWait is the wait of a watch that only asks for the changes so far.
@@ -67,8 +72,10 @@
 	Range func(ctx context.Context, prefix, after string) (store.Page, error)
 	// Watch waits up to the given time for changes after a revision and returns them.
 	Watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Changes, error)
-	// FetchChanges fetches the changes after a revision from the instance at the address.
-	FetchChanges func(ctx context.Context, address string, after uint64) (Changes, error)
+	// Get returns the item with the key, or store.ErrNotFound.
+	Get func(ctx context.Context, key string) (store.Item, error)
+	// FetchChanges fetches changes from the instance at the address.
+	FetchChanges func(ctx context.Context, address string, request ChangesRequest) (Changes, error)
 	// Self is the record of this instance.
 	Self Instance
 	// ConfigKey is the key of the configuration.
@@ -210,13 +217,13 @@
 	}
 }
 
-// Changes returns the changes after a revision for another instance, and false if the store has not been read yet.
-func (c *Catalog) Changes(after uint64) (changes Changes, ok bool) {
+// Changes returns the changes that another instance asks for, and false if the store has not been read yet.
+func (c *Catalog) Changes(request ChangesRequest) (changes Changes, ok bool) {
 	age, ok := c.Age()
 	if !ok {
 		return changes, false
 	}
-	changes = c.changeLog.since(after)
+	changes = c.changeLog.since(request)
 	changes.Age = age
 	return changes, changes.Revision > 0
 }
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -54,7 +54,7 @@
 			}
 			return store.Changes{Items: fake.changes, Revision: revision}, fake.err
 		},
-		FetchChanges: func(_ context.Context, address string, _ uint64) (Changes, error) {
+		FetchChanges: func(_ context.Context, address string, _ ChangesRequest) (Changes, error) {
 			fake.fetchedFrom = append(fake.fetchedFrom, address)
 			return fake.peerChanges, fake.peerErr
 		},
@@ -260,7 +260,7 @@
 func TestChangesOmitHeartbeats(t *testing.T) {
 	fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
 	c := newCatalog(fake, Instance{Name: "a"})
-	if _, ok := c.Changes(0); ok {
+	if _, ok := c.Changes(ChangesRequest{}); ok {
 		t.Error("got changes before the first read of the store, want none")
 	}
 	refreshOnce(t, c, fake)
@@ -276,7 +276,7 @@
 		{22, false, nil},
 	}
 	for _, test := range tests {
-		changes, ok := c.Changes(test.after)
+		changes, ok := c.Changes(ChangesRequest{After: test.after})
 		var got []string
 		for _, item := range changes.Items {
 			got = append(got, item.Key)
--- a/comfreyrail/internal/gateway/catalog/changes.go
+++ b/comfreyrail/internal/gateway/catalog/changes.go
@@ -7,10 +7,20 @@
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
+// ChangesRequest asks an instance for changes of the store.
+type ChangesRequest struct {
+	// After is the revision after which changes are asked for; zero asks for the whole content.
+	After uint64
+	// MaxValueBytes is the maximum size in bytes of a value that is sent; zero means no limit.
+	MaxValueBytes int
+}
+
 // Changes holds changes of the store that one instance sends to another.
 type Changes struct {
 	// Items lists the changed items; removed ones have Deleted set.
 	Items []store.Item
+	// Omitted lists the keys of the changed items whose values exceed the limit of the request; Items does not list these.
+	Omitted []string
 	// Revision is the revision of the store up to which the changes are complete.
 	Revision uint64
 	// Age is the time since the store confirmed them to the sender.
@@ -101,17 +111,23 @@
 	l.revision = max(l.revision, revision)
 }
 
-// since returns the changes after a revision. It returns all items if the revision is zero or if removals since then may
-// have been discarded.
-func (l *changeLog) since(after uint64) (changes Changes) {
+// since returns the changes that a request asks for. It returns all items if the request does, or if removals since its
+// revision may have been discarded.
+func (l *changeLog) since(request ChangesRequest) (changes Changes) {
+	after := request.After
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changes.Revision = l.revision
 	changes.All = after == 0 || after < l.compactRevision
 	for _, entry := range l.items {
-		if changes.All || entry.changedAt > after {
-			changes.Items = append(changes.Items, entry.item)
+		if !changes.All && entry.changedAt <= after {
+			continue
+		}
+		if request.MaxValueBytes > 0 && len(entry.item.Value) > request.MaxValueBytes {
+			changes.Omitted = append(changes.Omitted, entry.item.Key)
+			continue
 		}
+		changes.Items = append(changes.Items, entry.item)
 	}
 	if changes.All {
 		return changes
--- a/comfreyrail/internal/gateway/catalog/fleet_test.go
+++ b/comfreyrail/internal/gateway/catalog/fleet_test.go
@@ -92,6 +92,7 @@
 		Watch: func(ctx context.Context, _ string, after uint64, wait time.Duration) (store.Changes, error) {
 			return f.watch(ctx, address, after, wait)
 		},
+		Get:          func(ctx context.Context, key string) (store.Item, error) { return f.get(ctx, address, key) },
 		FetchChanges: f.fetchChanges,
 		Self:         self, ConfigKey: "config",
 		DecodeConfig: func(value []byte) (config route.Config, err error) {
@@ -155,6 +156,13 @@
 	return page, f.callStore(ctx, address, page.Items)
 }
 
+func (f *simFleet) get(ctx context.Context, address, key string) (item store.Item, err error) {
+	f.mu.Lock()
+	item = f.items[key]
+	f.mu.Unlock()
+	return item, f.callStore(ctx, address, []store.Item{item})
+}
+
 func (f *simFleet) watch(ctx context.Context, address string, after uint64, wait time.Duration) (changes store.Changes, err error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -181,7 +189,7 @@
 	}
 }
 
-func (f *simFleet) fetchChanges(ctx context.Context, address string, after uint64) (changes Changes, err error) {
+func (f *simFleet) fetchChanges(ctx context.Context, address string, request ChangesRequest) (changes Changes, err error) {
 	time.Sleep(peerLatency)
 	f.mu.Lock()
 	silent, link := f.silent[address], f.links[address]
@@ -190,7 +198,7 @@
 		<-ctx.Done()
 		return changes, ctx.Err()
 	}
-	changes, ok := f.catalogs[address].Changes(after)
+	changes, ok := f.catalogs[address].Changes(request)
 	if !ok {
 		return changes, errDown
 	}
--- a/comfreyrail/internal/gateway/catalog/outage_test.go
+++ b/comfreyrail/internal/gateway/catalog/outage_test.go
@@ -89,7 +89,7 @@
 			takes(wait + 5*time.Millisecond)
 			return store.Changes{Revision: 20}, nil
 		}
-		c.config.FetchChanges = func(context.Context, string, uint64) (Changes, error) {
+		c.config.FetchChanges = func(context.Context, string, ChangesRequest) (Changes, error) {
 			takes(10 * time.Millisecond)
 			return Changes{Revision: 20, Age: time.Duration(500+random.IntN(900)) * time.Millisecond}, nil
 		}
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -219,7 +219,7 @@
 			<-ctx.Done()
 			return store.Changes{}, ctx.Err()
 		},
-		FetchChanges: func(context.Context, string, uint64) (catalog.Changes, error) {
+		FetchChanges: func(context.Context, string, catalog.ChangesRequest) (catalog.Changes, error) {
 			return catalog.Changes{}, store.ErrUnavailable
 		},
 		ConfigKey:    "config",
--- a/comfreyrail/internal/gateway/mirror/mirror.go
+++ b/comfreyrail/internal/gateway/mirror/mirror.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
+	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
 // changesPath is the URL path of the request for changes.
@@ -27,23 +29,33 @@
 	requestTimeout = 2 * time.Second
 	// idleTimeout is how long a connection stays open without a request.
 	idleTimeout = 30 * time.Second
+	// largeValue is the size in bytes from which a value counts as large.
+	largeValue = 16 << 10
+	// maxLargeResponses is the maximum number of responses with large values that are sent at the same time. More would share the
+	// link, and all of them would reach their timeout.
+	maxLargeResponses = 2
 )
 
 // Config configures a Server.
 type Config struct {
 	// Listen is the host and port to listen on.
 	Listen string
-	// Changes returns the changes after a revision, and false if the store has not been read yet.
-	Changes func(after uint64) (catalog.Changes, bool)
+	// Changes returns the changes that an instance asks for, and false if the store has not been read yet.
+	Changes func(request catalog.ChangesRequest) (catalog.Changes, bool)
 	// Log is the logger.
 	Log *logrus.Entry
 }
 
 // Server serves the changes to other instances over HTTP.
-type Server struct{ config Config }
+type Server struct {
+	config         Config
+	largeResponses chan struct{} // holds an element for each response with a large value that is being sent
+}
 
 // New returns a Server, which listens once Serve is called.
-func New(config Config) *Server { return &Server{config: config} }
+func New(config Config) *Server {
+	return &Server{config: config, largeResponses: make(chan struct{}, maxLargeResponses)}
+}
 
 // Serve serves requests until the context ends.
 func (s *Server) Serve(ctx context.Context) (err error) {
@@ -60,16 +72,25 @@
 }
 
 func (s *Server) serveChanges(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	request, err := parseRequest(r.URL.Query())
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	changes, ok := s.config.Changes(after)
+	changes, ok := s.config.Changes(request)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if hasLargeValue(changes.Items) {
+		select {
+		case s.largeResponses <- struct{}{}:
+			defer func() { <-s.largeResponses }()
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	content, err := cbor.Marshal(changes)
 	if err != nil {
 		s.config.Log.WithError(err).Error("cannot encode the changes")
@@ -82,16 +103,45 @@
 	}
 }
 
+func hasLargeValue(items []store.Item) bool {
+	return slices.ContainsFunc(items, func(item store.Item) bool { return len(item.Value) > largeValue })
+}
+
+// Names of the parameters of a request for changes.
+const (
+	afterParameter    = "after"
+	maxValueParameter = "max" // missing or zero means values of any size
+)
+
+func parseRequest(query url.Values) (request catalog.ChangesRequest, err error) {
+	defer errors.DeferredAnnotatef(&err, "request for changes")
+	if request.After, err = strconv.ParseUint(query.Get(afterParameter), 10, 64); err != nil {
+		return request, err
+	}
+	if text := query.Get(maxValueParameter); text != "" {
+		request.MaxValueBytes, err = strconv.Atoi(text)
+	}
+	return request, err
+}
+
+func encodeRequest(request catalog.ChangesRequest) string {
+	query := url.Values{afterParameter: {strconv.FormatUint(request.After, 10)}}
+	if request.MaxValueBytes > 0 {
+		query.Set(maxValueParameter, strconv.Itoa(request.MaxValueBytes))
+	}
+	return query.Encode()
+}
+
 // Client fetches changes from other instances.
 type Client struct{ http *http.Client }
 
 // NewClient returns a Client that sends its requests through the given HTTP client.
 func NewClient(client *http.Client) *Client { return &Client{http: client} }
 
-// FetchChanges fetches the changes after a revision from the instance at the address.
-func (c *Client) FetchChanges(ctx context.Context, address string, after uint64) (changes catalog.Changes, err error) {
+// FetchChanges fetches changes from the instance at the address.
+func (c *Client) FetchChanges(ctx context.Context, address string, wanted catalog.ChangesRequest) (changes catalog.Changes, err error) {
 	defer errors.DeferredAnnotatef(&err, "fetch changes from %s", address)
-	target := url.URL{Scheme: "http", Host: address, Path: changesPath, RawQuery: "after=" + strconv.FormatUint(after, 10)}
+	target := url.URL{Scheme: "http", Host: address, Path: changesPath, RawQuery: encodeRequest(wanted)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return changes, err
--- a/comfreyrail/internal/gateway/placer/placer_test.go
+++ b/comfreyrail/internal/gateway/placer/placer_test.go
@@ -119,7 +119,7 @@
 			<-ctx.Done()
 			return store.Changes{}, ctx.Err()
 		},
-		FetchChanges: func(context.Context, string, uint64) (catalog.Changes, error) {
+		FetchChanges: func(context.Context, string, catalog.ChangesRequest) (catalog.Changes, error) {
 			return catalog.Changes{}, errNoResponse
 		},
 		ConfigKey: "config",
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -121,7 +121,7 @@
 
 func provideCatalog(cfg settings.Gateway, self catalog.Instance, store *platform.Store, log *logrus.Entry, registry metrics.Registry) *catalog.Catalog {
 	return catalog.New(catalog.Config{
-		Range: store.Range, Watch: store.Watch, FetchChanges: mirror.NewClient(newHTTPClient(maxIdlePeerConns)).FetchChanges,
+		Range: store.Range, Get: store.Get, Watch: store.Watch, FetchChanges: mirror.NewClient(newHTTPClient(maxIdlePeerConns)).FetchChanges,
 		Self: self, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		ServerID: platform.ServerID, DecodeServer: platform.DecodeServer, WatchInterval: time.Duration(cfg.Store.WatchInterval),
 		Elapsed: clock.Monotonic, Log: log, Metrics: registry,
