Give removals found by reading everything the revision of that read

Found while looking for the cause of late configurations elsewhere. After a compaction the reader of a zone reads everything and finds which entries are gone. It recorded each removal one revision after the entry's last change, so an instance that knew a later revision was never told, and kept the server until its own full read: requests would go to a server that has left (rule DRAIN). The removal now has the revision of the read.

--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -145,7 +145,7 @@
 		return 0, err
 	}
 	if changes.All {
-		c.replaceAll(changes.Items)
+		c.replaceAll(changes.Items, changes.Revision)
 	} else {
 		c.applyAll(changes.Items)
 	}
@@ -276,7 +276,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	c.replaceAll(items)
+	c.replaceAll(items, firstRevision)
 	c.revision = firstRevision
 	c.advance(firstRevision)
 	return nil
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -10,8 +10,9 @@
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
-// replaceAll applies the items as the whole content of the store and removes all others.
-func (c *Catalog) replaceAll(items []store.Item) {
+// replaceAll applies the items as the whole content of the store at a revision and removes all others. The removals get that
+// revision, since other instances may know all changes up to an earlier one.
+func (c *Catalog) replaceAll(items []store.Item, revision uint64) {
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
@@ -19,7 +20,7 @@
 	}
 	for _, key := range c.changeLog.keys() {
 		if !present[key] {
-			c.apply(store.Item{Key: key, Revision: c.changeLog.revisionOf(key) + 1, Deleted: true})
+			c.apply(store.Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
 }
