--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -34,6 +34,8 @@
 type server struct {
 	id, address string
 	respond     func(conn net.Conn, request *http.Request, n int)
+	listener    net.Listener
+	card        string // kind of accelerator if the server is an engine, which then holds layer 0
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -46,7 +48,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &server{id: id, address: listener.Addr().String(), respond: respond}
+	s := &server{id: id, address: listener.Addr().String(), respond: respond, listener: listener}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -76,6 +78,15 @@
 	}
 }
 
+// entry returns the server as it is listed.
+func (s *server) entry() backend.Server {
+	listed := backend.Server{ID: s.id, Service: "app", Address: s.address, Slots: 4, Card: s.card}
+	if s.card != "" {
+		listed.Layers = backend.Range{To: 1}
+	}
+	return listed
+}
+
 func (s *server) received() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,7 +213,7 @@
 	t.Helper()
 	items := []store.Item{{Key: "config", Revision: 1}}
 	for i, s := range servers {
-		value, err := json.Marshal(backend.Server{ID: s.id, Service: "app", Address: s.address, Slots: 4})
+		value, err := json.Marshal(s.entry())
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// Parts of the prompts of the tests.
+const (
+	sharedPart   = "5c1e07a2:40"
+	poisonedPart = "91bd3f06:165"
+)
+
+// crashingEngines returns engines of a model of one layer that crash when they begin an answer to a prompt with poisonedPart. It
+// counts the crashes.
+func crashingEngines(t *testing.T, count int, crashes *atomic.Int32) (engines []*server) {
+	t.Helper()
+	for i := range count {
+		engine := newServer(t, fmt.Sprintf("engine%d", i), nil)
+		engine.card = "card"
+		engine.respond = func(conn net.Conn, request *http.Request, _ int) {
+			writeStreamHeader(conn, request)
+			if strings.Contains(request.Header.Get("Prefix"), poisonedPart) {
+				crashes.Add(1)
+				_ = engine.listener.Close()
+				_ = conn.Close()
+				return
+			}
+			writeEvent(conn, 1, "text")
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+		engines = append(engines, engine)
+	}
+	return engines
+}
+
+// useEngines makes the service one of engines.
+func useEngines(config *route.Config) {
+	config.Services[0].Engine = &backend.EngineSpec{
+		Layers: 1, LayerMB: 1, KVTokenBytes: 1, StepsPerPass: 1, MeanOutputTokens: 1, Cards: []backend.Card{{Name: "card", MemoryMB: 1000, DecodeFactor: 1, PrefillFactor: 1}},
+	}
+}
+
+// sendPrompt sends a request with the parts of a prompt and reports whether the answer had an event and was complete.
+func (g *gateway) sendPrompt(t *testing.T, id string, parts ...string) bool {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.url+"/stream/", strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", id)
+	request.Header.Set("Prefix", strings.Join(parts, ","))
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return err == nil && strings.Contains(string(content), "data: text")
+}
+
+// Guards against a prompt part that crashes each engine which begins an answer to it: request after request with it is sent to
+// the engines that are left, and none remains for sound requests that share the other parts.
+func TestPoisonedPromptCrashesFewEngines(t *testing.T) {
+	const (
+		requests = 15
+		// maxCrashes is the number of crashes after which the part must be known, and three more.
+		maxCrashes = 5 + 3
+	)
+	var crashes atomic.Int32
+	g := newGateway(t, useEngines, crashingEngines(t, 2*requests+1, &crashes)...)
+	for i := range requests {
+		g.sendPrompt(t, fmt.Sprintf("poisoned%d", i), sharedPart, poisonedPart, fmt.Sprintf("aa%d:100", i))
+		id := fmt.Sprintf("sound%d", i)
+		if !g.sendPrompt(t, id, sharedPart, fmt.Sprintf("bb%d:100", i)) {
+			t.Errorf("got %s refused or failed, want every sound request served", id)
+		}
+	}
+	if got := int(crashes.Load()); got > maxCrashes {
+		t.Errorf("got %d engines crashed, want %d at most", got, maxCrashes)
+	}
+}
