Run the test of shared probes in virtual time

It failed once, in a run beside nothing else: got 5 probes without permits, want 4. The test took all permits away and then expected no probe, but the rate limit grants a new permit every 7 ms of real time, so a slow run allows one. The limit itself was kept.

--- a/comfreyrail/internal/gateway/forward/liveness_test.go
+++ b/comfreyrail/internal/gateway/forward/liveness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
@@ -98,22 +99,24 @@
 // Guards against an overload of probes when many requests stall at the same time: they share the results of the probes, and
 // the rate limit is never exceeded.
 func TestLivenessProbesAreShared(t *testing.T) {
-	var probes atomic.Int32
-	f, j, a := newStreamAttempt(t, func(string) (backend.State, error) { return backend.State{}, nil }, &probes)
-	for range 50 {
+	synctest.Test(t, func(t *testing.T) {
+		var probes atomic.Int32
+		f, j, a := newStreamAttempt(t, func(string) (backend.State, error) { return backend.State{}, nil }, &probes)
+		for range 50 {
+			f.findFaultyStage(context.Background(), j, a, 0)
+		}
+		if got, want := int(probes.Load()), len(a.chain); got != want {
+			t.Errorf("got %d probes for 50 checks within livenessTTL, want %d", got, want)
+		}
+		f.liveness.permits = 0
+		for _, stage := range a.chain {
+			delete(f.liveness.results, stage.Server.ID)
+		}
 		f.findFaultyStage(context.Background(), j, a, 0)
-	}
-	if got, want := int(probes.Load()), len(a.chain); got != want {
-		t.Errorf("got %d probes for 50 checks within livenessTTL, want %d", got, want)
-	}
-	f.liveness.permits = 0
-	for _, stage := range a.chain {
-		delete(f.liveness.results, stage.Server.ID)
-	}
-	f.findFaultyStage(context.Background(), j, a, 0)
-	if got, want := int(probes.Load()), len(a.chain); got != want {
-		t.Errorf("got %d probes without permits, want no more than %d", got, want)
-	}
+		if got, want := int(probes.Load()), len(a.chain); got != want {
+			t.Errorf("got %d probes without permits, want no more than %d", got, want)
+		}
+	})
 }
 
 // Once one attempt has found an engine dead, all attempts must treat it as dead without another probe.
