Do not send prompts with a part under which engines crash

Cause: nothing related a crash to what the requests hold. Each was sent to two engines, at every instance, without end.

Change: rail/poison decides, without network: a part is poisoned once three engines have crashed while requests with it waited for the begin of their answers, unless an answer to a prompt with it began at about that time or later. If other parts explain all its crashes as well, only requests with all of them are blocked, so that sound requests which share the first part go on. Package quarantine confirms a crash (the engine refuses connections), shares what the instance saw through the store under a lease of six minutes, which outlives a restart of the instance, and the forwarder refuses blocked requests at once, with 503 and Retry-After if none was sent. A stream that ends with its connection, without length, chunks or any event, is no longer passed on as complete: a crash looks the same.

TestPoisonedPromptCrashesFewEngines failed before (30 engines crashed, 8 are allowed) and passes; TestUnframedStreamWithoutEventsIsBrokenOff fails without its check.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -22,6 +23,8 @@
 	Root = "comfreyrail/"
 	// InstancePrefix is the prefix of the keys of the live instances' records; the rest of a key is the instance's name.
 	InstancePrefix = Root + "instance/"
+	// CrashReportPrefix is the prefix of the keys of the instances' crash reports; the rest of a key is the instance's name.
+	CrashReportPrefix = Root + "crash/"
 	// PlacerKey is the key of the item that the placer stores under its lease. The placer is the instance that assigns layers
 	// to engines.
 	PlacerKey = Root + "placer"
@@ -109,6 +112,9 @@
 	Instances []Instance
 	// Placer is the item of the placer; its revision is zero if no instance is the placer.
 	Placer store.Item
+	// CrashReports holds the crash reports of the instances by their names; it is the same map as in the previous snapshot if
+	// none has changed.
+	CrashReports map[string]poison.Report
 	// Sequence is the number of this snapshot; each snapshot's is one greater than that of the previous one.
 	Sequence uint64
 }
@@ -130,9 +136,10 @@
 	malformed     map[string]bool          // IDs of servers whose malformed entries were logged
 	instances     map[string]Instance
 	placer        store.Item
-	unpublished   bool // whether the state has changed since the last snapshot
-	upToDate      bool // whether a refresh succeeded and none failed since, not counting store.ErrCompacted and errStoreSkipped
-	hadOutage     bool // whether a refresh failed after an earlier one had succeeded
+	crashReports  map[string]poison.Report // replaced, not changed
+	unpublished   bool                     // whether the state has changed since the last snapshot
+	upToDate      bool                     // whether a refresh succeeded and none failed since, not counting store.ErrCompacted and errStoreSkipped
+	hadOutage     bool                     // whether a refresh failed after an earlier one had succeeded
 	upToDateSince time.Duration
 	storeFailedAt time.Duration            // when the last read of the store failed, zero if it succeeded
 	cooldowns     map[string]time.Duration // time by instance name until which it is not used as a reader
@@ -231,7 +238,7 @@
 // publish publishes a snapshot of the current state.
 func (c *Catalog) publish() {
 	snapshot := &Snapshot{
-		Index: c.index, Servers: make(map[string][]backend.Server), Placer: c.placer,
+		Index: c.index, Servers: make(map[string][]backend.Server), Placer: c.placer, CrashReports: c.crashReports,
 	}
 	if previous := c.published.Load(); previous != nil {
 		snapshot.Sequence = previous.Sequence + 1
--- /dev/null
+++ b/comfreyrail/internal/gateway/catalog/crash_report_test.go
@@ -0,0 +1,29 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/poison"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// Guards against crash reports that are lost, kept after their end, or read from a malformed item.
+func TestCrashReports(t *testing.T) {
+	value, err := poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fake := &fakeStore{now: time.Minute, items: []store.Item{item(CrashReportPrefix+"x", string(value), 3), item(CrashReportPrefix+"y", "no report", 4)}}
+	c := newCatalog(fake, Instance{Name: "a"})
+	refreshOnce(t, c, fake)
+	got := c.Snapshot().CrashReports
+	if len(got) != 1 || len(got["x"].Crashes) != 1 || got["x"].Crashes[0].Engine != "one" {
+		t.Errorf("got %+v, want the valid report", got)
+	}
+	fake.changes = []store.Item{removed(CrashReportPrefix+"x", 20)}
+	refreshOnce(t, c, fake)
+	if now := c.Snapshot().CrashReports; len(now) != 0 || len(got) != 1 {
+		t.Errorf("got %+v after the removal and %+v before, want none and a map that does not change", now, got)
+	}
+}
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -1,11 +1,13 @@
 package catalog
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -50,6 +52,9 @@
 	case strings.HasPrefix(item.Key, InstancePrefix):
 		c.applyInstance(item)
 		return true
+	case strings.HasPrefix(item.Key, CrashReportPrefix):
+		c.applyCrashReport(item)
+		return true
 	}
 	if id, ok := c.config.ServerID(item.Key); ok {
 		return c.applyServer(id, item)
@@ -71,6 +76,25 @@
 	c.instances[item.Key] = instance
 }
 
+// applyCrashReport adds, replaces or removes the crash report of an instance; a malformed one counts as removed.
+func (c *Catalog) applyCrashReport(item store.Item) {
+	reports, name := maps.Clone(c.crashReports), strings.TrimPrefix(item.Key, CrashReportPrefix)
+	if reports == nil {
+		reports = make(map[string]poison.Report)
+	}
+	c.crashReports = reports
+	delete(reports, name)
+	if item.Deleted {
+		return
+	}
+	report, err := poison.DecodeReport(item.Value)
+	if err != nil {
+		c.config.Log.WithError(err).WithField("key", item.Key).Warn("malformed crash report")
+		return
+	}
+	reports[name] = report
+}
+
 // applyConfig puts a configuration in force if its version is greater than that of the one in force. A removed or
 // malformed configuration changes nothing.
 func (c *Catalog) applyConfig(item store.Item) {
--- a/comfreyrail/internal/gateway/forward/events.go
+++ b/comfreyrail/internal/gateway/forward/events.go
@@ -16,6 +16,10 @@
 // errEventTooLarge is the error of a stream with an event that is larger than limit.EventBytes.
 const errEventTooLarge = errors.ConstError("an event is too large")
 
+// errEmptyStream is the error of a stream without any event whose length is not given, so that only the end of its connection
+// ended it.
+const errEmptyStream = errors.ConstError("the connection ended before the first event")
+
 // eventWriter writes complete events to a caller and records the ID of the last one.
 type eventWriter struct {
 	w          http.ResponseWriter
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -50,6 +50,14 @@
 	FetchState func(ctx context.Context, server backend.Server) (state backend.State, err error)
 	// Reroute instructs the first engine of a request to continue it along another chain.
 	Reroute func(ctx context.Context, first backend.Server, request string, stages []call.Stage) error
+	// PromptBlocked returns the part because of which a request with the shared parts must not be sent to engines, and false if
+	// there is none.
+	PromptBlocked func(parts []string) (part string, ok bool)
+	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
+	PromptBegan func(parts []string)
+	// ConnectionEnded records that the connection to an engine has ended before the answer to a request with the shared parts
+	// began; it returns whether the engine has crashed.
+	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string) (crashed bool)
 	// RequestMemory bounds the memory of large request bodies; nil means no bound.
 	RequestMemory *limit.Budget
 	// ResponseMemory bounds the memory of large responses and events; nil means no bound.
--- a/comfreyrail/internal/gateway/forward/forward_test.go
+++ b/comfreyrail/internal/gateway/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/quarantine"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
@@ -170,6 +171,7 @@
 	}
 	c := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
+	keeper := quarantine.New(quarantine.Config{Name: "self", Snapshot: c.Snapshot, FetchState: dial, Metrics: registry, Log: discardLog()})
 	f := New(Config{
 		Catalog: c, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second, Budget: g.memory}), Log: discardLog(), Metrics: registry,
 		RequestMemory: g.requests, ResponseMemory: g.memory,
@@ -182,8 +184,9 @@
 			return func(string) (pipeline.Usage, bool) { return pipeline.Usage{}, true }
 		},
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
-		FetchState: func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, nil },
-		Reroute:    func(context.Context, backend.Server, string, []call.Stage) error { return nil },
+		FetchState:    func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, nil },
+		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, ConnectionEnded: keeper.ConnectionEnded,
+		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
 	})
 	proxy := httptest.NewServer(f)
 	t.Cleanup(proxy.Close)
@@ -191,8 +194,21 @@
 	return g
 }
 
+// dial returns no state, and the error of opening a connection to the server.
+func dial(ctx context.Context, server backend.Server) (backend.State, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
+	if err == nil {
+		err = conn.Close()
+	}
+	return backend.State{}, err
+}
+
 func readRequest(header http.Header) call.Request {
-	return call.Request{ID: header.Get("Id"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event-Id")}
+	request := call.Request{ID: header.Get("Id"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event-Id")}
+	if parts := strings.Split(header.Get("Prefix"), ","); len(parts) > 1 {
+		request.SharedParts = parts[:len(parts)-1]
+	}
+	return request
 }
 
 func writeBackendRequest(header http.Header, forward call.BackendRequest) {
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -22,6 +22,8 @@
 	code       string
 	retryAfter time.Duration
 	shortage   *pipeline.Shortage // why there was no chain of engines, nil for other reasons
+
+	blockedPart string // the part of the prompt because of which the request was blocked, empty for other reasons
 }
 
 // Error returns the status and code of the response.
@@ -83,6 +85,9 @@
 		if errResponse.shortage != nil {
 			entry = entry.WithFields(shortageFields(*errResponse.shortage, errResponse.retryAfter))
 		}
+		if errResponse.blockedPart != "" {
+			entry = entry.WithField("part", errResponse.blockedPart)
+		}
 		entry.WithFields(response.Fields()).Info(event.ErrorResponsePrefix + errResponse.code)
 		writeErrorResponse(w, errResponse)
 	default:
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -68,6 +68,23 @@
 	return err == nil && strings.Contains(string(content), "data: text")
 }
 
+// Guards against a stream that ends with its connection, before any event, being passed on as complete: an engine that crashes
+// ends it in that way too. A resumed stream may have no events left.
+func TestUnframedStreamWithoutEventsIsBrokenOff(t *testing.T) {
+	var runs atomic.Int32
+	respond := func(conn net.Conn, request *http.Request, _ int) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n", request.Header.Get("Id"))
+		if runs.Add(1) > 1 {
+			_, _ = io.WriteString(conn, "id: 1\ndata: text\n\n")
+		}
+		_ = conn.Close()
+	}
+	g := newGateway(t, nil, newServer(t, "first", respond), newServer(t, "second", respond))
+	if !g.sendPrompt(t, "r1", "part") {
+		t.Errorf("got an answer without events after %d runs, want the second server's", runs.Load())
+	}
+}
+
 // Guards against a prompt part that crashes each engine which begins an answer to it: request after request with it is sent to
 // the engines that are left, and none remains for sound requests that share the other parts.
 func TestPoisonedPromptCrashesFewEngines(t *testing.T) {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -67,6 +67,7 @@
 	progressAt time.Time // when the attempt started, or when its headers or its last event arrived
 	checkAt    time.Time // when to check for a stall if no event arrives until then
 	reroutes   int
+	began      bool // whether an event has arrived
 
 	probedAt      time.Time     // time of the last liveness probes of its engines
 	probeBackoff  time.Duration // minimum time between those probes; doubles with each of them, reset when headers or data arrive
@@ -94,21 +95,37 @@
 			return j.timeoutResponse()
 		case ctx.Err() != nil:
 			return err
-		case errors.Is(err, errNoChain) && !out.headerSent:
-			return j.noRoomResponse(err)
-		case errors.Is(err, errNoChain):
+		case errors.Is(err, errNoChain) && out.headerSent:
 			_ = pause.For(ctx, noChainDelay)
-		case !f.takeRetry(j):
+		case !f.takeRetry(j, err):
 			if out.headerSent {
 				return err
 			}
-			return j.failureResponse("stream-failed")
+			return j.streamFailure(err)
 		}
 	}
 }
 
-// takeRetry reports whether another attempt at the stream may be made, and if so counts it against the retry budget.
-func (f *Forwarder) takeRetry(j *job) bool {
+// streamFailure returns the response to a stream that no engine or server has begun, after the last attempt at it failed.
+func (j *job) streamFailure(cause error) *errorResponse {
+	var blocked *blockedError
+	switch {
+	case errors.As(cause, &blocked):
+		return j.blockedResponse(blocked)
+	case errors.Is(cause, errNoChain):
+		return j.noRoomResponse(cause)
+	default:
+		return j.failureResponse("stream-failed")
+	}
+}
+
+// takeRetry reports whether another attempt at the stream may be made after a failed one, and if so counts it against the retry
+// budget.
+func (f *Forwarder) takeRetry(j *job, cause error) bool {
+	var blocked *blockedError
+	if errors.Is(cause, errNoChain) || errors.As(cause, &blocked) {
+		return false
+	}
 	if j.attempts >= j.route.MaxAttempts || j.mayHaveRun && !j.route.Resumable {
 		return false
 	}
@@ -133,7 +150,7 @@
 }
 
 // startAttempt chooses a chain or a plain server, sends the request and waits for the headers of the response. It returns
-// errNoChain if there is no chain or server.
+// errNoChain if there is no chain or server, and a *blockedError if the request must not be sent to engines.
 func (f *Forwarder) startAttempt(ctx context.Context, j *job, lastID string) (a *streamAttempt, err error) {
 	service, servers, snapshot := f.pickService(j)
 	a = &streamAttempt{service: service, demand: j.demand(service), class: headroom.Class{Workspace: j.workspace, Urgency: j.urgency}}
@@ -145,6 +162,9 @@
 		a.chain = pipeline.Chain{{Server: server}}
 		f.selector.startedPlain(server.ID)
 	} else {
+		if err = f.checkBlocked(j); err != nil {
+			return nil, err
+		}
 		if a.chain, err = f.selector.chooseChain(service, snapshot, a.demand, a.class); err != nil {
 			return nil, err
 		}
@@ -195,6 +215,9 @@
 			a.faultyAddress = first.Address
 		}
 		f.recordFailedStreamAttempt(ctx, j, a, a.faultyAddress, err)
+		if failure == nil || failure.MayHaveBeenSent {
+			f.checkCrash(ctx, j, a, err)
+		}
 		return err
 	}
 	a.response = response
@@ -268,11 +291,15 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return out.finish()
+			if !endedBeforeBegin(j, out, a) {
+				return out.finish()
+			}
+			err = errEmptyStream
 		}
 		if err != nil {
 			if ctx.Err() == nil {
 				f.recordFailedStreamAttempt(ctx, j, a, a.faultyAddress, err)
+				f.checkCrash(ctx, j, a, err)
 			}
 			return err
 		}
@@ -301,6 +328,7 @@
 		return err
 	}
 	if out.count > events {
+		f.recordBegin(j, a)
 		f.recordProgress(a, arrivedAt, arrivedAt.Sub(a.progressAt))
 		j.recordData(arrivedAt, events, tokensPerEvent(a.service))
 		a.checkAt = arrivedAt.Add(scale(j.route.GapTarget, gapCheckFactor))
--- a/comfreyrail/internal/gateway/process/process.go
+++ b/comfreyrail/internal/gateway/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/placer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/quarantine"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/usage"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
@@ -30,6 +31,8 @@
 	Mirror *mirror.Server
 	// Exchange exchanges reports of usage with other instances.
 	Exchange *usage.Exchange
+	// Quarantine keeps requests from engines that would crash under them.
+	Quarantine *quarantine.Keeper
 	// Prober probes engines for their slowness.
 	Prober *forward.Prober
 	// Upstream keeps connections to backend servers.
@@ -75,6 +78,7 @@
 	traffic.Add(supervised.Named("callers' listener", components.CallerServer))
 	traffic.Add(supervised.Named("usage exchange", components.Exchange))
 	traffic.Add(supervised.Named("prober", components.Prober))
+	traffic.Add(supervised.Named("quarantine", components.Quarantine))
 	traffic.Add(supervised.Named("idle connections", &idleCloser{client: components.Upstream, catalog: components.Catalog}))
 	root.Add(control)
 	root.Add(traffic)
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/forward"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/mirror"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/placer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/quarantine"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/usage"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
@@ -159,12 +160,19 @@
 	})
 }
 
-func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, memory memoryBudgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
+func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, keeper *quarantine.Keeper, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, memory memoryBudgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
 	return forward.New(forward.Config{
 		Catalog: cat, Upstream: client, PeerUsage: usages.PeerUsage, Zone: cfg.Zone, Retries: budgets, Log: log, Metrics: registry,
 		MaxConfigAge: maxConfigAge(cfg), MaxApplyDelay: time.Duration(cfg.ConfigDelays.MaxApplyDelay),
 		ReadRequest: platform.ReadRequest, WriteBackendRequest: platform.WriteBackendRequest, ReadResponse: platform.ReadResponse,
 		Reroute: engines.Reroute, FetchState: engines.FetchState, RequestMemory: memory.requests, ResponseMemory: memory.responses,
+		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, ConnectionEnded: keeper.ConnectionEnded,
+	})
+}
+
+func provideQuarantine(cfg settings.Gateway, cat *catalog.Catalog, store *platform.Store, engines *platform.Engines, log *logrus.Entry, registry metrics.Registry) *quarantine.Keeper {
+	return quarantine.New(quarantine.Config{
+		Name: cfg.Name, Snapshot: cat.Snapshot, FetchState: engines.FetchState, Grant: store.Grant, Commit: store.Commit, Metrics: registry, Log: log,
 	})
 }
 
--- a/comfreyrail/internal/gateway/process/wire.go
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -28,6 +28,7 @@
 		provideUpstream,
 		provideBudgets,
 		providePeerUsage,
+		provideQuarantine,
 		provideForwarder,
 		provideExchange,
 		forward.NewProber,
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -30,10 +30,11 @@
 	placerPlacer := providePlacer(loaded, catalog, leaseConfig, engines, entry)
 	server := provideMirror(loaded, catalog, entry)
 	processPeerUsage := providePeerUsage()
+	keeper := provideQuarantine(loaded, catalog, store, engines, entry, registry)
 	processMemoryBudgets := provideMemoryBudgets(loaded)
 	client := provideUpstream(processMemoryBudgets, registry)
 	budgets := provideBudgets(loaded, catalog)
-	forwarder := provideForwarder(loaded, catalog, processPeerUsage, client, engines, budgets, processMemoryBudgets, entry, registry)
+	forwarder := provideForwarder(loaded, catalog, processPeerUsage, keeper, client, engines, budgets, processMemoryBudgets, entry, registry)
 	exchange := provideExchange(loaded, catalog, forwarder, processPeerUsage, entry)
 	prober := forward.NewProber(forwarder)
 	checker := provideChecker(entry, registry)
@@ -45,6 +46,7 @@
 		Placer:         placerPlacer,
 		Mirror:         server,
 		Exchange:       exchange,
+		Quarantine:     keeper,
 		Prober:         prober,
 		Upstream:       client,
 		CallerServer:   callerServer,
--- /dev/null
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -0,0 +1,220 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// Times of a Keeper.
+const (
+	// checkInterval is the time between checks whether the own report has changed.
+	checkInterval = 250 * time.Millisecond
+	// minPublishInterval is the minimum time between two writes of the own report.
+	minPublishInterval = 200 * time.Millisecond
+	// leaseReuse is how long reports are written under one lease.
+	leaseReuse = time.Minute
+	// publishTimeout is the timeout of a write of the own report.
+	publishTimeout = time.Second
+	// probeTimeout is the timeout of the probe that confirms a crash.
+	probeTimeout = 150 * time.Millisecond
+	// probeTTL is how long the result of that probe is reused.
+	probeTTL = time.Second
+)
+
+// Config configures a Keeper.
+type Config struct {
+	// Name is the name of this instance.
+	Name string
+	// Snapshot returns the newest snapshot of the catalog.
+	Snapshot func() *catalog.Snapshot
+	// FetchState requests the state of an engine.
+	FetchState func(ctx context.Context, server backend.Server) (backend.State, error)
+	// Grant creates a lease with the given time to live.
+	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
+	// Commit commits a transaction and returns its revision.
+	Commit func(ctx context.Context, transaction store.Transaction) (uint64, error)
+	// Metrics counts crashes and blocked requests.
+	Metrics metrics.Registry
+	// Log is the logger.
+	Log *logrus.Entry
+}
+
+// Keeper decides which requests must not be sent to engines; its methods may be called concurrently.
+type Keeper struct {
+	config  Config
+	changed chan struct{} // receives an element when the own report may have changed
+
+	mu       sync.Mutex
+	detector *poison.Detector
+	reports  map[string]poison.Report // of the snapshot that the detector knows
+	probes   map[string]*crashProbe   // by engine
+}
+
+// crashProbe is the probe of an engine whose connection ended.
+type crashProbe struct {
+	at      time.Time
+	done    chan struct{} // closed once crashed is set
+	crashed bool
+}
+
+// New returns a Keeper, which shares what it sees while Serve runs.
+func New(config Config) *Keeper {
+	return &Keeper{config: config, changed: make(chan struct{}, 1), detector: poison.New(config.Name), probes: make(map[string]*crashProbe)}
+}
+
+// Blocked returns a poisoned part because of which a request with the shared parts must not be sent, and false if there is none.
+func (k *Keeper) Blocked(parts []string) (part string, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readReports()
+	if part, ok = k.detector.Blocked(parts); ok {
+		metrics.GetOrRegisterCounter("quarantine.blocked", k.config.Metrics).Inc(1)
+	}
+	return part, ok
+}
+
+// Began records that an engine has begun the answer to a request with the shared parts.
+func (k *Keeper) Began(parts []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.detector.Began(time.Now(), parts)
+}
+
+// ConnectionEnded records that the connection to an engine has ended before the answer to a request with the shared parts began.
+// It probes the engine and returns whether it has crashed.
+func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, parts []string) (crashed bool) {
+	if len(parts) == 0 || !k.probe(ctx, server) {
+		return false
+	}
+	engine := incarnation(server)
+	k.mu.Lock()
+	k.readReports()
+	k.detector.Crashed(time.Now(), engine, parts)
+	k.mu.Unlock()
+	k.config.Log.WithFields(logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts}).Info("an engine crashed before an answer began")
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// incarnation identifies a start of an engine.
+func incarnation(server backend.Server) string { return fmt.Sprintf("%s@%d", server.ID, server.Born) }
+
+// probe reports whether an engine refuses connections. Requests whose connections ended together share the result.
+func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed bool) {
+	engine, now := incarnation(server), time.Now()
+	k.mu.Lock()
+	for id, probe := range k.probes {
+		if now.Sub(probe.at) > probeTTL {
+			delete(k.probes, id)
+		}
+	}
+	probe := k.probes[engine]
+	first := probe == nil
+	if first {
+		probe = &crashProbe{at: now, done: make(chan struct{})}
+		k.probes[engine] = probe
+	}
+	k.mu.Unlock()
+	if !first {
+		<-probe.done
+		return probe.crashed
+	}
+	defer close(probe.done)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	_, err := k.config.FetchState(ctx, server)
+	probe.crashed = errors.Is(err, syscall.ECONNREFUSED)
+	if probe.crashed {
+		metrics.GetOrRegisterCounter("quarantine.crashes", k.config.Metrics).Inc(1)
+	}
+	return probe.crashed
+}
+
+// readReports gives the detector the reports of the newest snapshot, if they have changed. The caller must hold the mutex.
+func (k *Keeper) readReports() {
+	reports := k.config.Snapshot().CrashReports
+	if reflect.ValueOf(reports).Pointer() == reflect.ValueOf(k.reports).Pointer() {
+		return
+	}
+	k.reports = reports
+	k.detector.SetReports(time.Now(), reports)
+}
+
+// Serve writes the own report to the store when it changes, until the context ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	var p publisher
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-k.changed:
+		case <-ticker.C:
+		}
+		report := k.report()
+		if reflect.DeepEqual(report, p.report) || len(report.Crashes)+len(report.Cleared) == 0 || time.Since(p.at) < minPublishInterval {
+			continue
+		}
+		if err := p.publish(ctx, k.config, report); err != nil {
+			k.config.Log.WithError(err).Warn("cannot write the crash report")
+		}
+	}
+}
+
+func (k *Keeper) report() poison.Report {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.readReports()
+	return k.detector.Report(time.Now())
+}
+
+// publisher writes the own report to the store.
+type publisher struct {
+	report    poison.Report // the last one that was written
+	at        time.Time     // when a write was last tried
+	leaseID   uint64
+	grantedAt time.Time
+}
+
+// publish writes a report under a lease that ends once its crashes no longer count.
+func (p *publisher) publish(ctx context.Context, config Config, report poison.Report) (err error) {
+	defer errors.DeferredAnnotatef(&err, "write crash report")
+	p.at = time.Now()
+	value, err := report.Encode()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	if time.Since(p.grantedAt) > leaseReuse {
+		lease, err := config.Grant(ctx, poison.ReportTTL+leaseReuse)
+		if err != nil {
+			return err
+		}
+		p.leaseID, p.grantedAt = lease.ID, p.at
+	}
+	key := catalog.CrashReportPrefix + config.Name
+	if _, err = config.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: key, Value: value, Lease: p.leaseID}}}); err != nil {
+		p.grantedAt = time.Time{}
+		return err
+	}
+	p.report = report
+	return nil
+}
--- /dev/null
+++ b/comfreyrail/internal/gateway/quarantine/quarantine_test.go
@@ -0,0 +1,139 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// shared holds the crash reports that the keepers of a test write.
+type shared struct {
+	mu       sync.Mutex
+	reports  map[string]poison.Report
+	grants   int
+	writes   int
+	writeErr error
+}
+
+func (s *shared) snapshot() *catalog.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &catalog.Snapshot{CrashReports: s.reports}
+}
+
+func (s *shared) grant(context.Context, time.Duration) (store.Lease, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grants++
+	return store.Lease{ID: uint64(s.grants)}, nil
+}
+
+func (s *shared) commit(_ context.Context, transaction store.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.writeErr != nil {
+		return 0, s.writeErr
+	}
+	s.writes++
+	reports := make(map[string]poison.Report)
+	for name, report := range s.reports {
+		reports[name] = report
+	}
+	for _, write := range transaction.Writes {
+		report, err := poison.DecodeReport(write.Value)
+		if err != nil {
+			return 0, err
+		}
+		reports[write.Key[len(catalog.CrashReportPrefix):]] = report
+	}
+	s.reports = reports
+	return 1, nil
+}
+
+// newKeeper returns a running Keeper whose probes of engines end with the error.
+func newKeeper(t *testing.T, s *shared, name string, probeErr error) *Keeper {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	k := New(Config{
+		Name: name, Snapshot: s.snapshot, Grant: s.grant, Commit: s.commit, Metrics: metrics.NewRegistry(), Log: logrus.NewEntry(logger),
+		FetchState: func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, probeErr },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = k.Serve(ctx) }()
+	return k
+}
+
+// endConnections records connections to engines that ended under a prompt with the part.
+func endConnections(k *Keeper, engines int, part string) (crashed int) {
+	for i := range engines {
+		if k.ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprintf("%s-%d", k.config.Name, i)}, []string{part}) {
+			crashed++
+		}
+	}
+	return crashed
+}
+
+// Guards against connections that are reset by engines which live on, or by the network, counting as crashes.
+func TestConnectionEndedConfirmsCrash(t *testing.T) {
+	tests := []struct {
+		name     string
+		probeErr error
+		crashed  bool
+	}{
+		{"engine responds", nil, false},
+		{"engine refuses connections", errors.Annotate(syscall.ECONNREFUSED, "fetch state"), true},
+		{"engine is silent", context.DeadlineExceeded, false},
+		{"connection is reset", syscall.ECONNRESET, false},
+	}
+	for _, test := range tests {
+		k := newKeeper(t, new(shared), "a", test.probeErr)
+		crashed := endConnections(k, poison.MinCrashes, "poisoned")
+		if got := crashed == poison.MinCrashes; got != test.crashed {
+			t.Errorf("%s: got %d crashes, want %v for every engine", test.name, crashed, test.crashed)
+		}
+		if _, got := k.Blocked([]string{"poisoned"}); got != test.crashed {
+			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.crashed)
+		}
+	}
+}
+
+// Guards against instances that each let a poisoned part crash engines because none sees enough crashes, also if the store fails
+// at first.
+func TestCrashesOfAllInstancesCount(t *testing.T) {
+	s := &shared{writeErr: errors.New("down")}
+	a, b, c := newKeeper(t, s, "a", syscall.ECONNREFUSED), newKeeper(t, s, "b", syscall.ECONNREFUSED), newKeeper(t, s, "c", nil)
+	endConnections(a, poison.MinCrashes-1, "poisoned")
+	endConnections(b, 1, "poisoned")
+	time.Sleep(checkInterval)
+	s.mu.Lock()
+	s.writeErr = nil
+	s.mu.Unlock()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if _, ok := c.Blocked([]string{"poisoned"}); ok {
+			break
+		}
+	}
+	for _, k := range []*Keeper{a, b, c} {
+		if _, ok := k.Blocked([]string{"poisoned"}); !ok {
+			t.Errorf("%s: got the part sent, want it blocked", k.config.Name)
+		}
+	}
+	if s.grants > s.writes+4 {
+		t.Errorf("got %d leases for %d writes, want them reused", s.grants, s.writes)
+	}
+}
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -144,6 +144,8 @@
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framed reports whether the body has a length or is sent in chunks; the end of the connection ends it otherwise.
+	Framed bool
 
 	body          io.ReadCloser
 	client        *Client
@@ -195,7 +197,7 @@
 		return nil, &Error{MayHaveBeenSent: true, Cause: ctx.Err()}
 	}
 	return &Response{
-		Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, body: parsed.Body,
+		Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, Framed: parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0, body: parsed.Body,
 		client: client, conn: c, address: request.Address, maxIdle: request.MaxIdle, closeAfter: parsed.Close, detachContext: detachContext, ctx: ctx,
 	}, nil
 }
--- a/rail/call/call.go
+++ b/rail/call/call.go
@@ -10,6 +10,8 @@
 	APIKey string
 	// Timeout is how long the caller waits, zero if it is not given.
 	Timeout time.Duration
+	// SharedParts identifies the parts of the prompt that other requests may have too, in the order of the prompt.
+	SharedParts []string
 	// PromptTokens is the number of prompt tokens, zero if the request has none.
 	PromptTokens int
 	// MaxTokens is the maximum number of tokens of the answer.
--- /dev/null
+++ b/rail/poison/doc.go
@@ -0,0 +1,7 @@
+// Package poison finds the parts of prompts under which engines crash, so that no more requests with them are sent.
+//
+// An engine that crashes takes all its requests with it, so a single crash tells little. Several engines that crashed while
+// requests with one part were waiting for the begin of their answers tell that the part is poisoned, unless an answer to a prompt
+// with it began at about that time or later. No instance sees enough crashes by itself in time, so instances share what they saw
+// as reports.
+package poison
--- /dev/null
+++ b/rail/poison/report.go
@@ -0,0 +1,36 @@
+package poison
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Crash relates the crash of an engine to parts of prompts.
+type Crash struct {
+	// Engine identifies the incarnation of the engine.
+	Engine string `json:"engine"`
+	// Parts lists the parts.
+	Parts []string `json:"parts"`
+}
+
+// Report is what one instance saw.
+type Report struct {
+	// Crashes lists the crashes, oldest first, with the parts of the prompts whose answers had not begun.
+	Crashes []Crash `json:"crashes"`
+	// Cleared lists crashes with the parts that did not cause them, since answers to prompts with these have begun.
+	Cleared []Crash `json:"cleared"`
+}
+
+// Encode returns the report as it is stored.
+func (r Report) Encode() (value []byte, err error) {
+	defer errors.DeferredAnnotatef(&err, "encode crash report")
+	return json.Marshal(r)
+}
+
+// DecodeReport decodes a stored report.
+func DecodeReport(value []byte) (report Report, err error) {
+	defer errors.DeferredAnnotatef(&err, "decode crash report")
+	err = json.Unmarshal(value, &report)
+	return report, err
+}
