--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 	checkInterval = 250 * time.Millisecond
 	// minPublishInterval is the minimum time between two writes of the own report.
 	minPublishInterval = 200 * time.Millisecond
+	// publishRetryInterval is the minimum time between a failed write and the next one.
+	publishRetryInterval = time.Second
 	// leaseReuse is how long reports are written under one lease.
 	leaseReuse = time.Minute
 	// publishTimeout is the timeout of a write of the own report.
@@ -169,7 +171,7 @@
 		case <-ticker.C:
 		}
 		report := k.report()
-		if reflect.DeepEqual(report, p.report) || len(report.Crashes)+len(report.Cleared) == 0 || time.Since(p.at) < minPublishInterval {
+		if !p.isDue(report) {
 			continue
 		}
 		if err := p.publish(ctx, k.config, report); err != nil {
@@ -189,13 +191,25 @@
 type publisher struct {
 	report    poison.Report // the last one that was written
 	at        time.Time     // when a write was last tried
+	failed    bool          // whether that write failed
 	leaseID   uint64
 	grantedAt time.Time
 }
 
+// isDue reports whether a report must be written now.
+func (p *publisher) isDue(report poison.Report) bool {
+	interval := minPublishInterval
+	if p.failed {
+		interval = publishRetryInterval
+	}
+	empty := len(report.Crashes)+len(report.Cleared) == 0
+	return !empty && !reflect.DeepEqual(report, p.report) && time.Since(p.at) >= interval
+}
+
 // publish writes a report under a lease that ends once its crashes no longer count.
 func (p *publisher) publish(ctx context.Context, config Config, report poison.Report) (err error) {
 	defer errors.DeferredAnnotatef(&err, "write crash report")
+	defer func() { p.failed = err != nil }()
 	p.at = time.Now()
 	value, err := report.Encode()
 	if err != nil {
