Split the catalog's read.go and gossip's node.go by subject

Only moves: refresh.go holds where changes come from, fetch.go the changes of other instances, read.go the store; heartbeat.go what a node sends, receive.go what it gets.

--- /dev/null
+++ b/comfreyrail/internal/gateway/catalog/fetch.go
@@ -0,0 +1,73 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/rail/store"
+)
+
+// fetchFrom fetches the changes after the known revision from another instance, applies them and returns their age.
+func (c *Catalog) fetchFrom(ctx context.Context, peer Instance) (age time.Duration, err error) {
+	changes, err := c.fetchChanges(ctx, peer)
+	if err != nil {
+		return 0, err
+	}
+	if changes.Revision < c.revision {
+		return 0, errPeerBehind
+	}
+	if err = c.readOmitted(ctx, &changes); err != nil {
+		return 0, err
+	}
+	if changes.All {
+		c.replaceAll(changes.Items, changes.Revision)
+	} else {
+		c.applyAll(changes.Items)
+	}
+	c.advance(changes.Revision)
+	return changes.Age, nil
+}
+
+// fetchChanges fetches the changes after the known revision from another instance. It asks for values of any size only if the
+// last call to the store failed.
+func (c *Catalog) fetchChanges(ctx context.Context, peer Instance) (changes Changes, err error) {
+	request, timeout := ChangesRequest{After: c.revision, MaxValueBytes: maxFetchedValue}, fetchTimeout
+	if c.storeFailedAt > 0 {
+		request.MaxValueBytes, timeout = 0, fetchAllTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.config.FetchChanges(ctx, peer.PeerAddress, request)
+}
+
+// readOmitted reads the items that another instance left out of its changes from the store, and adds them. An item that the store
+// no longer has stays out.
+func (c *Catalog) readOmitted(ctx context.Context, changes *Changes) (err error) {
+	for _, key := range changes.Omitted {
+		item, err := c.readItem(ctx, key)
+		if errors.Is(err, store.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			c.storeFailedAt = c.config.Elapsed()
+			c.config.Log.WithError(err).WithField("key", key).Info("cannot read an item that another instance left out")
+			return errOmittedUnread
+		}
+		changes.Items = append(changes.Items, item)
+	}
+	return nil
+}
+
+func (c *Catalog) readItem(ctx context.Context, key string) (store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.config.Get(ctx, key)
+}
+
+// errOmittedUnread means that an item which another instance left out of its changes could not be read from the store.
+const errOmittedUnread = errors.ConstError("an item that the other instance left out could not be read")
+
+// errPeerBehind means that another instance has an older revision than this one.
+const errPeerBehind = errors.ConstError("the other instance has an older revision")
