--- a/comfreyrail/internal/gateway/catalog/refresh.go
+++ b/comfreyrail/internal/gateway/catalog/refresh.go
@@ -75,7 +75,8 @@
 	if err == nil && age <= c.config.WatchInterval+readerMargin {
 		return age, true
 	}
-	if err != nil && !errors.Is(err, errPeerBehind) && !errors.Is(err, errOmittedUnread) || age > c.oldAge() {
+	readerResponded := err == nil || errors.Is(err, errPeerBehind) || errors.Is(err, errOmittedUnread)
+	if !readerResponded || age > c.oldAge() {
 		c.cooldowns[reader.Name] = c.config.Elapsed() + peerCooldown
 	}
 	c.config.Log.WithError(err).WithFields(logrus.Fields{
