Block a part for ten seconds from the second crash on

A request with a poisoned part is tried at two engines, so its instance knows of two crashes at once, but waited for a third before it blocked the part. Two crashes may be a coincidence, so the part is blocked for 10 s after the second, and as long as the crashes count from the third on.

--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -82,7 +82,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.readReports()
-	if part, ok = k.detector.Blocked(parts); ok {
+	if part, ok = k.detector.Blocked(time.Now(), parts); ok {
 		metrics.GetOrRegisterCounter("quarantine.blocked", k.config.Metrics).Inc(1)
 	}
 	return part, ok
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -8,8 +8,13 @@
 
 // Times and limits of a Detector.
 const (
-	// MinCrashes is the number of engines that must have crashed under a part before it is poisoned.
-	MinCrashes = 3
+	// MinCrashes is the number of engines that must have crashed under a part before requests with it are blocked.
+	MinCrashes = 2
+	// confirmingCrashes is the number of such engines from which on the part stays blocked as long as the crashes count. With
+	// fewer, which may be a coincidence, it is blocked for suspicionTTL after the last one.
+	confirmingCrashes = 3
+	// suspicionTTL is how long a part with fewer crashes is blocked.
+	suspicionTTL = 10 * time.Second
 	// ReportTTL is how long a crash counts.
 	ReportTTL = 5 * time.Minute
 	// clearMargin is how long before a crash became known an answer may have begun that clears its parts of the crash.
@@ -25,17 +30,23 @@
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
 // must not be called concurrently.
 type Detector struct {
-	self       string
-	begun      map[string]time.Time // when an answer to a prompt with the part last began
-	crashes    []seenCrash
-	learnedAt  map[string]time.Time // when each crash became known, by engine
-	known      nested               // parts by engine, of all crashes
-	cleared    nested               // parts by engine, which answers seen here clear of its crash
-	told       nested               // what of cleared was reported
-	reports    map[string]Report    // by instance, also of a previous incarnation of this one
-	adopted    bool                 // whether the report of the previous incarnation, or an own one, was adopted
-	suspected  nested               // engines by part, which has not been cleared of their crashes
-	companions map[string][]string  // by poisoned part: the parts that explain all its crashes as well
+	self      string
+	begun     map[string]time.Time // when an answer to a prompt with the part last began
+	crashes   []seenCrash
+	learnedAt map[string]time.Time // when each crash became known, by engine
+	known     nested               // parts by engine, of all crashes
+	cleared   nested               // parts by engine, which answers seen here clear of its crash
+	told      nested               // what of cleared was reported
+	reports   map[string]Report    // by instance, also of a previous incarnation of this one
+	adopted   bool                 // whether the report of the previous incarnation, or an own one, was adopted
+	suspected nested               // engines by part, which has not been cleared of their crashes
+	poisoned  map[string]verdict   // by part
+}
+
+// verdict is what is known of a poisoned part.
+type verdict struct {
+	companions []string  // the other parts under which all the engines crashed that crashed under it
+	until      time.Time // when it is no longer blocked, zero if it stays blocked
 }
 
 // seenCrash is a crash that this instance saw.
@@ -143,7 +154,7 @@
 func (d *Detector) clearedHere() (cleared []Crash) {
 	elsewhere := d.clearedBy(func(name string) bool { return name != d.self })
 	for part, engines := range uncleared(d.known, elsewhere) {
-		if len(engines) < MinCrashes-1 {
+		if len(engines) < MinCrashes {
 			continue
 		}
 		for engine := range engines {
@@ -189,11 +200,12 @@
 // Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none. If
 // other parts explain all crashes of the poisoned part as well, only a request that has these too is blocked: which of them
 // causes the crashes is not known yet, and most requests have but one.
-func (d *Detector) Blocked(parts []string) (part string, ok bool) {
+func (d *Detector) Blocked(now time.Time, parts []string) (part string, ok bool) {
+	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
 	for _, part := range parts {
-		companions, poisoned := d.companions[part]
-		missing := func(companion string) bool { return !slices.Contains(parts, companion) }
-		if poisoned && !slices.ContainsFunc(companions, missing) {
+		v, poisoned := d.poisoned[part]
+		expired := !v.until.IsZero() && now.After(v.until)
+		if poisoned && !expired && !slices.ContainsFunc(v.companions, missing) {
 			return part, true
 		}
 	}
@@ -215,7 +227,12 @@
 		cleared.add(engine, d.cleared.crash(engine).Parts...)
 	}
 	d.suspected = uncleared(d.known, cleared)
-	d.companions = findCompanions(d.suspected)
+	d.poisoned = make(map[string]verdict)
+	for part, engines := range d.suspected {
+		if len(engines) >= MinCrashes {
+			d.poisoned[part] = verdict{companions: d.companions(part), until: d.suspectedUntil(engines)}
+		}
+	}
 }
 
 // knownCrashes returns the crashes that this instance saw and those that are reported, and keeps when each became known.
@@ -241,21 +258,27 @@
 	return known
 }
 
-// findCompanions returns the poisoned parts, each with the other parts under which all the engines crashed that crashed under it.
-func findCompanions(engines nested) (companions map[string][]string) {
-	companions = make(map[string][]string)
-	for part, crashed := range engines {
-		if len(crashed) < MinCrashes {
-			continue
+// suspectedUntil returns when a part is no longer blocked under which the engines crashed, or zero if it stays blocked.
+func (d *Detector) suspectedUntil(engines map[string]bool) (until time.Time) {
+	if len(engines) >= confirmingCrashes {
+		return until
+	}
+	for engine := range engines {
+		if end := d.learnedAt[engine].Add(suspicionTTL); end.After(until) {
+			until = end
 		}
-		companions[part] = nil
-		for other, otherCrashed := range engines {
-			if other != part && containsAll(otherCrashed, crashed) {
-				companions[part] = append(companions[part], other)
-			}
+	}
+	return until
+}
+
+// companions returns the other parts under which all the engines crashed that crashed under the part.
+func (d *Detector) companions(part string) (others []string) {
+	for other, engines := range d.suspected {
+		if other != part && containsAll(engines, d.suspected[part]) {
+			others = append(others, other)
 		}
 	}
-	return companions
+	return others
 }
 
 func containsAll(set, subset map[string]bool) bool {
