Say which of three limits ended a stream

The known red test TestSimultaneousFaults failed once with "no chain of backend servers is left: a stage did not open in time", which could not be traced: the same text stood for an exhausted attempt budget and an exhausted retry budget. The reason now names the obstacle. No decision changes. TestGiveUpNamesTheObstacle fails on the old text for both budgets.

--- a/rail/stream/recovery.go
+++ b/rail/stream/recovery.go
@@ -185,7 +185,7 @@
 		servers = withVersion(servers, failure.Chain.Version)
 	}
 	if !r.takeAttempt(now) {
-		return r.waitForAttempt(now, failure)
+		return r.waitForAttempt(now, failure, "the attempt budget of the pool is exhausted")
 	}
 	r.sameChainAttempts = 0
 	step := Step{At: now.Add(r.backoff())}
@@ -195,21 +195,24 @@
 	} else if step.Chain, ok = r.chooseChain(now, servers); ok {
 		step.Strategy = NewChain
 	}
-	if !ok || r.withoutProgress > 0 && r.config.TakeRetry != nil && !r.config.TakeRetry() {
-		return r.waitForAttempt(now, failure)
+	if !ok {
+		return r.waitForAttempt(now, failure, "no chain of backend servers is left")
+	}
+	if r.withoutProgress > 0 && r.config.TakeRetry != nil && !r.config.TakeRetry() {
+		return r.waitForAttempt(now, failure, "the retry budget is exhausted")
 	}
 	r.waitingSince = time.Time{}
 	step.Imports = importAddresses(failure, step.Chain)
 	return step
 }
 
-// waitForAttempt returns a RetryLater, or a GiveUp once no attempt has been possible for MaxChainWait.
-func (r *Recovery) waitForAttempt(now time.Time, failure AttemptFailure) Step {
+// waitForAttempt returns a RetryLater, or a GiveUp that names the obstacle once no attempt has been possible for MaxChainWait.
+func (r *Recovery) waitForAttempt(now time.Time, failure AttemptFailure, obstacle string) Step {
 	if r.waitingSince.IsZero() {
 		r.waitingSince = now
 	}
 	if now.Sub(r.waitingSince) >= r.config.MaxChainWait {
-		return Step{Strategy: GiveUp, Code: outcome.CodeNoServer, Reason: "no chain of backend servers is left: " + failure.Reason}
+		return Step{Strategy: GiveUp, Code: outcome.CodeNoServer, Reason: obstacle + ": " + failure.Reason}
 	}
 	return Step{Strategy: RetryLater, At: now.Add(max(r.config.BaseBackoff, r.config.MaxChainWait/changeChainCalls))}
 }
