Leave parts that just began out of the crashes that are told

A crash names 32 parts at most (16 before). Parts with which an answer began in the last 3 s would be cleared anyway and are no longer listed.

--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -22,7 +22,7 @@
 	// maxCrashes is the maximum number of crashes in a report; the oldest are left out.
 	maxCrashes = 32
 	// maxParts is the maximum number of parts in a crash.
-	maxParts = 16
+	maxParts = 32
 	// maxBegun is the maximum number of parts for which the begin of an answer is kept.
 	maxBegun = 8192
 )
@@ -34,12 +34,12 @@
 	begun     map[string]time.Time // when an answer to a prompt with the part last began
 	crashes   []seenCrash
 	learnedAt map[string]time.Time // when each crash became known, by engine
-	known     nested               // parts by engine, of all crashes
-	cleared   nested               // parts by engine, which answers seen here clear of its crash
-	told      nested               // what of cleared was reported
+	known     nameSets             // parts by engine, of all crashes
+	cleared   nameSets             // parts by engine, which answers seen here clear of its crash
+	told      nameSets             // what of cleared was reported
 	reports   map[string]Report    // by instance, also of a previous incarnation of this one
 	adopted   bool                 // whether the report of the previous incarnation, or an own one, was adopted
-	suspected nested               // engines by part, which has not been cleared of their crashes
+	suspected nameSets             // engines by part, which has not been cleared of their crashes
 	poisoned  map[string]verdict   // by part
 }
 
@@ -66,10 +66,10 @@
 	return added
 }
 
-// nested holds a set of names for each name.
-type nested map[string]map[string]bool
+// nameSets holds a set of names for each name.
+type nameSets map[string]map[string]bool
 
-func (n nested) add(key string, names ...string) {
+func (n nameSets) add(key string, names ...string) {
 	if n[key] == nil {
 		n[key] = make(map[string]bool)
 	}
@@ -79,13 +79,13 @@
 }
 
 // crash returns the parts of an engine's crash in order.
-func (n nested) crash(engine string) Crash {
+func (n nameSets) crash(engine string) Crash {
 	return Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(n[engine]))}
 }
 
 // New returns a Detector of the instance with the name.
 func New(self string) *Detector {
-	return &Detector{self: self, begun: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nested), told: make(nested)}
+	return &Detector{self: self, begun: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nameSets), told: make(nameSets)}
 }
 
 // Began records that an answer to a prompt with the parts has begun.
@@ -96,15 +96,28 @@
 		suspected = suspected || d.suspected[part] != nil
 	}
 	if len(d.begun) > maxBegun {
-		maps.DeleteFunc(d.begun, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
+		d.forgetBegun(now)
 	}
 	if suspected {
 		d.update(now)
 	}
 }
 
-// Crashed records that an engine has crashed while a request with the parts was waiting for the begin of its answer.
+// forgetBegun removes the begins that clear no new crash, or all of them if that does not make room.
+func (d *Detector) forgetBegun(now time.Time) {
+	maps.DeleteFunc(d.begun, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
+	if len(d.begun) > maxBegun {
+		clear(d.begun)
+	}
+}
+
+// Crashed records that an engine has crashed while a request with the parts was waiting for the begin of its answer. Parts with
+// which an answer has just begun are left out, so that they take no room from the others.
 func (d *Detector) Crashed(now time.Time, engine string, parts []string) {
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool {
+		at, ok := d.begun[part]
+		return ok && now.Sub(at) <= clearMargin
+	})
 	i := slices.IndexFunc(d.crashes, func(c seenCrash) bool { return c.Engine == engine })
 	if i < 0 {
 		d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
@@ -172,8 +185,8 @@
 }
 
 // clearedBy returns the parts that the reports of the chosen instances clear of crashes.
-func (d *Detector) clearedBy(chosen func(name string) bool) (cleared nested) {
-	cleared = make(nested)
+func (d *Detector) clearedBy(chosen func(name string) bool) (cleared nameSets) {
+	cleared = make(nameSets)
 	for name, report := range d.reports {
 		for _, crash := range report.Cleared {
 			if chosen(name) {
@@ -185,8 +198,8 @@
 }
 
 // uncleared returns the engines that crashed under each part and that the part is not cleared of.
-func uncleared(known, cleared nested) (engines nested) {
-	engines = make(nested)
+func uncleared(known, cleared nameSets) (engines nameSets) {
+	engines = make(nameSets)
 	for engine, parts := range known {
 		for part := range parts {
 			if !cleared[engine][part] {
@@ -236,8 +249,8 @@
 }
 
 // knownCrashes returns the crashes that this instance saw and those that are reported, and keeps when each became known.
-func (d *Detector) knownCrashes(now time.Time) (known nested) {
-	known = make(nested)
+func (d *Detector) knownCrashes(now time.Time) (known nameSets) {
+	known = make(nameSets)
 	for _, crash := range d.crashes {
 		known.add(crash.Engine, crash.Parts...)
 	}
