Ask another instance for large values only once it has named some

An instance whose last call to the store had failed asked for values of any size at once, with a timeout of 1 s instead of 0.3 s. While the store is away that made each try at an instance that does not respond three times as long, and the content older. Now the first request is the small, short one in any case.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -38,7 +38,7 @@
 	retryDelay = 250 * time.Millisecond
 	// fetchTimeout is the timeout of fetching changes from another instance.
 	fetchTimeout = 300 * time.Millisecond
-	// fetchAllTimeout is the timeout of fetching changes with values of any size from another instance.
+	// fetchAllTimeout is the timeout of fetching changes that contain large values from another instance.
 	fetchAllTimeout = time.Second
 	// maxFetchedValue is the maximum size in bytes of a value that an instance fetches from another one while the store responds to
 	// it. An instance may send its changes to all of its zone over a narrow link, so larger values are read from the store.
--- a/comfreyrail/internal/gateway/catalog/fetch.go
+++ b/comfreyrail/internal/gateway/catalog/fetch.go
@@ -30,13 +30,19 @@
 	return changes.Age, nil
 }
 
-// fetchChanges fetches the changes after the known revision from another instance. It asks for values of any size only if the
-// last call to the store failed.
+// fetchChanges fetches the changes after the known revision from another instance, without large values. If some were left out
+// and the last call to the store failed, it fetches the changes again with all values.
 func (c *Catalog) fetchChanges(ctx context.Context, peer Instance) (changes Changes, err error) {
-	request, timeout := ChangesRequest{After: c.revision, MaxValueBytes: maxFetchedValue}, fetchTimeout
-	if c.storeFailedAt > 0 {
-		request.MaxValueBytes, timeout = 0, fetchAllTimeout
+	request := ChangesRequest{After: c.revision, MaxValueBytes: maxFetchedValue}
+	changes, err = c.fetchWithin(ctx, fetchTimeout, peer, request)
+	if err == nil && len(changes.Omitted) > 0 && c.storeFailedAt > 0 {
+		request.MaxValueBytes = 0
+		return c.fetchWithin(ctx, fetchAllTimeout, peer, request)
 	}
+	return changes, err
+}
+
+func (c *Catalog) fetchWithin(ctx context.Context, timeout time.Duration, peer Instance, request ChangesRequest) (Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.config.FetchChanges(ctx, peer.PeerAddress, request)
