--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -89,8 +89,8 @@
 	ServerID func(key string) (string, bool)
 	// DecodeServer decodes the entry of a backend server.
 	DecodeServer func(id string, value []byte) (backend.Server, error)
-	// WatchInterval is the longest wait of a watch and the minimum time from its start to that of the next one, unless it
-	// fails.
+	// WatchInterval is the time from the start of a refresh that succeeds to that of the next one; readers of the store watch
+	// more often.
 	WatchInterval time.Duration
 	// Metrics counts the refreshes by their source; nil means that nothing is counted.
 	Metrics metrics.Registry
--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -47,8 +47,8 @@
 type Store struct {
 	// Address is the host:port of the store.
 	Address string `toml:"address"`
-	// WatchInterval is the longest time that a watch request waits for changes, and the minimum time from its start to that
-	// of the next one, unless it fails. If it is not set, it follows from ConfigDelays.
+	// WatchInterval is the time between two refreshes of the store's content; instances that read the store for others watch
+	// it twice in that time. If it is not set, it follows from ConfigDelays, which hold only up to that default.
 	WatchInterval Duration `toml:"pace"`
 }
 
