--- a/comfreyrail/internal/gateway/catalog/fleet_test.go
+++ b/comfreyrail/internal/gateway/catalog/fleet_test.go
@@ -209,7 +209,7 @@
 }
 
 // run runs all catalogs, and changes the configuration every interval until the end, to versions of the given size. It returns
-// the longest time from a change until it was in force at an instance that responds.
+// the longest time from a change until it was in force at an instance that responds and that the store serves.
 func (f *simFleet) run(t *testing.T, interval, length time.Duration, size int) (worst time.Duration) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -237,7 +237,7 @@
 // now.
 func (f *simFleet) observe(inForce map[string]uint64, putAt []time.Time) (worst time.Duration) {
 	for address, c := range f.catalogs {
-		if f.silent[address] {
+		if f.silent[address] || f.refused[address] {
 			continue
 		}
 		if next := inForce[address] + 1; next < uint64(len(putAt)) {
@@ -267,6 +267,23 @@
 	}
 }
 
+// Guards against a configuration that comes into force too late at instances that the store serves because it turns away those
+// from which they have their changes, also if the configuration is too large to be sent by every one of these.
+func TestConfigInForceInTimeBesideRefusedReaders(t *testing.T) {
+	for _, size := range []int{2 << 10, 470 << 10} {
+		synctest.Test(t, func(t *testing.T) {
+			const applyDelay = 3 * time.Second
+			f := newSimFleet(t, 24, applyDelay)
+			for _, instance := range highestRanked(f.instances(), 8) {
+				f.refused[instance.PeerAddress] = true
+			}
+			if got := f.run(t, 1900*time.Millisecond, time.Minute, size); got > applyDelay {
+				t.Errorf("%d bytes: got a configuration in force after %v, want %v at most", size, got, applyDelay)
+			}
+		})
+	}
+}
+
 // Guards against a large configuration that comes into force too late because the reader of the zone sends it to every instance
 // over its one link, and every fetch is given up before it is complete.
 func TestLargeConfigInForceInTime(t *testing.T) {
