Ask the reader before the store also while the content is old

With thousands of servers the first read takes so long that the content is old everywhere; a watch then returns every heartbeat since its start, to all instances at once, over the one link of the store, so it is late again. The reader's changes leave the heartbeats out.

Change: the reader comes first in any case; the store is still read without the random choice as soon as the content is old.

TestOldContentIsTakenFromReaderIfFresh fails without the change.

--- a/comfreyrail/internal/gateway/catalog/refresh.go
+++ b/comfreyrail/internal/gateway/catalog/refresh.go
@@ -11,17 +11,16 @@
 )
 
 // refresh applies new changes and returns their age. It tries the reader that this instance is assigned to, then the
-// store, then a random other instance. While its content is old, the store comes first: the reader may have its changes
-// from others, and reading the store must not wait until another source has failed. If all fail, it returns the error of
-// the store, or errStoreSkipped if it skipped the store. It returns store.ErrCompacted at once.
+// store, then a random other instance. The store is skipped at random, but never while the content is old. The reader comes first
+// also then: its changes leave out the heartbeats of the servers, which make up most of what the store sends. If all fail, refresh
+// returns the error of the store, or errStoreSkipped if it skipped the store. It returns store.ErrCompacted at once.
 func (c *Catalog) refresh(ctx context.Context) (age time.Duration, err error) {
-	storeFirst := c.mustReadStore()
-	if !storeFirst {
+	if c.revision > 0 {
 		if age, ok := c.refreshFromReader(ctx); ok {
 			return age, nil
 		}
 	}
-	if storeFirst || c.mustReadStore() || !c.skipsStore() {
+	if c.mustReadStore() || !c.skipsStore() {
 		c.source = fromStore
 		if err = c.readWithBackoff(ctx); err == nil || errors.Is(err, store.ErrCompacted) {
 			return 0, err
@@ -29,11 +28,6 @@
 	} else {
 		err = errStoreSkipped
 	}
-	if storeFirst && c.revision > 0 {
-		if age, ok := c.refreshFromReader(ctx); ok {
-			return age, nil
-		}
-	}
 	if peer, ok := fallbackPeer(c.Snapshot().Instances, c.config.Self); ok {
 		c.source = fromPeer
 		age, fetchErr := c.fetchFrom(ctx, peer)
