--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -24,11 +24,11 @@
 )
 
 // engineConfig is the engine of a service whose workers hold the whole model each.
-func engineConfig(stepMS float64) map[string]any {
+func engineConfig() map[string]any {
 	return map[string]any{
 		"slots": 192, "kv-capacity": 100000, "kv-token-bytes": 918000, "link-mbps": 400000.0, "stride": 3,
 		"models":  []any{map[string]any{"name": "m0", "pace": 1.0, "load-s": 0.1, "warm-s": 0.0}},
-		"step_ms": stepMS, "per_seq_ms": 0.00714, "context_per_k": 0.00956, "read_per_s": 105000.0, "pairs_per_m": 0.309, "chunk": 512,
+		"step_ms": 1.02, "per_seq_ms": 0.00714, "context_per_k": 0.00956, "read_per_s": 105000.0, "pairs_per_m": 0.309, "chunk": 512,
 		"report_lag_ms": 200.0, "loads_at_once": 5, "usual": map[string]any{"prompt": 774, "answer": 60}, "layers": 8, "layer-mb": 1750.0,
 		"act-bytes": 45900, "pipe-mbps": 26000.0,
 		"kinds": []any{
@@ -107,7 +107,7 @@
 	}
 	s.put("op/config", encode(config{
 		"version": 7, "limits": limits, "routes": []any{streamRoute("r-1", "/lohu930/", "huvo11a")},
-		"services": []any{map[string]any{"name": "huvo11a", "health-path": "/healthz", "max-conns": 988, "protocol": "h1", "tls": false, "engine": engineConfig(1.02)}},
+		"services": []any{map[string]any{"name": "huvo11a", "health-path": "/healthz", "max-conns": 988, "protocol": "h1", "tls": false, "engine": engineConfig()}},
 		"tenants":  []any{map[string]any{"name": "hule930", "api-keys": []string{"n2ctnfzs989anu6wsjnb"}, "priority": 1}},
 	}))
 	var own []*gateway
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -15,12 +15,12 @@
 	graceTime      = 8 * time.Second  // grace-s
 	refusedUntil   = 3 * time.Second  // requests sent later than this after SIGTERM aren't excused
 	stopLength     = 32 * time.Second
-	quickEvery     = 50 * time.Millisecond
+	quickEvery     = 30 * time.Millisecond
 	steadyEvery    = 2 * time.Second
 	quickEvents    = 20
-	steadyEvents   = 23
-	quickStep      = 27 * time.Millisecond  // three tokens at 3.75 ms x 2.4
-	steadyStep     = 190 * time.Millisecond // three tokens at 3.75 ms x 16, and the context
+	steadyEvents   = 85
+	quickStep      = 7300 * time.Microsecond // three tokens at 1.02 ms x 2.4
+	steadyStep     = 49 * time.Millisecond   // three tokens at 1.02 ms x 16
 	steadyDelay    = 250 * time.Millisecond
 	keptConnection = 3 // clients that keep a connection over SIGTERM
 )
@@ -55,7 +55,7 @@
 			newWorker(fmt.Sprintf("s%d", i), "wuno96b", zones[i%2], "l4", 192, s, serveWith(steadyEvents, steadyDelay, steadyStep)))
 	}
 	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health-path": "/healthz", "max-conns": 988, "protocol": "h1", "tls": false, "engine": engineConfig(3.75)}
+		return map[string]any{"name": name, "health-path": "/healthz", "max-conns": 988, "protocol": "h1", "tls": false, "engine": engineConfig()}
 	}
 	s.put("op/config", encode(config{
 		"version": 7, "limits": limits, "services": []any{service("huvo11a"), service("wuno96b")},
