--- a/review/standin/lib.go
+++ b/review/standin/lib.go
@@ -167,7 +167,7 @@
 		_ = log.Close()
 		close(ended)
 	}(g.process, g.ended)
-	note("%s started", g.name)
+	note("%s started, for clients at %s", g.name, g.front)
 	gatewaysMu.Lock()
 	defer gatewaysMu.Unlock()
 	for _, other := range gateways {
@@ -257,8 +257,17 @@
 	closed   bool // whether the gateway closes the connection
 }
 
-// send sends a request and reads its answer, until the deadline.
+// send sends a request and reads its answer, until the deadline, and records both.
 func (c *client) send(method, path, host string, header map[string]string, body string, deadline time.Duration) reply {
+	id := header["X-Comfreyrail-Attempt-Id"]
+	note("sent %s to %v: %s %s", id, c.conn.RemoteAddr(), method, path)
+	got := c.exchange(method, path, host, header, body, deadline)
+	note("answered %s: status %d, complete %v, %d bytes, error %v", id, got.status, got.complete, len(got.body), got.err)
+	return got
+}
+
+// exchange sends a request and reads its answer, until the deadline.
+func (c *client) exchange(method, path, host string, header map[string]string, body string, deadline time.Duration) reply {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, host)
 	for name, value := range header {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -206,8 +206,9 @@
 	return w.from <= from && to <= w.to && from < to
 }
 
-// begin sets the headers that a worker's answer has.
+// begin records that the worker runs a request, and sets the headers that its answer has.
 func begin(out http.ResponseWriter, r *http.Request) {
+	note("run %s at %s", r.Header.Get("X-Comfreyrail-Attempt-Id"), out.Header().Get("X-Comfreyrail-Instance"))
 	out.Header().Set("X-Comfreyrail-Attempt-Id", r.Header.Get("X-Comfreyrail-Attempt-Id"))
 	out.Header().Set("X-Comfreyrail-Server-Seal", "seal."+r.Header.Get("X-Comfreyrail-Attempt-Id"))
 }
