Relay no success without the server's signature

Cause: a response counted as the server's if it bore the ID of the request. Sound servers' responses kept theirs, so it was not lost on its way.

The checks of the ID in the paths of plain requests and of streams become one, which also takes an unsigned success for a failed attempt that may have been run.

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -151,21 +151,20 @@
 }
 
 // checkResponse returns an error and records a failed attempt if the headers of a response show that the request was not run, or
-// that they belong to another request.
+// that the response must not be relayed.
 func (f *Forwarder) checkResponse(ctx context.Context, j *job, a *streamAttempt) (err error) {
 	first, response := a.chain[0].Server, a.response
 	meta := f.config.ReadResponse(response.Status, response.Header)
 	f.recordNotice(j, first, meta)
 	faultyAddress := first.Address
-	switch {
-	case meta.ID != j.request.ID:
-		j.mayHaveRun = true
-		err = errWrongRequest
-	case meta.NotRun:
+	err = j.checkValidity(response.Status, meta)
+	if err == nil && meta.NotRun {
 		faultyAddress = meta.FaultyAddress
 		err = errors.Errorf("status %d: the request was not run", response.Status)
-	default:
+	} else {
 		j.mayHaveRun = true
+	}
+	if err == nil {
 		return nil
 	}
 	response.Discard()
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -267,10 +267,11 @@
 	}
 }
 
+// readResponse takes every response for a signed one, unless its header says otherwise.
 func readResponse(_ int, header http.Header) call.Response {
 	seconds, _ := strconv.Atoi(header.Get("Wait"))
 	return call.Response{
-		ID: header.Get("Id"), NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "",
+		ID: header.Get("Id"), Signed: header.Get("Unsigned") == "", NotRun: header.Get("Not-Run") != "", Leaving: header.Get("Leaving") != "",
 		RetryAfter: call.RetryAfter{Delay: time.Duration(seconds) * time.Second},
 	}
 }
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -13,9 +13,6 @@
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
-// errWrongRequest is the error of a response that carries the ID of another request.
-const errWrongRequest = errors.ConstError("the response belongs to another request")
-
 // servePlain forwards a request to plain servers. It sends the response once it has been read whole, so that a failed attempt
 // can be retried at another server; a response that is larger than limit.HeldBytes is sent while it is read.
 func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, j *job) error {
@@ -86,10 +83,10 @@
 	}
 	meta := f.config.ReadResponse(response.Status, response.Header)
 	f.recordNotice(j, server, meta)
-	if meta.ID != j.request.ID {
+	if err = j.checkValidity(response.Status, meta); err != nil {
 		response.Discard()
 		j.mayHaveRun = true
-		return nil, errWrongRequest
+		return nil, err
 	}
 	held, err = f.hold(response, meta, func() { f.selector.endedPlain(server.ID) })
 	if err != nil {
