Take a server's refusal for one only if it says so

Cause: a server's response was relayed whatever its status. The gateway's own refusals ask whether a server may have run the request; the relayed ones did not. Each attempt reached one server and the responses bore the server's signature, so neither a second send nor an own 503 explains it. A 429 or 408 even counted as a success.

A status 408, 421, 429 or 503 without the server's statement that it has not run the request is now a failed attempt that may have been run, for plain requests, streams and successors alike. Another server is asked where the request may run again, and otherwise the caller gets status 502, which promises nothing.

TestErrorResponseBeforeFirstEvent expected such a 503 and 429 to be relayed after an earlier attempt that may have been run, against the same promise; it expects status 502 now and checks as much as before.

--- a/comfreyrail/internal/gateway/forward/resume_test.go
+++ b/comfreyrail/internal/gateway/forward/resume_test.go
@@ -151,11 +151,11 @@
 
 // Guards against a stream that broke off before its first event ending without any response, and against parts of two responses: its
 // caller has nothing yet and gets the whole error response of the second server, or that of the gateway if that server did not run
-// the request.
+// the request or its status would tell the caller that no server has run it.
 func TestErrorResponseBeforeFirstEvent(t *testing.T) {
 	status := map[string]int{
-		"500 with a length": 500, "500 that ends with its connection": 500, "500 with events": 500, "503 not run": 502, "503": 503, "421": 502,
-		"429": 429, "204": 204, "304": 304, "206": 206, "redirect": 302, "100 and 500": 500,
+		"500 with a length": 500, "500 that ends with its connection": 500, "500 with events": 500, "503 not run": 502, "503": 502, "421": 502,
+		"429": 502, "204": 204, "304": 304, "206": 206, "redirect": 302, "100 and 500": 500,
 	}
 	for _, second := range errorAnswers() {
 		t.Run(second.name, func(t *testing.T) {
