Hold prompts back whose answers crash engines after the first event

Cause: a crash counted only while a request was waiting for its first event, and that event cleared the part of all crashes. The probe that confirms a crash was not at fault: crashes before the first event were recorded.

A second detector takes every engine that ends a connection before an answer is whole, or has gone on for 3 s, for one that may have crashed because of it; only such an answer clears its parts, and three engines must have crashed. The first detector stays as it was.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -117,7 +117,7 @@
 	Placer store.Item
 	// CrashReports holds the crash reports of the instances by their names; it is the same map as in the previous snapshot if
 	// none has changed.
-	CrashReports map[string]poison.Report
+	CrashReports map[string]poison.Evidence
 	// Sequence is the number of this snapshot; each snapshot's is one greater than that of the previous one.
 	Sequence uint64
 }
@@ -142,10 +142,10 @@
 	restored      restored
 	instances     map[string]Instance
 	placer        store.Item
-	crashReports  map[string]poison.Report // replaced, not changed
-	unpublished   bool                     // whether the state has changed since the last snapshot
-	upToDate      bool                     // whether a refresh succeeded and none failed since, not counting errors of mustReadAll and errStoreSkipped
-	hadOutage     bool                     // whether a refresh failed after an earlier one had succeeded
+	crashReports  map[string]poison.Evidence // replaced, not changed
+	unpublished   bool                       // whether the state has changed since the last snapshot
+	upToDate      bool                       // whether a refresh succeeded and none failed since, not counting errors of mustReadAll and errStoreSkipped
+	hadOutage     bool                       // whether a refresh failed after an earlier one had succeeded
 	upToDateSince time.Duration
 	storeFailedAt time.Duration            // when the last read of the store failed, zero if it succeeded
 	cooldowns     map[string]time.Duration // time by instance name until which it is not used as a reader
--- a/comfreyrail/internal/gateway/catalog/crash_report_test.go
+++ b/comfreyrail/internal/gateway/catalog/crash_report_test.go
@@ -10,7 +10,7 @@
 
 // Guards against crash reports that are lost, kept after their end, or read from a malformed item.
 func TestCrashReports(t *testing.T) {
-	value, err := poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}.Encode()
+	value, err := poison.Evidence{Report: poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/comfreyrail/internal/gateway/catalog/restore_outage_test.go
+++ b/comfreyrail/internal/gateway/catalog/restore_outage_test.go
@@ -216,7 +216,7 @@
 func TestCrashesOfEndedInstanceOutliveRestoration(t *testing.T) {
 	instances := fleetOf("a", "b")
 	encode := func(engines ...string) string {
-		var report poison.Report
+		var report poison.Evidence
 		for _, engine := range engines {
 			report.Crashes = append(report.Crashes, poison.Crash{Engine: engine, Parts: []string{"p"}})
 		}
--- a/comfreyrail/internal/gateway/catalog/restore_test.go
+++ b/comfreyrail/internal/gateway/catalog/restore_test.go
@@ -205,7 +205,7 @@
 // Guards against the records of other instances being missed while they write them again, since the number of instances divides
 // the retry budgets, and against records and crash reports that stay for ever.
 func TestInstanceRecordsAfterRestoration(t *testing.T) {
-	report, err := poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}.Encode()
+	report, err := poison.Evidence{Report: poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -108,7 +108,7 @@
 func (c *Catalog) applyCrashReport(item store.Item) {
 	reports, name := maps.Clone(c.crashReports), strings.TrimPrefix(item.Key, CrashReportPrefix)
 	if reports == nil {
-		reports = make(map[string]poison.Report)
+		reports = make(map[string]poison.Evidence)
 	}
 	c.crashReports = reports
 	known, ok := reports[name]
@@ -120,7 +120,7 @@
 		reports[name] = known // the copy may be older; the instance writes its report again
 		return
 	}
-	report, err := decode(item, poison.DecodeReport)
+	report, err := decode(item, poison.DecodeEvidence)
 	if err != nil {
 		c.logMalformed(item, err, "malformed crash report")
 		return
--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -25,7 +25,8 @@
 	progressAt time.Time // when the attempt started, or when its headers or its last event arrived
 	checkAt    time.Time // when to check for a stall if no event arrives until then
 	reroutes   int
-	began      bool // whether an event has arrived
+	beganAt    time.Time // when the first event arrived, zero if none has
+	answered   bool      // whether the answer is whole, or has gone on for longer than maxCrashDelay
 
 	probedAt      time.Time     // time of the last liveness probes of its engines
 	probeBackoff  time.Duration // minimum time between those probes; doubles with each of them, reset when headers or data arrive
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -57,9 +57,12 @@
 	PromptBlocked func(parts []string) (part string, ok bool)
 	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
 	PromptBegan func(parts []string)
-	// ConnectionEnded records that the connection to an engine has ended before the answer to a request with the shared parts
-	// began; it returns whether the engine has crashed.
-	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string) (crashed bool)
+	// PromptAnswered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long
+	// that the engine will not crash because of them.
+	PromptAnswered func(parts []string)
+	// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and
+	// whether the answer had begun; it returns whether the engine has crashed.
+	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
 	// Notices knows which backend servers are leaving or want no requests for a while; nil means a new one.
 	Notices *notices.Keeper
 	// RequestMemory bounds the memory of large request bodies; nil means no bound.
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -232,7 +232,7 @@
 		},
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
 		FetchState:    options.state,
-		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, ConnectionEnded: keeper.ConnectionEnded,
+		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: keeper.ConnectionEnded,
 		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
 	})
 	proxy := httptest.NewServer(f)
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -38,30 +38,47 @@
 	return &errorResponse{status: http.StatusServiceUnavailable, code: "quarantined", retryAfter: blockedRetryAfter, blockedPart: cause.part}
 }
 
-// recordBegin records the begin of an answer, the first time in an attempt.
-func (f *Forwarder) recordBegin(j *job, a *streamAttempt) {
-	if a.began {
+// maxCrashDelay is how long after the begin of an answer an engine may crash because of the request.
+const maxCrashDelay = 3 * time.Second
+
+// recordEvent records that events of an answer have arrived: its begin, the first time in an attempt, and once it has gone on for
+// maxCrashDelay that the engine will not crash because of the request.
+func (f *Forwarder) recordEvent(j *job, a *streamAttempt, arrivedAt time.Time) {
+	if a.beganAt.IsZero() {
+		a.beganAt = arrivedAt
+		if a.service.Engine != nil {
+			f.config.PromptBegan(j.request.SharedParts)
+		}
+	}
+	if arrivedAt.Sub(a.beganAt) > maxCrashDelay {
+		f.recordAnswered(j, a)
+	}
+}
+
+// recordAnswered records that the engine has not crashed because of the request, the first time in an attempt.
+func (f *Forwarder) recordAnswered(j *job, a *streamAttempt) {
+	if a.answered {
 		return
 	}
-	a.began = true
+	a.answered = true
 	if a.service.Engine != nil {
-		f.config.PromptBegan(j.request.SharedParts)
+		f.config.PromptAnswered(j.request.SharedParts)
 	}
 }
 
-// checkCrash records the end of the connection to the first engine of a failed attempt before the answer began, in which case the
+// checkCrash records the end of the connection to the first engine of a failed attempt that was not answered, in which case the
 // engine may have crashed under the request. No other engine of a chain crashes with it.
 func (f *Forwarder) checkCrash(ctx context.Context, j *job, a *streamAttempt, err error) {
-	if a.service.Engine == nil || a.began || ctx.Err() != nil || !isConnectionEnd(err) {
+	if a.service.Engine == nil || a.answered || ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
-	f.config.ConnectionEnded(ctx, a.chain[0].Server, j.request.SharedParts)
+	f.config.ConnectionEnded(ctx, a.chain[0].Server, j.request.SharedParts, !a.beganAt.IsZero())
 }
 
 // finishStream finishes the stream at the end of an attempt's body, or returns an error if the stream is incomplete. A response of
 // unknown length without any new event is complete only if the caller itself resumed the stream, and may thus have all its events.
 func (j *job) finishStream(a *streamAttempt) error {
-	if !a.began && !a.response.Framed && (j.out.resumed || j.request.LastEventID == "") {
+	if a.beganAt.IsZero() && !a.response.Framed && (j.out.resumed || j.request.LastEventID == "") {
 		return errEmptyStream
 	}
 	return j.out.finish()
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -94,11 +96,24 @@
 		// maxCrashes is the number of crashes after which the part must be known, and three more.
 		maxCrashes = 5 + 3
 	)
+	begin := func(events int, pause time.Duration) func(net.Conn, *http.Request) {
+		return func(conn net.Conn, request *http.Request) {
+			writeStreamHeader(conn, request)
+			last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+			for id := last + 1; id <= last+events; id++ {
+				writeEvent(conn, id, "poisoned")
+				time.Sleep(pause)
+			}
+		}
+	}
 	tests := []struct {
 		name  string
 		begin func(net.Conn, *http.Request)
 	}{
 		{"headers", writeStreamHeader},
+		{"an event", begin(1, 0)},
+		{"three events", begin(3, 20*time.Millisecond)},
+		{"an event and silence", begin(1, 300*time.Millisecond)},
 		{"half an event without a length", func(conn net.Conn, request *http.Request) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: 1\nda", request.Header.Get("Id"))
 		}},
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -196,6 +196,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			if err = j.finishStream(a); err == nil {
+				f.recordAnswered(j, a)
 				return nil
 			}
 		}
@@ -236,7 +237,7 @@
 	err := j.out.write(data)
 	if j.out.count > events {
 		f.cancelSuccession(j)
-		f.recordBegin(j, a)
+		f.recordEvent(j, a, arrivedAt)
 		f.recordProgress(a, arrivedAt, arrivedAt.Sub(a.progressAt))
 		j.recordData(arrivedAt, events, tokensPerEvent(a.service))
 		j.positionUnknown = j.out.positionUnknown
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -60,9 +60,9 @@
 	changed chan struct{} // receives an element when the own report may have changed
 
 	mu       sync.Mutex
-	detector *poison.Detector
-	reports  map[string]poison.Report // of the snapshot that the detector knows
-	probes   map[string]*crashProbe   // by engine
+	finder   *poison.Finder
+	evidence map[string]poison.Evidence // of the snapshot that the finder knows
+	probes   map[string]*crashProbe     // by engine
 }
 
 // crashProbe is the probe of an engine whose connection ended.
@@ -74,15 +74,15 @@
 
 // New returns a Keeper, which shares what it sees while Serve runs.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, changed: make(chan struct{}, 1), detector: poison.New(config.Name), probes: make(map[string]*crashProbe)}
+	return &Keeper{config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe)}
 }
 
 // Blocked returns a poisoned part because of which a request with the shared parts must not be sent, and false if there is none.
 func (k *Keeper) Blocked(parts []string) (part string, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.readReports()
-	if part, ok = k.detector.Blocked(time.Now(), parts); ok {
+	k.readEvidence()
+	if part, ok = k.finder.Blocked(time.Now(), parts); ok {
 		metrics.GetOrRegisterCounter("quarantine.blocked", k.config.Metrics).Inc(1)
 	}
 	return part, ok
@@ -92,21 +92,30 @@
 func (k *Keeper) Began(parts []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.detector.Began(time.Now(), parts)
+	k.finder.Began(time.Now(), parts)
 }
 
-// ConnectionEnded records that the connection to an engine has ended before the answer to a request with the shared parts began.
-// It probes the engine and returns whether it has crashed.
-func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, parts []string) (crashed bool) {
+// Answered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long that the
+// engine will not crash because of them.
+func (k *Keeper) Answered(parts []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.finder.Answered(time.Now(), parts)
+}
+
+// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and whether
+// the answer had begun. It probes the engine and returns whether it has crashed.
+func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool) {
 	if len(parts) == 0 || !k.probe(ctx, server) {
 		return false
 	}
 	engine := incarnation(server)
 	k.mu.Lock()
-	k.readReports()
-	k.detector.Crashed(time.Now(), engine, parts)
+	k.readEvidence()
+	k.finder.Crashed(time.Now(), engine, parts, began)
 	k.mu.Unlock()
-	k.config.Log.WithFields(logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts}).Info("an engine crashed before an answer began")
+	fields := logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts, "began": began}
+	k.config.Log.WithFields(fields).Info("an engine crashed before a request was answered")
 	select {
 	case k.changed <- struct{}{}:
 	default:
@@ -148,14 +157,14 @@
 	return probe.crashed
 }
 
-// readReports gives the detector the reports of the newest snapshot, if they have changed. The caller must hold the mutex.
-func (k *Keeper) readReports() {
-	reports := k.config.Snapshot().CrashReports
-	if reflect.ValueOf(reports).Pointer() == reflect.ValueOf(k.reports).Pointer() {
+// readEvidence gives the finder the evidence of the newest snapshot, if it has changed. The caller must hold the mutex.
+func (k *Keeper) readEvidence() {
+	evidence := k.config.Snapshot().CrashReports
+	if reflect.ValueOf(evidence).Pointer() == reflect.ValueOf(k.evidence).Pointer() {
 		return
 	}
-	k.reports = reports
-	k.detector.SetReports(time.Now(), reports)
+	k.evidence = evidence
+	k.finder.SetEvidence(time.Now(), evidence)
 }
 
 // Serve writes the own report to the store when it changes, until the context ends.
@@ -181,43 +190,42 @@
 	}
 }
 
-func (k *Keeper) report() poison.Report {
+func (k *Keeper) report() poison.Evidence {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.readReports()
-	return k.detector.Report(time.Now())
+	k.readEvidence()
+	return k.finder.Evidence(time.Now())
 }
 
 // publisher writes the own report to the store.
 type publisher struct {
-	report    poison.Report // the last one that was written
-	at        time.Time     // when a write was last tried
-	failed    bool          // whether that write failed
-	lease     store.Lease   // of the record in the store
-	grantedAt time.Time     // when the lease was granted, zero if a new one is needed
+	report    poison.Evidence // the last one that was written
+	at        time.Time       // when a write was last tried
+	failed    bool            // whether that write failed
+	lease     store.Lease     // of the record in the store
+	grantedAt time.Time       // when the lease was granted, zero if a new one is needed
 }
 
 // forgetIfRestored forgets the last write if it was made before the era, the last known one of the store, so that the report is
 // written again under a new lease.
 func (p *publisher) forgetIfRestored(era uint64) {
 	if p.lease.IsOutdated(era) {
-		p.report, p.lease, p.grantedAt = poison.Report{}, store.Lease{}, time.Time{}
+		p.report, p.lease, p.grantedAt = poison.Evidence{}, store.Lease{}, time.Time{}
 	}
 }
 
 // isDue reports whether a report must be written now.
-func (p *publisher) isDue(report poison.Report) bool {
+func (p *publisher) isDue(report poison.Evidence) bool {
 	interval := minPublishInterval
 	if p.failed {
 		interval = publishRetryInterval
 	}
-	empty := len(report.Crashes)+len(report.Cleared) == 0
-	return !empty && !reflect.DeepEqual(report, p.report) && time.Since(p.at) >= interval
+	return !report.IsEmpty() && !reflect.DeepEqual(report, p.report) && time.Since(p.at) >= interval
 }
 
 // publish writes a report under a lease that ends once its crashes no longer count. It returns store.ErrRestored if the store was
 // restored between the grant of the lease and the write.
-func (p *publisher) publish(ctx context.Context, config Config, report poison.Report) (err error) {
+func (p *publisher) publish(ctx context.Context, config Config, report poison.Evidence) (err error) {
 	defer errors.DeferredAnnotatef(&err, "write crash report")
 	defer func() { p.failed = err != nil }()
 	p.at = time.Now()
--- a/comfreyrail/internal/gateway/quarantine/quarantine_test.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine_test.go
@@ -22,7 +22,7 @@
 // shared holds the crash reports that the keepers of a test write.
 type shared struct {
 	mu       sync.Mutex
-	reports  map[string]poison.Report
+	reports  map[string]poison.Evidence
 	grants   int
 	writes   int
 	writeErr error
@@ -49,12 +49,12 @@
 		return 0, s.writeErr
 	}
 	s.writes++
-	reports := make(map[string]poison.Report)
+	reports := make(map[string]poison.Evidence)
 	for name, report := range s.reports {
 		reports[name] = report
 	}
 	for _, write := range transaction.Writes {
-		report, err := poison.DecodeReport(write.Value)
+		report, err := poison.DecodeEvidence(write.Value)
 		if err != nil {
 			return 0, err
 		}
@@ -82,7 +82,7 @@
 // endConnections records connections to engines that ended under a prompt with the part.
 func endConnections(k *Keeper, engines int, part string) (crashed int) {
 	for i := range engines {
-		if k.ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprintf("%s-%d", k.config.Name, i)}, []string{part}) {
+		if k.ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprintf("%s-%d", k.config.Name, i)}, []string{part}, false) {
 			crashed++
 		}
 	}
@@ -170,7 +170,7 @@
 // Guards against a report that is written again under a new lease at each check because the response that granted the lease stated
 // no era.
 func TestLeaseOfUnknownEraIsKept(t *testing.T) {
-	report := poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}
+	report := poison.Evidence{Report: poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}}
 	p := publisher{report: report, lease: store.Lease{ID: 1}, grantedAt: time.Now()}
 	p.forgetIfRestored(1)
 	if p.isDue(report) {
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -8,7 +8,8 @@
 
 // Times and limits of a Detector.
 const (
-	// MinCrashes is the number of engines that must have crashed under a part before requests with it are blocked.
+	// MinCrashes is the number of engines that must have crashed under a part before an answer began, so that requests with it are
+	// blocked.
 	MinCrashes = 2
 	// confirmingCrashes is the number of such engines from which on the part stays blocked as long as the crashes count. With
 	// fewer, which may be a coincidence, it is blocked for suspicionTTL after the last one.
@@ -17,21 +18,29 @@
 	suspicionTTL = 10 * time.Second
 	// ReportTTL is how long a crash counts.
 	ReportTTL = 5 * time.Minute
-	// clearMargin is how long before a crash became known an answer may have begun that clears its parts of the crash.
+	// clearMargin is how long before a crash became known an engine may have survived the parts that this clears of the crash.
 	clearMargin = 3 * time.Second
 	// maxCrashes is the maximum number of crashes in a report; the oldest are left out.
 	maxCrashes = 32
 	// maxParts is the maximum number of parts in a crash.
 	maxParts = 32
-	// maxBegun is the maximum number of parts for which the begin of an answer is kept.
-	maxBegun = 8192
+	// maxSurvived is the maximum number of parts for which it is kept when an engine survived them.
+	maxSurvived = 8192
 )
 
+// Config configures a Detector.
+type Config struct {
+	// Name is the name of this instance.
+	Name string
+	// MinCrashes is the number of engines that must have crashed under a part before requests with it are blocked.
+	MinCrashes int
+}
+
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
 // must not be called concurrently.
 type Detector struct {
-	self      string
-	begun     map[string]time.Time // when an answer to a prompt with the part last began
+	config    Config
+	survived  map[string]time.Time // when an engine last survived a prompt with the part
 	crashes   []seenCrash
 	learnedAt map[string]time.Time // when each crash became known, by engine
 	known     nameSets             // parts by engine, of all crashes
@@ -83,39 +92,40 @@
 	return Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(n[engine]))}
 }
 
-// New returns a Detector of the instance with the name.
-func New(self string) *Detector {
-	return &Detector{self: self, begun: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nameSets), told: make(nameSets)}
+// New returns a Detector with the given configuration.
+func New(config Config) *Detector {
+	return &Detector{config: config, survived: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nameSets), told: make(nameSets)}
 }
 
-// Began records that an answer to a prompt with the parts has begun.
-func (d *Detector) Began(now time.Time, parts []string) {
+// Survived records that an engine has not crashed under a prompt with the parts.
+func (d *Detector) Survived(now time.Time, parts []string) {
 	suspected := false
 	for _, part := range parts {
-		d.begun[part] = now
+		d.survived[part] = now
 		suspected = suspected || d.suspected[part] != nil
 	}
-	if len(d.begun) > maxBegun {
-		d.forgetBegun(now)
+	if len(d.survived) > maxSurvived {
+		d.forgetSurvived(now)
 	}
 	if suspected {
 		d.update(now)
 	}
 }
 
-// forgetBegun removes the begins that clear no new crash, or all of them if that does not make room.
-func (d *Detector) forgetBegun(now time.Time) {
-	maps.DeleteFunc(d.begun, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
-	if len(d.begun) > maxBegun {
-		clear(d.begun)
+// forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash, or all of them if that does not make
+// room.
+func (d *Detector) forgetSurvived(now time.Time) {
+	maps.DeleteFunc(d.survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
+	if len(d.survived) > maxSurvived {
+		clear(d.survived)
 	}
 }
 
-// Crashed records that an engine has crashed while a request with the parts was waiting for the begin of its answer. Parts with
-// which an answer has just begun are left out, so that they take no room from the others.
+// Crashed records that an engine may have crashed under a prompt with the parts. Parts that an engine has just survived are left out,
+// so that they take no room from the others.
 func (d *Detector) Crashed(now time.Time, engine string, parts []string) {
 	parts = slices.DeleteFunc(slices.Clone(parts), func(part string) bool {
-		at, ok := d.begun[part]
+		at, ok := d.survived[part]
 		return ok && now.Sub(at) <= clearMargin
 	})
 	i := slices.IndexFunc(d.crashes, func(c seenCrash) bool { return c.Engine == engine })
@@ -132,7 +142,7 @@
 // SetReports replaces the reports of all instances, by their names.
 func (d *Detector) SetReports(now time.Time, reports map[string]Report) {
 	d.reports = reports
-	if previous, ok := reports[d.self]; ok && !d.adopted {
+	if previous, ok := reports[d.config.Name]; ok && !d.adopted {
 		d.adopt(now, previous)
 	}
 	d.update(now)
@@ -165,9 +175,9 @@
 // clearedHere returns the parts that this instance clears of crashes for the others: those that are close to being poisoned
 // without that, unless another instance has cleared them before. What has been told once stays.
 func (d *Detector) clearedHere() (cleared []Crash) {
-	elsewhere := d.clearedBy(func(name string) bool { return name != d.self })
+	elsewhere := d.clearedBy(func(name string) bool { return name != d.config.Name })
 	for part, engines := range uncleared(d.known, elsewhere) {
-		if len(engines) < MinCrashes {
+		if len(engines) < d.config.MinCrashes {
 			continue
 		}
 		for engine := range engines {
@@ -230,7 +240,7 @@
 	d.known = d.knownCrashes(now)
 	for engine, parts := range d.known {
 		for part := range parts {
-			if begun, ok := d.begun[part]; ok && !begun.Before(d.learnedAt[engine].Add(-clearMargin)) {
+			if survived, ok := d.survived[part]; ok && !survived.Before(d.learnedAt[engine].Add(-clearMargin)) {
 				d.cleared.add(engine, part)
 			}
 		}
@@ -242,7 +252,7 @@
 	d.suspected = uncleared(d.known, cleared)
 	d.poisoned = make(map[string]verdict)
 	for part, engines := range d.suspected {
-		if len(engines) >= MinCrashes {
+		if len(engines) >= d.config.MinCrashes {
 			d.poisoned[part] = verdict{companions: d.companions(part), until: d.suspectedUntil(engines)}
 		}
 	}
--- a/rail/poison/detector_test.go
+++ b/rail/poison/detector_test.go
@@ -11,6 +11,8 @@
 // start is the time at which the tests start.
 var start = time.Unix(1_800_000_000, 0)
 
+func newDetector(name string) *Detector { return New(Config{Name: name, MinCrashes: MinCrashes}) }
+
 // crash records the crash of an engine under a request with the parts.
 func crash(d *Detector, at time.Duration, engine int, parts ...string) {
 	d.Crashed(start.Add(at), fmt.Sprintf("engine%d", engine), parts)
@@ -55,13 +57,13 @@
 			}
 		}, [][]string{{"poisoned"}, {"new", "poisoned"}, {"shared0", "poisoned"}}, [][]string{{"shared0"}, {"shared1"}}},
 		{"an answer began shortly before", func(d *Detector) {
-			d.Began(start, []string{"shared"})
+			d.Survived(start, []string{"shared"})
 			for i := range 3 {
 				crash(d, clearMargin/2, i, "shared", "poisoned")
 			}
 		}, [][]string{{"poisoned"}, {"shared", "poisoned"}}, [][]string{{"shared"}}},
 		{"an answer began long before", func(d *Detector) {
-			d.Began(start, []string{"poisoned"})
+			d.Survived(start, []string{"poisoned"})
 			for i := range 3 {
 				crash(d, 2*clearMargin, i, "poisoned")
 			}
@@ -70,17 +72,17 @@
 			for i := range 3 {
 				crash(d, 0, i, "shared")
 			}
-			d.Began(start.Add(time.Second), []string{"shared"})
+			d.Survived(start.Add(time.Second), []string{"shared"})
 		}, nil, [][]string{{"shared"}}},
 		{"engines that die together under many requests", func(d *Detector) {
 			for i := range 13 {
 				crash(d, 0, i, fmt.Sprintf("shared%d", i), "new")
-				d.Began(start.Add(time.Second), []string{"new"})
+				d.Survived(start.Add(time.Second), []string{"new"})
 			}
 		}, nil, [][]string{{"shared1", "new"}, {"new"}}},
 	}
 	for _, test := range tests {
-		d := New("a")
+		d := newDetector("a")
 		test.observe(d)
 		for _, parts := range test.blocked {
 			if _, ok := d.Blocked(start, parts); !ok {
@@ -98,18 +100,18 @@
 // Guards against crashes that count no longer once the instance that saw them has started again, and against answers that clear a
 // part at the instance that sent them only.
 func TestReportsAreShared(t *testing.T) {
-	a, b := New("a"), New("b")
+	a, b := newDetector("a"), newDetector("b")
 	for i := range 3 {
 		crash(a, 0, i, "shared", "poisoned")
 	}
 	reports := map[string]Report{"a": a.Report(start)}
-	b.Began(start, []string{"shared"})
+	b.Survived(start, []string{"shared"})
 	b.SetReports(start, reports)
 	if _, ok := b.Blocked(start, []string{"poisoned"}); !ok {
 		t.Error("got a request with the poisoned part sent at another instance, want it blocked")
 	}
 	reports["b"] = b.Report(start)
-	restarted := New("a")
+	restarted := newDetector("a")
 	restarted.SetReports(start, reports)
 	if _, ok := restarted.Blocked(start, []string{"poisoned"}); !ok {
 		t.Error("got a request with the poisoned part sent after a restart, want it blocked")
@@ -127,11 +129,11 @@
 
 // Guards against a poisoned part that finds no room in a crash because many sound requests were waiting at the engine.
 func TestPoisonedPartAmongManyWaiting(t *testing.T) {
-	d := New("a")
+	d := newDetector("a")
 	for i := range 3 {
 		for j := range 3 * maxParts {
 			part := fmt.Sprintf("shared%d", j)
-			d.Began(start, []string{part})
+			d.Survived(start, []string{part})
 			crash(d, time.Second, i, part)
 		}
 		crash(d, time.Second, i, "poisoned")
@@ -143,12 +145,12 @@
 
 // Guards against memory that grows with the number of parts and of crashes.
 func TestDetectorIsBounded(t *testing.T) {
-	d := New("a")
-	for i := range 3 * maxBegun {
-		d.Began(start.Add(time.Duration(i)*time.Microsecond), []string{fmt.Sprint(i)})
+	d := newDetector("a")
+	for i := range 3 * maxSurvived {
+		d.Survived(start.Add(time.Duration(i)*time.Microsecond), []string{fmt.Sprint(i)})
 	}
-	if got := len(d.begun); got > maxBegun {
-		t.Errorf("got %d parts kept, want %d at most", got, maxBegun)
+	if got := len(d.survived); got > maxSurvived {
+		t.Errorf("got %d parts kept, want %d at most", got, maxSurvived)
 	}
 	for i := range maxCrashes + 4 {
 		for j := range maxParts + 4 {
@@ -156,12 +158,12 @@
 		}
 	}
 	report := d.Report(start)
-	value, err := report.Encode()
+	value, err := Evidence{Report: report}.Encode()
 	if len(report.Crashes) != maxCrashes || len(report.Crashes[0].Parts) != maxParts || err != nil {
 		t.Errorf("got %d crashes with %d parts, %v, want %d with %d", len(report.Crashes), len(report.Crashes[0].Parts), err, maxCrashes, maxParts)
 	}
-	decoded, err := DecodeReport(value)
-	if err != nil || !reflect.DeepEqual(decoded, report) {
+	decoded, err := DecodeEvidence(value)
+	if err != nil || !reflect.DeepEqual(decoded.Report, report) {
 		t.Errorf("got %d crashes decoded, %v, want the same report", len(decoded.Crashes), err)
 	}
 }
@@ -190,7 +192,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	detectors, published := make([]*Detector, instances), make(map[time.Time]map[string]Report)
 	for i := range detectors {
-		detectors[i] = New(fmt.Sprint(i))
+		detectors[i] = newDetector(fmt.Sprint(i))
 	}
 	var running []end
 	crashes, refused := 0, 0
@@ -210,7 +212,7 @@
 				crashes++
 				detectors[done.instance].Crashed(now, fmt.Sprintf("engine%d", crashes), done.parts)
 			} else {
-				detectors[done.instance].Began(now, done.parts)
+				detectors[done.instance].Survived(now, done.parts)
 			}
 		}
 		request := end{at: now.Add(prefill), instance: random.IntN(instances), parts: []string{fmt.Sprintf("first%d", random.IntN(firstParts))}}
@@ -232,7 +234,7 @@
 }
 
 // Guards against a report of another writer whose parts take minutes to compare, while every request waits.
-func TestDecodeReportBounds(t *testing.T) {
+func TestDecodeEvidenceBounds(t *testing.T) {
 	tests := []struct {
 		name           string
 		crashes, parts int
@@ -250,12 +252,14 @@
 			}
 			report.Crashes = append(report.Crashes, crash)
 		}
-		value, err := report.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err = DecodeReport(value); (err == nil) != test.ok {
-			t.Errorf("%s: got %v, want the report accepted: %v", test.name, err, test.ok)
+		for _, evidence := range []Evidence{{Report: report}, {Answers: report}} {
+			value, err := evidence.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err = DecodeEvidence(value); (err == nil) != test.ok {
+				t.Errorf("%s: got %v, want the report accepted: %v", test.name, err, test.ok)
+			}
 		}
 	}
 }
--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -14,34 +14,56 @@
 	Parts []string `json:"parts"`
 }
 
-// Report is what one instance saw.
+// Report holds crashes that one instance saw before answers had begun, or before they were whole.
 type Report struct {
-	// Crashes lists the crashes, oldest first, with the parts of the prompts whose answers had not begun.
+	// Crashes lists the crashes, oldest first, with the parts of the prompts under which the engines may have crashed.
 	Crashes []Crash `json:"crashes"`
-	// Cleared lists crashes with the parts that did not cause them, since answers to prompts with these have begun.
+	// Cleared lists crashes with the parts that did not cause them, since other engines have survived them.
 	Cleared []Crash `json:"cleared"`
 }
 
-// Encode returns the report as it is stored.
-func (r Report) Encode() (value []byte, err error) {
+// isEmpty reports whether there is nothing to tell.
+func (r Report) isEmpty() bool { return len(r.Crashes)+len(r.Cleared) == 0 }
+
+// check returns an error if the report holds more than maxCrashes crashes, or a crash more than maxParts parts.
+func (r Report) check() error {
+	if len(r.Crashes) > maxCrashes {
+		return errors.Errorf("%d crashes are more than %d", len(r.Crashes), maxCrashes)
+	}
+	for _, crash := range r.Crashes {
+		if len(crash.Parts) > maxParts {
+			return errors.Errorf("%d parts of a crash are more than %d", len(crash.Parts), maxParts)
+		}
+	}
+	return nil
+}
+
+// Evidence is what one instance saw.
+type Evidence struct {
+	// Report is about engines that crashed before answers had begun.
+	Report
+	// Answers is about engines that crashed before answers were whole.
+	Answers Report `json:"answers"`
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (e Evidence) IsEmpty() bool { return e.isEmpty() && e.Answers.isEmpty() }
+
+// Encode returns the evidence as it is stored.
+func (e Evidence) Encode() (value []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "encode crash report")
-	return json.Marshal(r)
+	return json.Marshal(e)
 }
 
-// DecodeReport decodes a stored report. It returns an error if the value isn't valid JSON, or if the report holds more than
+// DecodeEvidence decodes stored evidence. It returns an error if the value isn't valid JSON, or if a report holds more than
 // maxCrashes crashes or a crash more than maxParts parts.
-func DecodeReport(value []byte) (report Report, err error) {
+func DecodeEvidence(value []byte) (evidence Evidence, err error) {
 	defer errors.DeferredAnnotatef(&err, "decode crash report")
-	if err = json.Unmarshal(value, &report); err != nil {
-		return report, err
+	if err = json.Unmarshal(value, &evidence); err != nil {
+		return evidence, err
 	}
-	if len(report.Crashes) > maxCrashes {
-		return report, errors.Errorf("%d crashes are more than %d", len(report.Crashes), maxCrashes)
-	}
-	for _, crash := range report.Crashes {
-		if len(crash.Parts) > maxParts {
-			return report, errors.Errorf("%d parts of a crash are more than %d", len(crash.Parts), maxParts)
-		}
+	if err = evidence.check(); err != nil {
+		return evidence, err
 	}
-	return report, nil
+	return evidence, evidence.Answers.check()
 }
