--- a/comfreyrail/internal/gateway/quarantine/quarantine_test.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -113,6 +114,42 @@
 	}
 }
 
+// Guards against a crash that does not count because a probe found the engine alive shortly before, when another connection ended.
+func TestCrashAfterProbeCounts(t *testing.T) {
+	probes := make(chan error, 3)
+	for _, result := range []error{nil, syscall.ECONNREFUSED, nil} {
+		probes <- result
+	}
+	k := newKeeper(t, new(shared), "a", nil)
+	k.config.FetchState = func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, <-probes }
+	server := backend.Server{ID: "one"}
+	for i, want := range []bool{false, true, true} {
+		if got := k.ConnectionEnded(context.Background(), server, []string{"part"}, false); got != want {
+			t.Errorf("connection %d: got a crash %v, want %v", i, got, want)
+		}
+	}
+}
+
+// Guards against connections of an engine that end together being confirmed with a probe each.
+func TestConnectionsThatEndTogetherShareProbes(t *testing.T) {
+	const connections = 50
+	var probes atomic.Int32
+	k := newKeeper(t, new(shared), "a", nil)
+	k.config.FetchState = func(context.Context, backend.Server) (backend.State, error) {
+		probes.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		return backend.State{}, nil
+	}
+	var wait sync.WaitGroup
+	for range connections {
+		wait.Go(func() { k.ConnectionEnded(context.Background(), backend.Server{ID: "one"}, []string{"part"}, false) })
+	}
+	wait.Wait()
+	if got, want := int(probes.Load()), 2; got > want {
+		t.Errorf("got %d probes for %d connections, want %d at most", got, connections, want)
+	}
+}
+
 // Guards against instances that each let a poisoned part crash engines because none sees enough crashes, also if the store fails
 // at first.
 func TestCrashesOfAllInstancesCount(t *testing.T) {
