Count the crash of an engine that was to replace a silent one

The end of a successor's connection before its first event was not examined, so that a part which crashes engines took more of them when it met a silent one first.

TestCrashOfSuccessorCounts failed before the change and passes now.

--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -174,6 +174,7 @@
 	config func(*route.Config)
 	budget func(*BudgetConfig)
 	state  func(context.Context, backend.Server) (backend.State, error) // the state that engines report
+	ended  func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
 }
 
 // newGateway returns a gateway with a route of each kind to the servers. The function modify, if not nil, changes the
@@ -222,6 +223,9 @@
 	c := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
 	keeper := quarantine.New(quarantine.Config{Name: "self", Snapshot: c.Snapshot, FetchState: dial, Metrics: registry, Log: discardLog()})
+	if options.ended == nil {
+		options.ended = keeper.ConnectionEnded
+	}
 	f := New(Config{
 		Catalog: c, Upstream: upstream.New(upstream.Config{DialTimeout: time.Second, Budget: g.memory}), Log: logOnFailure(t), Metrics: registry,
 		RequestMemory: g.requests, ResponseMemory: g.memory,
@@ -232,7 +236,7 @@
 		},
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
 		FetchState:    options.state,
-		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: keeper.ConnectionEnded,
+		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
 		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
 	})
 	proxy := httptest.NewServer(f)
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -135,3 +136,30 @@
 		})
 	}
 }
+
+// Guards against a crash that does not count because the engine was to replace a silent one.
+func TestCrashOfSuccessorCounts(t *testing.T) {
+	beginThenCrash := func(conn net.Conn, request *http.Request, _ int) {
+		writeStreamHeader(conn, request)
+		_ = conn.Close()
+	}
+	respond := firstThen(beginThenSilence, beginThenCrash)
+	first, second := newServer(t, "first", respond), newServer(t, "second", respond)
+	first.card, second.card = "card", "card"
+	shortTimeout := func(config *route.Config) {
+		useEngines(config)
+		for i := range config.Routes {
+			config.Routes[i].Timeout = 2500 * time.Millisecond
+		}
+	}
+	var ended []string
+	record := func(_ context.Context, _ backend.Server, parts []string, began bool) bool {
+		ended = append(ended, fmt.Sprint(parts, began))
+		return true
+	}
+	g := newGatewayWith(t, gatewayOptions{config: shortTimeout, ended: record}, first, second)
+	g.sendPrompt(t, "r1", poisonedPart, "last")
+	if got, want := ended, []string{fmt.Sprint([]string{poisonedPart}, false)}; !slices.Equal(got, want) {
+		t.Errorf("got ended connections %v, want %v", got, want)
+	}
+}
--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -87,7 +87,9 @@
 		err = position.checkHead(a.response.Status, a.response.Header)
 	}
 	if err == nil {
-		a.prefetched, err = readFirstEvent(a, position)
+		if a.prefetched, err = readFirstEvent(a, position); err != nil {
+			f.checkCrash(ctx, j, a, err)
+		}
 	}
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
