Tell the end of a stream without a length from the crash of its engine

A stream without a length whose engine crashed between two events reached the caller as complete, and cleared the parts of its prompt of the crash.

Cause: the end of the connection is the end of such an answer, and a crash ends the connection in the same way. Nothing in the bytes tells them apart.

At the end of such a stream the gateway now probes the engine, with the probe that confirms crashes and is shared by the connections that end together. If the engine refuses connections, the attempt has failed: the stream goes on at another engine, or is broken off.

TestUnframedStreamOfCrashedEngineIsContinued and two new cases of TestPoisonedPromptCrashesFewEngines (15 and 30 crashes, 8 allowed) failed before the change and pass now.

--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -69,21 +69,43 @@
 // checkCrash records the end of the connection to the first engine of a failed attempt that was not answered, in which case the
 // engine may have crashed under the request. No other engine of a chain crashes with it.
 func (f *Forwarder) checkCrash(ctx context.Context, j *job, a *streamAttempt, err error) {
-	if a.service.Engine == nil || a.answered || ctx.Err() != nil || !isConnectionEnd(err) {
+	if a.service.Engine == nil || a.answered || len(j.request.SharedParts) == 0 || ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
 	f.config.ConnectionEnded(ctx, a.chain[0].Server, j.request.SharedParts, !a.beganAt.IsZero())
 }
 
+// errCrashed is the error of a response of unknown length whose engine has crashed when its connection ends.
+const errCrashed = errors.ConstError("the engine has crashed at the end of the stream")
+
 // finishStream finishes the stream at the end of an attempt's body, or returns an error if the stream is incomplete. A response of
 // unknown length without any new event is complete only if the caller itself resumed the stream, and may thus have all its events.
-func (j *job) finishStream(a *streamAttempt) error {
-	if a.beganAt.IsZero() && !a.response.Framed && (j.out.resumed || j.request.LastEventID == "") {
+func (f *Forwarder) finishStream(ctx context.Context, j *job, a *streamAttempt) error {
+	if a.response.Framed {
+		return j.out.finish()
+	}
+	if a.beganAt.IsZero() && (j.out.resumed || j.request.LastEventID == "") {
 		return errEmptyStream
 	}
+	if f.crashedAtEnd(ctx, j, a) {
+		return errCrashed
+	}
 	return j.out.finish()
 }
 
+// crashedAtEnd reports whether the first engine of an attempt has crashed, and records that if the engine may have crashed because of
+// the request. A crash ends a response of unknown length in the same way as its last event does.
+func (f *Forwarder) crashedAtEnd(ctx context.Context, j *job, a *streamAttempt) bool {
+	if a.service.Engine == nil {
+		return false
+	}
+	parts := j.request.SharedParts
+	if a.answered {
+		parts = nil
+	}
+	return f.config.ConnectionEnded(ctx, a.chain[0].Server, parts, !a.beganAt.IsZero())
+}
+
 // isConnectionEnd reports whether an error means that the other side ended the connection.
 func isConnectionEnd(err error) bool {
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errEmptyStream} {
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -107,6 +107,12 @@
 			}
 		}
 	}
+	beginUnframed := func(rest string) func(net.Conn, *http.Request) {
+		return func(conn net.Conn, request *http.Request) {
+			last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: %d\ndata: poisoned\n\n%s", request.Header.Get("Id"), last+1, rest)
+		}
+	}
 	tests := []struct {
 		name  string
 		begin func(net.Conn, *http.Request)
@@ -115,6 +121,8 @@
 		{"an event", begin(1, 0)},
 		{"three events", begin(3, 20*time.Millisecond)},
 		{"an event and silence", begin(1, 300*time.Millisecond)},
+		{"an event without a length", beginUnframed("")},
+		{"an event and a half without a length", beginUnframed("id: 9")},
 		{"half an event without a length", func(conn net.Conn, request *http.Request) {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\nid: 1\nda", request.Header.Get("Id"))
 		}},
@@ -137,6 +145,35 @@
 	}
 }
 
+// Guards against a stream without a length whose engine crashed between two events being passed on as complete, and against one whose
+// engine lives on being broken off.
+func TestUnframedStreamOfCrashedEngineIsContinued(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		var engines []*server
+		var arrivals atomic.Int32
+		for i := range 2 {
+			engine := newServer(t, fmt.Sprintf("engine%d", i), nil)
+			engine.card = "card"
+			engine.respond = func(conn net.Conn, request *http.Request, n int) {
+				if arrivals.Add(1) > 1 {
+					respondRest(conn, request, n)
+					return
+				}
+				if crashes {
+					_ = engine.listener.Close()
+				}
+				writeStream(toTheEnd, eventText(1, brokenAfter), false)(conn, request, n)
+			}
+			engines = append(engines, engine)
+		}
+		want := brokenAfter
+		if crashes {
+			want = lastEvent
+		}
+		newGateway(t, useEngines, engines...).sendRaw(t, "/stream/").check(t, want, true)
+	}
+}
+
 // Guards against a crash that does not count because the engine was to replace a silent one.
 func TestCrashOfSuccessorCounts(t *testing.T) {
 	beginThenCrash := func(conn net.Conn, request *http.Request, _ int) {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -195,7 +195,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if err = j.finishStream(a); err == nil {
+			if err = f.finishStream(ctx, j, a); err == nil {
 				f.recordAnswered(j, a)
 				return nil
 			}
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -114,11 +114,14 @@
 }
 
 // ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and whether
-// the answer had begun. It probes the engine and returns whether it has crashed.
+// the answer had begun. It probes the engine and returns whether it has crashed. Without parts nothing is recorded.
 func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool) {
-	if len(parts) == 0 || !k.probe(ctx, server) {
+	if !k.probe(ctx, server) {
 		return false
 	}
+	if len(parts) == 0 {
+		return true
+	}
 	engine := incarnation(server)
 	k.mu.Lock()
 	k.readEvidence()
