Take no request late in a stop that may be aborted at its end

Cause: it took what it expected to end in time, by one moving average of the time between tokens over all services and cards, or by the target of a plain request. Cards differ sixfold in pace. The abort itself came when it was due. Others get status 503 at once and are served by another instance.

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -82,7 +82,6 @@
 	selector  *selector
 	liveness  *livenessProber
 	stopPlan  atomic.Pointer[stopPlan] // nil if no stop is planned
-	tokenTime atomic.Int64             // expected time between tokens in nanoseconds
 }
 
 // New returns a Forwarder with the given configuration.
@@ -90,9 +89,7 @@
 	if config.Notices == nil {
 		config.Notices = notices.New(notices.Config{Snapshot: config.Catalog.Snapshot, Metrics: config.Metrics, Log: config.Log})
 	}
-	f := &Forwarder{config: config, selector: newSelector(config), liveness: newLivenessProber(config), startedAt: time.Now()}
-	f.tokenTime.Store(int64(initialTokenTime))
-	return f
+	return &Forwarder{config: config, selector: newSelector(config), liveness: newLivenessProber(config), startedAt: time.Now()}
 }
 
 // Delays of Retry-After, and default limits of requests.
@@ -133,7 +130,6 @@
 	maxGap          time.Duration // longest time between two arrivals of data
 	lastDataAt      time.Time     // time of the last arrival of data
 	events          int
-	tokens          int
 	chainText       string // engines of the last attempt with their layers, for logs
 
 	// The fields below are used by streams only.
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -70,7 +70,6 @@
 	var errResponse *errorResponse
 	switch {
 	case err == nil:
-		f.updateTokenTime(j)
 		metrics.GetOrRegisterCounter("requests.done", f.config.Metrics).Inc(1)
 		f.recordTime("requests.first", j.timeToFirstData)
 		f.recordTime("requests.whole", time.Since(j.startedAt))
--- a/comfreyrail/internal/gateway/forward/stop.go
+++ b/comfreyrail/internal/gateway/forward/stop.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
 // RequestID returns the ID that the caller gave its request, which log lines about the request contain, or an empty string.
@@ -35,56 +33,19 @@
 }
 
 // PlanStop sets the times of a stop: requests that are still in progress at abortAt are aborted, and from refuseFrom on
-// requests that are not expected to end before abortAt are refused. Before refuseFrom the load balancer may still send new
-// callers here, so that a refused caller could be sent to this instance again.
+// requests whose deadline passes later are refused. Before refuseFrom the load balancer may still send new callers here, so that a
+// refused caller could be sent to this instance again.
 func (f *Forwarder) PlanStop(refuseFrom, abortAt time.Time) {
 	f.stopPlan.Store(&stopPlan{refuseFrom: refuseFrom, abortAt: abortAt})
 }
 
-// stopMargin is the minimum time between the expected end of an accepted request and the time at which requests are
-// aborted. A server without a fault may be silent for about a second.
-const stopMargin = 2 * time.Second
-
 // responseMargin is the time that the response to a request whose deadline has passed needs to reach its caller.
 const responseMargin = 100 * time.Millisecond
 
 // acceptsBeforeAbort reports whether to accept a request. It does so if no stop is planned, if the load balancer may still send
-// callers here, if the request's deadline passes before requests are aborted, or if the request is expected to end at least
-// stopMargin before that.
+// callers here, or if the request's deadline passes before requests are aborted. Nothing else bounds the time of a request, whose server
+// may be slow or fall silent, and its caller loses less by being sent to another instance than by being aborted.
 func (f *Forwarder) acceptsBeforeAbort(j *job) bool {
 	plan := f.stopPlan.Load()
-	if plan == nil || time.Now().Before(plan.refuseFrom) || j.deadline.Add(responseMargin).Before(plan.abortAt) {
-		return true
-	}
-	expected, ok := f.expectedTime(j)
-	return ok && time.Until(plan.abortAt) > expected+stopMargin
-}
-
-// expectedTime returns the expected time from the start of a request to its end. It returns false for a stream of unknown length.
-func (f *Forwarder) expectedTime(j *job) (expected time.Duration, ok bool) {
-	if j.route.Kind != route.Stream {
-		return j.route.LatencyTarget, true
-	}
-	tokens := max(j.request.LengthHint, j.request.MaxTokens)
-	if tokens <= 0 {
-		return 0, false
-	}
-	return j.route.LatencyTarget + time.Duration(tokens)*time.Duration(f.tokenTime.Load()), true
-}
-
-// initialTokenTime is the expected time between tokens before any stream has completed.
-const initialTokenTime = 15 * time.Millisecond
-
-// tokenTimeDivisor is the inverse of the weight of one stream in the expected time between tokens.
-const tokenTimeDivisor = 16
-
-// updateTokenTime updates the expected time between tokens, a moving average, with that of a completed stream. It ignores a stream
-// without tokens.
-func (f *Forwarder) updateTokenTime(j *job) {
-	if j.tokens <= 0 || j.timeToFirstData <= 0 {
-		return
-	}
-	measured := int64(time.Since(j.startedAt)-j.timeToFirstData) / int64(j.tokens)
-	expected := f.tokenTime.Load()
-	f.tokenTime.Store(expected + (measured-expected)/tokenTimeDivisor)
+	return plan == nil || time.Now().Before(plan.refuseFrom) || j.deadline.Add(responseMargin).Before(plan.abortAt)
 }
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -13,7 +13,6 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
-	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
 // Times of a stream. The factors of the route's LatencyTarget, the target for the time to the first event, apply until the
@@ -239,7 +238,7 @@
 		f.cancelSuccession(j)
 		f.recordEvent(j, a, arrivedAt)
 		f.recordProgress(a, arrivedAt, arrivedAt.Sub(a.progressAt))
-		j.recordData(arrivedAt, events, tokensPerEvent(a.service))
+		j.recordData(arrivedAt, events)
 		j.positionUnknown = j.out.positionUnknown
 		a.checkAt = arrivedAt.Add(scale(j.route.GapTarget, gapCheckFactor))
 	}
@@ -255,9 +254,9 @@
 	a.progressAt, a.probeBackoff = at, 0
 }
 
-// recordData records the arrival of data, with the numbers of events and tokens that were written before it.
-func (j *job) recordData(now time.Time, events, tokensPerEvent int) {
-	j.events, j.tokens = events, events*tokensPerEvent
+// recordData records the arrival of data, with the number of events that were written before it.
+func (j *job) recordData(now time.Time, events int) {
+	j.events = events
 	if j.timeToFirstData == 0 {
 		j.timeToFirstData = now.Sub(j.startedAt)
 	} else {
@@ -265,11 +264,3 @@
 	}
 	j.lastDataAt = now
 }
-
-// tokensPerEvent returns the number of tokens in an event of the service.
-func tokensPerEvent(service *route.Service) int {
-	if service.Engine == nil {
-		return 1
-	}
-	return max(service.Engine.StepsPerPass, 1)
-}
