Leave time for a late signal in the lag of a stop

Long requests that arrive later than 3 s after SIGTERM must not be aborted. The lag within which all requests are taken was 3 s from the moment at which the process handled the signal, which may be a tenth of a second late where its share of the processor has been used up.

The lag is 2.8 s now, still longer than the two checks after which the load balancer sends callers elsewhere. TestLagLeavesTimeToHandleTheSignal failed before the change and passes now.

--- a/comfreyrail/internal/settings/gateway.go
+++ b/comfreyrail/internal/settings/gateway.go
@@ -84,7 +84,7 @@
 	defaultRetryRatio         = 0.1
 	defaultRetryBurst         = 20
 	defaultRetryPeriod        = 10 * time.Second
-	defaultGatewayBalancerLag = 3 * time.Second
+	defaultGatewayBalancerLag = 2800 * time.Millisecond // longer than two checks of the load balancer
 	defaultGatewayIdleTimeout = time.Second
 	defaultGatewayStopTimeout = 8 * time.Second
 )
--- a/comfreyrail/internal/settings/gateway_test.go
+++ b/comfreyrail/internal/settings/gateway_test.go
@@ -75,3 +75,16 @@
 		}
 	}
 }
+
+// Guards against a stop that takes long requests for more than 3 s after the signal because the process handles the signal late.
+func TestLagLeavesTimeToHandleTheSignal(t *testing.T) {
+	const (
+		lastLongRequest = 3 * time.Second        // after the signal
+		missedChecks    = 2 * time.Second        // after which the load balancer sends callers elsewhere
+		handling        = 150 * time.Millisecond // of the signal, when the processor's share of the interval has been used up
+	)
+	lag := time.Duration(DefaultGateway().Stop.BalancerLag)
+	if lag+handling >= lastLongRequest || lag <= missedChecks {
+		t.Errorf("got a lag of %v, want more than %v, and less than %v before %v", lag, missedChecks, handling, lastLongRequest)
+	}
+}
