--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -128,6 +128,7 @@
 	configAge atomic.Int64
 	memory    *limit.Budget // for responses
 	requests  *limit.Budget // for request bodies
+	forwarder *Forwarder
 }
 
 // Memory of a gateway in bytes, that of an instance with 160 MB.
@@ -239,6 +240,7 @@
 		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
 		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
 	})
+	g.forwarder = f
 	proxy := httptest.NewServer(f)
 	t.Cleanup(proxy.Close)
 	g.url = proxy.URL
--- a/comfreyrail/internal/gateway/forward/hostile_test.go
+++ b/comfreyrail/internal/gateway/forward/hostile_test.go
@@ -142,6 +142,10 @@
 	tests := []struct{ name, path, contentHeader, text string }{
 		{"plain body without length", "/once/", "Connection: close\r\n", "x"},
 		{"plain body in chunks", "/once/", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n"},
+		{"trailers", "/once/", "Transfer-Encoding: chunked\r\n\r\n0", "A: b\r\n"},
+		{"trailers of a stream", "/single/", "Transfer-Encoding: chunked\r\n\r\n0", "A: b\r\n"},
+		{"chunk extensions", "/once/", "Transfer-Encoding: chunked\r\n", "4;a=" + strings.Repeat("b", 100) + "\r\nbody\r\n"},
+		{"chunk size", "/once/", "Transfer-Encoding: chunked\r\n", "0"},
 		{"event without end", "/single/", "Connection: close\r\n", "data: x"},
 		{"event of many lines", "/single/", "Connection: close\r\n", "data: x\n"},
 		{"event in chunks", "/single/", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n"},
--- a/comfreyrail/internal/gateway/forward/stop_test.go
+++ b/comfreyrail/internal/gateway/forward/stop_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -57,3 +58,14 @@
 		}
 	}
 }
+
+// Guards against a request that may run once only being sent to a server late in a stop, and aborted without a response at its end.
+func TestStopSendsNothingThatItMayAbort(t *testing.T) {
+	s := newServer(t, "only", respondOK)
+	g := newGateway(t, func(config *route.Config) { config.Routes[0].Timeout = 4 * time.Second }, s)
+	g.forwarder.PlanStop(time.Now(), time.Now().Add(3*time.Second))
+	response, _, complete := g.send(t, "/once/", "")
+	if response.StatusCode != http.StatusServiceUnavailable || !complete || s.received() != 0 {
+		t.Errorf("got status %d, complete %v, sent %d times, want status 503 at once", response.StatusCode, complete, s.received())
+	}
+}
