--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -8,73 +8,16 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/notices"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
-	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
-	"github.com/comfreyrail/comfreyrail/rail/pipeline"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
-// Config holds the settings and dependencies of a Forwarder.
-type Config struct {
-	// Catalog provides the configuration and the list of backend servers.
-	Catalog *catalog.Catalog
-	// Upstream sends requests to backend servers.
-	Upstream *upstream.Client
-	// Zone is the availability zone of this instance.
-	Zone string
-	// MaxConfigAge is the maximum age of the configuration at which API keys are accepted. The age is the time since the
-	// store last confirmed it.
-	MaxConfigAge time.Duration
-	// MaxApplyDelay is the age of the configuration after which an unknown route or key is refused with status 503
-	// instead of 404 or 401, since a newer configuration may be in force elsewhere. Known routes and keys are not
-	// affected by it, in contrast to MaxConfigAge.
-	MaxApplyDelay time.Duration
-	// Retries holds the retry budgets of the services.
-	Retries *Budgets
-	// PeerUsage returns a function that estimates the other instances' usage of an engine, or of a link between
-	// availability zones, by ID. It returns false if they have not reported lately.
-	PeerUsage func(now time.Time) func(id string) (use pipeline.Usage, known bool)
-	// ReadRequest parses the headers of a caller's request.
-	ReadRequest func(header http.Header) call.Request
-	// WriteBackendRequest sets the headers of a request to a backend server.
-	WriteBackendRequest func(header http.Header, forward call.BackendRequest)
-	// ReadResponse parses the status and headers of a backend server's response.
-	ReadResponse func(status int, header http.Header) call.Response
-	// FetchState requests the state of an engine.
-	FetchState func(ctx context.Context, server backend.Server) (state backend.State, err error)
-	// Reroute instructs the first engine of a request to continue it along another chain.
-	Reroute func(ctx context.Context, first backend.Server, request string, stages []call.Stage) error
-	// PromptBlocked returns the part because of which a request with the shared parts must not be sent to engines, and false if
-	// there is none.
-	PromptBlocked func(parts []string) (part string, ok bool)
-	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
-	PromptBegan func(parts []string)
-	// PromptAnswered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long
-	// that the engine will not crash because of them.
-	PromptAnswered func(parts []string)
-	// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and
-	// whether the answer had begun; it returns whether the engine has crashed.
-	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
-	// Notices knows which backend servers are leaving or want no requests for a while; nil means a new one.
-	Notices *notices.Keeper
-	// RequestMemory bounds the memory of large request bodies; nil means no bound.
-	RequestMemory *limit.Budget
-	// ResponseMemory bounds the memory of large responses and events; nil means no bound.
-	ResponseMemory *limit.Budget
-	// Log is the logger of the Forwarder.
-	Log *logrus.Entry
-	// Metrics is the registry of the request counters and time histograms.
-	Metrics metrics.Registry
-}
-
 // Forwarder is an http.Handler that forwards requests to backend servers.
 type Forwarder struct {
 	config    Config
@@ -106,40 +49,6 @@
 	defaultMaxBodyBytes = 4 << 20
 )
 
-// job is the state of one request from its arrival to its end.
-type job struct {
-	request         call.Request
-	route           *route.Route
-	service         string
-	workspace       string
-	urgency         int       // 0 is the most urgent
-	deadline        time.Time // end of the route's or the caller's timeout, whichever is first
-	method          string
-	target          string
-	host            string
-	header          http.Header
-	body            *limit.Buffer // the whole body once it has been read
-	startedAt       time.Time
-	attempts        int
-	avoid           []string       // IDs of plain servers that the request must not be sent to again
-	excluded        event.Excluded // servers that the last choice excluded because of what they said of themselves
-	mayHaveRun      bool           // whether a backend server may have run the request
-	positionUnknown bool           // whether the caller's last event of the stream has no ID, so that the stream cannot be resumed after it
-	lastServer      string
-	timeToFirstData time.Duration // time from arrival to the first data of the stream
-	maxGap          time.Duration // longest time between two arrivals of data
-	lastDataAt      time.Time     // time of the last arrival of data
-	events          int
-	chainText       string // engines of the last attempt with their layers, for logs
-
-	// The fields below are used by streams only.
-
-	out         *eventWriter   // writes the events of all attempts to the caller
-	succession  *succession    // start of a successor of the current attempt, nil if none is being started
-	successor   *streamAttempt // attempt that has begun to respond and replaces the current one, nil if there is none
-	isSuccessor bool           // whether this is the copy of a job with which a successor is started
-}
-
 // ServeHTTP forwards one request and writes the response. It panics with http.ErrAbortHandler if the caller disconnects,
 // its body cannot be read, or the response fails after its beginning was sent.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -217,19 +126,6 @@
 	return nil
 }
 
-// setDeadline sets the deadline to the shorter of the route's and the caller's timeout, or to defaultTimeout if there is
-// neither.
-func (j *job) setDeadline() {
-	timeout := j.route.Timeout
-	if j.request.Timeout > 0 && (timeout <= 0 || j.request.Timeout < timeout) {
-		timeout = j.request.Timeout
-	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	j.deadline = j.startedAt.Add(timeout)
-}
-
 // readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit, and one
 // for which no memory is left.
 func (f *Forwarder) readBody(j *job, r *http.Request, limits route.Limits) (err error) {
@@ -254,13 +150,6 @@
 	return nil
 }
 
-// releaseBody returns the memory of the body.
-func (j *job) releaseBody() {
-	if j.body != nil {
-		j.body.Release()
-	}
-}
-
 // pickService returns the service of the request, its servers and the current snapshot. The service is drawn by the route's
 // weights at the first attempt; later attempts use the same service.
 func (f *Forwarder) pickService(j *job) (service *route.Service, servers []backend.Server, snapshot *catalog.Snapshot) {
@@ -305,8 +194,3 @@
 		NewConnection: j.needsNewConnection(),
 	}
 }
-
-// needsNewConnection reports whether the request must not be sent on an idle connection. If the server closes such a connection just
-// as the request is sent, a request that must not run more than once cannot be sent again. If the server sends an earlier response
-// again, that could be taken for the response to a request without an ID.
-func (j *job) needsNewConnection() bool { return !j.route.Repeatable() || j.request.ID == "" }
--- /dev/null
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/event"
+	"github.com/comfreyrail/comfreyrail/rail/limit"
+	"github.com/comfreyrail/comfreyrail/rail/route"
+)
+
+// job is the state of one request from its arrival to its end.
+type job struct {
+	request         call.Request
+	route           *route.Route
+	service         string
+	workspace       string
+	urgency         int       // 0 is the most urgent
+	deadline        time.Time // end of the route's or the caller's timeout, whichever is first
+	method          string
+	target          string
+	host            string
+	header          http.Header
+	body            *limit.Buffer // the whole body once it has been read
+	startedAt       time.Time
+	attempts        int
+	avoid           []string       // IDs of plain servers that the request must not be sent to again
+	excluded        event.Excluded // servers that the last choice excluded because of what they said of themselves
+	mayHaveRun      bool           // whether a backend server may have run the request
+	positionUnknown bool           // whether the caller's last event of the stream has no ID, so that the stream cannot be resumed after it
+	lastServer      string
+	timeToFirstData time.Duration // time from arrival to the first data of the stream
+	maxGap          time.Duration // longest time between two arrivals of data
+	lastDataAt      time.Time     // time of the last arrival of data
+	events          int
+	chainText       string // engines of the last attempt with their layers, for logs
+
+	// The fields below are used by streams only.
+
+	out         *eventWriter   // writes the events of all attempts to the caller
+	succession  *succession    // start of a successor of the current attempt, nil if none is being started
+	successor   *streamAttempt // attempt that has begun to respond and replaces the current one, nil if there is none
+	isSuccessor bool           // whether this is the copy of a job with which a successor is started
+}
+
+// setDeadline sets the deadline to the shorter of the route's and the caller's timeout, or to defaultTimeout if there is
+// neither.
+func (j *job) setDeadline() {
+	timeout := j.route.Timeout
+	if j.request.Timeout > 0 && (timeout <= 0 || j.request.Timeout < timeout) {
+		timeout = j.request.Timeout
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	j.deadline = j.startedAt.Add(timeout)
+}
+
+// releaseBody returns the memory of the body.
+func (j *job) releaseBody() {
+	if j.body != nil {
+		j.body.Release()
+	}
+}
+
+// needsNewConnection reports whether the request must not be sent on an idle connection. If the server closes such a connection just
+// as the request is sent, a request that must not run more than once cannot be sent again. If the server sends an earlier response
+// again, that could be taken for the response to a request without an ID.
+func (j *job) needsNewConnection() bool { return !j.route.Repeatable() || j.request.ID == "" }
--- /dev/null
+++ b/comfreyrail/internal/gateway/quarantine/probe.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+)
+
+// Times of the probe that confirms a crash.
+const (
+	// probeTimeout is the timeout of the probe.
+	probeTimeout = 150 * time.Millisecond
+	// probeTTL is how long a probe is kept that found an engine crashed.
+	probeTTL = time.Second
+)
+
+// crashProbe is the probe of an engine whose connection ended.
+type crashProbe struct {
+	at      time.Time
+	done    chan struct{} // closed once crashed is set
+	crashed bool
+}
+
+// isDone reports whether crashed is set.
+func (p *crashProbe) isDone() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// incarnation identifies a start of an engine.
+func incarnation(server backend.Server) string { return fmt.Sprintf("%s@%d", server.ID, server.Born) }
+
+// probe reports whether an engine refuses connections now. Requests whose connections ended together share a probe. One that found
+// the engine crashed is reused; one that found it alive counts only for connections that had ended before it started.
+func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed bool) {
+	endedAt := time.Now()
+	for {
+		probe, first := k.lastProbe(incarnation(server), endedAt)
+		if first {
+			probe.crashed = k.refusesConnections(ctx, server)
+			close(probe.done)
+		}
+		<-probe.done
+		if probe.crashed || !probe.at.Before(endedAt) {
+			return probe.crashed
+		}
+	}
+}
+
+// lastProbe returns the last probe of an engine for a connection that ended at the given time. If that probe is over and says nothing
+// of the time, it returns a new one, which the caller must carry out.
+func (k *Keeper) lastProbe(engine string, endedAt time.Time) (probe *crashProbe, first bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	for id, probe := range k.probes {
+		if now.Sub(probe.at) > probeTTL {
+			delete(k.probes, id)
+		}
+	}
+	probe = k.probes[engine]
+	if probe != nil && (!probe.isDone() || probe.crashed || !probe.at.Before(endedAt)) {
+		return probe, false
+	}
+	probe = &crashProbe{at: now, done: make(chan struct{})}
+	k.probes[engine] = probe
+	return probe, true
+}
+
+// refusesConnections probes an engine and counts it if it has crashed.
+func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	_, err := k.config.FetchState(ctx, server)
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	if crashed {
+		metrics.GetOrRegisterCounter("quarantine.crashes", k.config.Metrics).Inc(1)
+	}
+	return crashed
+}
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"reflect"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -18,23 +15,8 @@
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
-// Times of a Keeper.
-const (
-	// checkInterval is the time between checks whether the own report has changed.
-	checkInterval = 250 * time.Millisecond
-	// minPublishInterval is the minimum time between two writes of the own report.
-	minPublishInterval = 200 * time.Millisecond
-	// publishRetryInterval is the minimum time between a failed write and the next one.
-	publishRetryInterval = time.Second
-	// leaseReuse is how long reports are written under one lease.
-	leaseReuse = time.Minute
-	// publishTimeout is the timeout of a write of the own report.
-	publishTimeout = time.Second
-	// probeTimeout is the timeout of the probe that confirms a crash.
-	probeTimeout = 150 * time.Millisecond
-	// probeTTL is how long a probe is kept that found an engine crashed.
-	probeTTL = time.Second
-)
+// checkInterval is the time between checks whether the own report has changed.
+const checkInterval = 250 * time.Millisecond
 
 // Config configures a Keeper.
 type Config struct {
@@ -65,23 +47,6 @@
 	probes   map[string]*crashProbe     // by engine
 }
 
-// crashProbe is the probe of an engine whose connection ended.
-type crashProbe struct {
-	at      time.Time
-	done    chan struct{} // closed once crashed is set
-	crashed bool
-}
-
-// isDone reports whether crashed is set.
-func (p *crashProbe) isDone() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // New returns a Keeper, which shares what it sees while Serve runs.
 func New(config Config) *Keeper {
 	return &Keeper{config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe)}
@@ -136,58 +101,6 @@
 	return true
 }
 
-// incarnation identifies a start of an engine.
-func incarnation(server backend.Server) string { return fmt.Sprintf("%s@%d", server.ID, server.Born) }
-
-// probe reports whether an engine refuses connections now. Requests whose connections ended together share a probe. One that found
-// the engine crashed is reused; one that found it alive counts only for connections that had ended before it started.
-func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed bool) {
-	endedAt := time.Now()
-	for {
-		probe, first := k.lastProbe(incarnation(server), endedAt)
-		if first {
-			probe.crashed = k.refusesConnections(ctx, server)
-			close(probe.done)
-		}
-		<-probe.done
-		if probe.crashed || !probe.at.Before(endedAt) {
-			return probe.crashed
-		}
-	}
-}
-
-// lastProbe returns the last probe of an engine for a connection that ended at the given time. If that probe is over and says nothing
-// of the time, it returns a new one, which the caller must carry out.
-func (k *Keeper) lastProbe(engine string, endedAt time.Time) (probe *crashProbe, first bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := time.Now()
-	for id, probe := range k.probes {
-		if now.Sub(probe.at) > probeTTL {
-			delete(k.probes, id)
-		}
-	}
-	probe = k.probes[engine]
-	if probe != nil && (!probe.isDone() || probe.crashed || !probe.at.Before(endedAt)) {
-		return probe, false
-	}
-	probe = &crashProbe{at: now, done: make(chan struct{})}
-	k.probes[engine] = probe
-	return probe, true
-}
-
-// refusesConnections probes an engine and counts it if it has crashed.
-func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-	defer cancel()
-	_, err := k.config.FetchState(ctx, server)
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
-	if crashed {
-		metrics.GetOrRegisterCounter("quarantine.crashes", k.config.Metrics).Inc(1)
-	}
-	return crashed
-}
-
 // readEvidence gives the finder the evidence of the newest snapshot, if it has changed. The caller must hold the mutex.
 func (k *Keeper) readEvidence() {
 	evidence := k.config.Snapshot().CrashReports
@@ -227,60 +140,3 @@
 	k.readEvidence()
 	return k.finder.Evidence(time.Now())
 }
-
-// publisher writes the own report to the store.
-type publisher struct {
-	report    poison.Evidence // the last one that was written
-	at        time.Time       // when a write was last tried
-	failed    bool            // whether that write failed
-	lease     store.Lease     // of the record in the store
-	grantedAt time.Time       // when the lease was granted, zero if a new one is needed
-}
-
-// forgetIfRestored forgets the last write if it was made before the era, the last known one of the store, so that the report is
-// written again under a new lease.
-func (p *publisher) forgetIfRestored(era uint64) {
-	if p.lease.IsOutdated(era) {
-		p.report, p.lease, p.grantedAt = poison.Evidence{}, store.Lease{}, time.Time{}
-	}
-}
-
-// isDue reports whether a report must be written now.
-func (p *publisher) isDue(report poison.Evidence) bool {
-	interval := minPublishInterval
-	if p.failed {
-		interval = publishRetryInterval
-	}
-	return !report.IsEmpty() && !reflect.DeepEqual(report, p.report) && time.Since(p.at) >= interval
-}
-
-// publish writes a report under a lease that ends once its crashes no longer count. It returns store.ErrRestored if the store was
-// restored between the grant of the lease and the write.
-func (p *publisher) publish(ctx context.Context, config Config, report poison.Evidence) (err error) {
-	defer errors.DeferredAnnotatef(&err, "write crash report")
-	defer func() { p.failed = err != nil }()
-	p.at = time.Now()
-	value, err := report.Encode()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	if time.Since(p.grantedAt) > leaseReuse {
-		if p.lease, err = config.Grant(ctx, poison.ReportTTL+leaseReuse); err != nil {
-			return err
-		}
-		p.grantedAt = p.at
-	}
-	key := catalog.CrashReportPrefix + config.Name
-	era, err := config.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: key, Value: value, Lease: p.lease.ID}}})
-	if err == nil && p.lease.IsOutdated(era) {
-		err = store.ErrRestored
-	}
-	if err != nil {
-		p.grantedAt = time.Time{}
-		return err
-	}
-	p.report = report
-	return nil
-}
