Spare engines that want no requests the probe that confirms a crash

An engine that turns requests away for a while must not be sent more of them, and the probes of silent streams keep to that. The probe at the end of a connection did not; the ends of streams without a length, which are probed since, would have made it frequent.

Such an engine counts as alive.

--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -72,7 +72,14 @@
 	if a.service.Engine == nil || a.answered || len(j.request.SharedParts) == 0 || ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
-	f.config.ConnectionEnded(ctx, a.chain[0].Server, j.request.SharedParts, !a.beganAt.IsZero())
+	f.firstEngineCrashed(ctx, a, j.request.SharedParts)
+}
+
+// firstEngineCrashed reports whether the first engine of an attempt whose connection has ended has crashed, and records that it may have
+// crashed because of the parts. An engine that wants no requests is not probed, and counts as alive.
+func (f *Forwarder) firstEngineCrashed(ctx context.Context, a *streamAttempt, parts []string) bool {
+	first := a.chain[0].Server
+	return !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, !a.beganAt.IsZero())
 }
 
 // errCrashed is the error of a response of unknown length whose engine has crashed when its connection ends.
@@ -103,7 +110,7 @@
 	if a.answered {
 		parts = nil
 	}
-	return f.config.ConnectionEnded(ctx, a.chain[0].Server, parts, !a.beganAt.IsZero())
+	return f.firstEngineCrashed(ctx, a, parts)
 }
 
 // isConnectionEnd reports whether an error means that the other side ended the connection.
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -200,3 +201,24 @@
 		t.Errorf("got ended connections %v, want %v", got, want)
 	}
 }
+
+// Guards against the probe that confirms a crash reaching an engine that wants no requests for a while.
+func TestCrashProbeSparesWaitingEngine(t *testing.T) {
+	engine := newServer(t, "engine", writeStream(toTheEnd, eventText(1, lastEvent), false))
+	engine.card = "card"
+	var probes atomic.Int32
+	count := func(context.Context, backend.Server, []string, bool) bool {
+		probes.Add(1)
+		return false
+	}
+	g := newGatewayWith(t, gatewayOptions{config: useEngines, ended: count}, engine)
+	turnAway := call.Response{ID: "r0", NotRun: true, RetryAfter: call.RetryAfter{Delay: time.Minute}}
+	engine.respond = func(conn net.Conn, request *http.Request, n int) {
+		g.forwarder.config.Notices.Received(engine.entry(), turnAway)
+		writeStream(toTheEnd, eventText(1, lastEvent), false)(conn, request, n)
+	}
+	g.sendRaw(t, "/stream/").check(t, lastEvent, true)
+	if got := probes.Load(); got != 0 {
+		t.Errorf("got %d probes, want none", got)
+	}
+}
