Answer callers before their own timeout ends

A caller whose timeout is shorter than the route's got neither a response nor a refusal when its server was silent: the gateway's deadline was the moment at which the caller leaves, so that the status 504 came after that. A change of the configuration that lengthens a route's timeout brings this about; before it, the route's timeout ends the request first and the caller gets a response.

Up to 30 ms of the caller's timeout, a tenth at most, are kept for the response.

--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -257,7 +257,10 @@
 }
 
 func readRequest(header http.Header) call.Request {
-	request := call.Request{ID: header.Get("Id"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event-Id")}
+	timeout, _ := strconv.Atoi(header.Get("Timeout"))
+	request := call.Request{
+		ID: header.Get("Id"), APIKey: header.Get("Key"), LastEventID: header.Get("Last-Event-Id"), Timeout: time.Duration(timeout) * time.Millisecond,
+	}
 	if parts := strings.Split(header.Get("Prefix"), ","); len(parts) > 1 {
 		request.SharedParts = parts[:len(parts)-1]
 	}
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -44,12 +44,21 @@
 	isSuccessor bool           // whether this is the copy of a job with which a successor is started
 }
 
-// setDeadline sets the deadline to the shorter of the route's and the caller's timeout, or to defaultTimeout if there is
-// neither.
+// Limits of the part of a caller's timeout that is kept for the response to reach it.
+const (
+	// maxDeliveryTime is the longest time that is kept.
+	maxDeliveryTime = 30 * time.Millisecond
+	// deliveryDivisor is the inverse of the largest part of a timeout that is kept.
+	deliveryDivisor = 10
+)
+
+// setDeadline sets the deadline to the shorter of the route's timeout and the caller's, or to defaultTimeout if there is neither. The
+// caller's timeout runs on its own side, so that the response must be sent some time before it ends.
 func (j *job) setDeadline() {
-	timeout := j.route.Timeout
-	if j.request.Timeout > 0 && (timeout <= 0 || j.request.Timeout < timeout) {
-		timeout = j.request.Timeout
+	timeout, caller := j.route.Timeout, j.request.Timeout
+	caller -= min(maxDeliveryTime, caller/deliveryDivisor)
+	if caller > 0 && (timeout <= 0 || caller < timeout) {
+		timeout = caller
 	}
 	if timeout <= 0 {
 		timeout = defaultTimeout
