Answer callers of streams before they leave without an event

Callers of a stream leave, well before its timeout, when no event has arrived for two seconds, four latency targets or eight gap targets.

What begins in time is not affected.

TestCallerOfStreamIsAnsweredBeforeItLeaves failed before the change (status 504 after 5 s, the callers wait 0.4 s) and passes now; TestStreamThatBeginsInTimeGoesOn guards the rest.

--- a/comfreyrail/internal/gateway/forward/deadline_test.go
+++ b/comfreyrail/internal/gateway/forward/deadline_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -66,3 +69,58 @@
 		}
 	}
 }
+
+// Guards against a stream that gets neither a response nor a refusal because its caller disconnects, well before its timeout, when no
+// event has arrived: its servers are silent, or respond without an event.
+func TestCallerOfStreamIsAnsweredBeforeItLeaves(t *testing.T) {
+	const abandonTime = 400 * time.Millisecond
+	abandoned := func(config *route.Config) {
+		for i := range config.Routes {
+			config.Routes[i].AbandonTime = abandonTime
+		}
+	}
+	silent := func(conn net.Conn, _ *http.Request, _ int) { _, _ = conn.Read(make([]byte, 1)) }
+	for _, path := range []string{"/single/", "/stream/"} {
+		for _, respond := range []func(net.Conn, *http.Request, int){silent, beginThenSilence} {
+			g := newGateway(t, abandoned, newServer(t, "one", respond), newServer(t, "two", respond))
+			start := time.Now()
+			response, _, complete := g.send(t, path, "")
+			if took := time.Since(start); response.StatusCode != http.StatusGatewayTimeout || !complete || took >= abandonTime {
+				t.Errorf("%s: got status %d, complete %v after %v, want 504 within %v", path, response.StatusCode, complete, took, abandonTime)
+			}
+		}
+	}
+}
+
+// Guards against a stream that has begun in time being ended when its caller would have left without an event, and against an error
+// response being broken off then.
+func TestStreamThatBeginsInTimeGoesOn(t *testing.T) {
+	const abandonTime = 200 * time.Millisecond
+	abandoned := func(config *route.Config) {
+		for i := range config.Routes {
+			config.Routes[i].AbandonTime = abandonTime
+		}
+	}
+	slowEvents := func(conn net.Conn, request *http.Request, _ int) {
+		writeStreamHeader(conn, request)
+		for id := 1; id <= lastEvent; id++ {
+			time.Sleep(abandonTime / 2)
+			writeEvent(conn, id, strconv.Itoa(id))
+		}
+		_, _ = io.WriteString(conn, lastChunk)
+	}
+	if _, body, complete := newGateway(t, abandoned, newServer(t, "only", slowEvents)).send(t, "/stream/", ""); !complete || body != eventText(1, lastEvent) {
+		t.Errorf("got %q, complete %v, want the whole stream", body, complete)
+	}
+	slowError := func(conn net.Conn, request *http.Request, _ int) {
+		size := 2 * limit.HeldBytes
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Failed\r\nId: %s\r\nContent-Length: %d\r\n\r\n", request.Header.Get("Id"), size)
+		_, _ = conn.Write(make([]byte, size-1))
+		time.Sleep(2 * abandonTime)
+		_, _ = conn.Write(make([]byte, 1))
+	}
+	response, _, complete := newGateway(t, abandoned, newServer(t, "only", slowError)).send(t, "/stream/", "")
+	if response.StatusCode != http.StatusInternalServerError || !complete {
+		t.Errorf("got status %d, complete %v, want the server's whole error response", response.StatusCode, complete)
+	}
+}
--- a/comfreyrail/internal/gateway/forward/events.go
+++ b/comfreyrail/internal/gateway/forward/events.go
@@ -34,6 +34,7 @@
 	status     int
 	header     http.Header // of the response, which is sent with the first event
 	headerSent bool
+	begin      func() error // called before the response begins, which it prevents by an error; nil does nothing
 	lastID     string
 	ids        sequence
 	pending    *limit.Buffer // beginning of the next event
@@ -74,14 +75,26 @@
 }
 
 // sendHeader sends the status and headers of the response unless they have been sent. Until then the caller can get an error
-// response.
-func (e *eventWriter) sendHeader() {
+// response. It returns the error of begin.
+func (e *eventWriter) sendHeader() error {
 	if e.headerSent {
-		return
+		return nil
+	}
+	if err := e.beginResponse(); err != nil {
+		return err
 	}
 	e.headerSent = true
 	copyHeader(e.w.Header(), e.header)
 	e.w.WriteHeader(e.status)
+	return nil
+}
+
+// beginResponse must be called once before the response to the caller begins, which its error prevents.
+func (e *eventWriter) beginResponse() error {
+	if e.begin == nil {
+		return nil
+	}
+	return e.begin()
 }
 
 // copyPosition returns a copy for another goroutine, which can check what may follow the events so far but cannot write.
@@ -137,7 +150,9 @@
 		e.pending.Skip(end)
 		return err
 	}
-	e.sendHeader()
+	if beginErr := e.sendHeader(); beginErr != nil {
+		return beginErr
+	}
 	if _, writeErr := e.w.Write(accepted); writeErr != nil {
 		return writeErr
 	}
@@ -216,7 +231,9 @@
 	case e.behind:
 		return errShorterStream
 	}
-	e.sendHeader()
+	if err := e.sendHeader(); err != nil {
+		return err
+	}
 	_, err := e.w.Write(rest)
 	return err
 }
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -52,11 +52,15 @@
 	deliveryDivisor = 10
 )
 
+// lessDelivery returns the part of a caller's timeout within which the response must be sent to reach it in time.
+func lessDelivery(timeout time.Duration) time.Duration {
+	return timeout - min(maxDeliveryTime, timeout/deliveryDivisor)
+}
+
 // setDeadline sets the deadline to the shorter of the route's timeout and the caller's, or to defaultTimeout if there is neither. The
 // caller's timeout runs on its own side, so that the response must be sent some time before it ends.
 func (j *job) setDeadline() {
-	timeout, caller := j.route.Timeout, j.request.Timeout
-	caller -= min(maxDeliveryTime, caller/deliveryDivisor)
+	timeout, caller := j.route.Timeout, lessDelivery(j.request.Timeout)
 	if caller > 0 && (timeout <= 0 || caller < timeout) {
 		timeout = caller
 	}
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -185,7 +185,8 @@
 // canceled reports whether the context of an attempt was canceled through no fault of its server: because the caller disconnected, or
 // because the attempt is a successor that is not needed.
 func canceled(ctx context.Context) bool {
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errSuccessorLate)
+	cause := context.Cause(ctx)
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(cause, errSuccessorLate) && !errors.Is(cause, errNoEvent)
 }
 
 // stallQueryTimeout is the timeout of fetching the first engine's state after a failure.
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -62,6 +62,8 @@
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, j *job) error {
 	j.out = newEventWriter(w, j.request.LastEventID, f.config.ResponseMemory)
 	defer j.out.close()
+	ctx, cancel := j.limitBegin(ctx)
+	defer cancel()
 	defer f.cancelSuccession(j)
 	for {
 		a, err := f.nextAttempt(ctx, j)
@@ -81,6 +83,30 @@
 	}
 }
 
+// errNoEvent is the error of a stream of which no event has arrived when its caller is about to disconnect.
+const errNoEvent = errors.ConstError("no event has arrived before the caller disconnects")
+
+// limitBegin returns a context that ends when the caller is about to disconnect because the response has not begun, so that it can still
+// get an error response.
+func (j *job) limitBegin(ctx context.Context) (limited context.Context, cancel func()) {
+	if j.route.AbandonTime <= 0 {
+		return ctx, func() {}
+	}
+	limited, cancelCause := context.WithCancelCause(ctx)
+	left := time.Until(j.startedAt.Add(lessDelivery(j.route.AbandonTime)))
+	timer := time.AfterFunc(left, func() { cancelCause(errNoEvent) })
+	j.out.begin = func() error {
+		if !timer.Stop() {
+			return errNoEvent
+		}
+		return nil
+	}
+	return limited, func() {
+		timer.Stop()
+		cancelCause(nil)
+	}
+}
+
 // prepareRetry returns nil once the next attempt may follow a failed one, and otherwise the final error of the stream.
 func (f *Forwarder) prepareRetry(ctx context.Context, j *job, cause error) error {
 	f.endSuccession(j)
@@ -155,6 +181,10 @@
 	if err != nil {
 		return j.failureResponse("stream-failed")
 	}
+	if j.out.beginResponse() != nil {
+		held.discard()
+		return j.timeoutResponse()
+	}
 	return held.deliver(ctx, w)
 }
 
--- a/rail/route/route.go
+++ b/rail/route/route.go
@@ -45,6 +45,9 @@
 	LatencyTarget time.Duration
 	// GapTarget is the target for the longest gap between two events of a stream.
 	GapTarget time.Duration
+	// AbandonTime is how long a caller waits for the next event of a stream, the first included, before it disconnects; zero means
+	// that it is not known.
+	AbandonTime time.Duration
 	// Urgency is the urgency of the requests; 0 is the most urgent.
 	Urgency int
 	// MaxAttempts is the maximum number of attempts of one request, the first included.
