--- /dev/null
+++ b/rail/poison/finder_test.go
@@ -0,0 +1,55 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a part that crashes engines after the begin of an answer staying free, because the begin counts as proof that it is
+// sound, and against sound parts being blocked by crashes that an answer clears.
+func TestFinderBlocks(t *testing.T) {
+	crash := func(f *Finder, engines int, began bool) {
+		for i := range engines {
+			f.Crashed(start, fmt.Sprint("engine", i), []string{"part"}, began)
+		}
+	}
+	tests := []struct {
+		name    string
+		observe func(f *Finder)
+		want    bool
+	}{
+		{"two engines before the begin", func(f *Finder) { crash(f, MinCrashes, false) }, true},
+		{"two engines after the begin", func(f *Finder) { crash(f, minAnswerCrashes-1, true) }, false},
+		{"three engines after the begin", func(f *Finder) { crash(f, minAnswerCrashes, true) }, true},
+		{"three engines after the begin of answers", func(f *Finder) {
+			f.Began(start, []string{"part"})
+			crash(f, minAnswerCrashes, true)
+			f.Began(start.Add(time.Second), []string{"part"})
+		}, true},
+		{"an answer is whole shortly before", func(f *Finder) {
+			f.Answered(start.Add(-time.Second), []string{"part"})
+			crash(f, minAnswerCrashes, true)
+		}, false},
+		{"an answer is whole later", func(f *Finder) {
+			crash(f, minAnswerCrashes, true)
+			f.Answered(start.Add(time.Second), []string{"part"})
+		}, false},
+		{"an answer was whole long before", func(f *Finder) {
+			f.Answered(start.Add(-2*clearMargin), []string{"part"})
+			crash(f, minAnswerCrashes, true)
+		}, true},
+	}
+	for _, test := range tests {
+		f := NewFinder("a")
+		test.observe(f)
+		if _, got := f.Blocked(start.Add(time.Second), []string{"part"}); got != test.want {
+			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.want)
+		}
+		other := NewFinder("b")
+		other.SetEvidence(start, map[string]Evidence{"a": f.Evidence(start)})
+		if _, got := other.Blocked(start.Add(time.Second), []string{"part"}); got != test.want {
+			t.Errorf("%s: got blocked %v at another instance, want %v", test.name, got, test.want)
+		}
+	}
+}
