--- a/comfreyrail/internal/gateway/catalog/restore_outage_test.go
+++ b/comfreyrail/internal/gateway/catalog/restore_outage_test.go
@@ -76,11 +76,7 @@
 // Guards against records of other instances, which divide the retry budgets, being removed during an outage in which none of these
 // instances can write its record again.
 func TestMissingRecordsAreKeptDuringOutage(t *testing.T) {
-	instances := fleetOf("a", "b", "c")
-	fake := &fakeStore{now: time.Minute, era: 1, items: []store.Item{record(t, instances[0], 1), record(t, instances[1], 2), record(t, instances[2], 3)}}
-	c := newCatalog(fake, highestRanked(instances, 1)[0])
-	refreshOnce(t, c, fake)
-	restoreOnce(t, c, fake, 3, record(t, instances[0], 1))
+	c, fake, _ := newCatalogMissingRecords(t)
 	fake.err, fake.peerErr = errDown, errDown
 	wait(t, c, fake, rewriteTimeout+time.Second)
 	if got := len(c.Snapshot().Instances); got != 3 {
@@ -90,13 +86,9 @@
 
 // Guards against records of other instances being removed soon after a second restoration because of the first one.
 func TestMissingRecordsAreKeptAfterSecondRestoration(t *testing.T) {
-	instances := fleetOf("a", "b", "c")
-	fake := &fakeStore{now: time.Minute, era: 1, items: []store.Item{record(t, instances[0], 1), record(t, instances[1], 2), record(t, instances[2], 3)}}
-	c := newCatalog(fake, highestRanked(instances, 1)[0])
-	refreshOnce(t, c, fake)
-	restoreOnce(t, c, fake, 3, record(t, instances[0], 1))
+	c, fake, kept := newCatalogMissingRecords(t)
 	fake.now += rewriteTimeout - 500*time.Millisecond
-	restoreOnce(t, c, fake, 3, record(t, instances[0], 1))
+	restoreOnce(t, c, fake, 3, kept)
 	wait(t, c, fake, time.Second)
 	if got := len(c.Snapshot().Instances); got != 3 {
 		t.Errorf("got %d instances a second after the second restoration, want 3", got)
@@ -105,12 +97,7 @@
 
 // Guards against a server that had left getting requests again during an outage in which its removal cannot be seen.
 func TestHoldDoesNotEndDuringOutage(t *testing.T) {
-	fake := &fakeStore{now: time.Minute, era: 1, items: []store.Item{item("servers/left", "ready", 4)}}
-	c := newCatalog(fake, Instance{Name: "a"})
-	refreshOnce(t, c, fake)
-	fake.changes = []store.Item{removed("servers/left", 21)}
-	refreshOnce(t, c, fake)
-	restoreOnce(t, c, fake, 7, item("servers/left", "ready", 4))
+	c, fake := newHoldingCatalog(t)
 	fake.err, fake.peerErr = errDown, errDown
 	wait(t, c, fake, rewriteTimeout+time.Second)
 	if got := c.Snapshot().Servers["app"]; len(got) != 1 || !got[0].Draining {
@@ -121,12 +108,7 @@
 // Guards against a hold that never ends, or a server that had left being kept for draining for good, after a second restoration
 // during the hold.
 func TestHoldEndsAfterSecondRestoration(t *testing.T) {
-	fake := &fakeStore{now: time.Minute, era: 1, items: []store.Item{item("servers/left", "ready", 4)}}
-	c := newCatalog(fake, Instance{Name: "a"})
-	refreshOnce(t, c, fake)
-	fake.changes = []store.Item{removed("servers/left", 21)}
-	refreshOnce(t, c, fake)
-	restoreOnce(t, c, fake, 7, item("servers/left", "ready", 4))
+	c, fake := newHoldingCatalog(t)
 	fake.now += time.Second
 	restoreOnce(t, c, fake, 7, item("servers/left", "ready", 4))
 	if got := c.Snapshot().Servers["app"]; len(got) != 1 || !got[0].Draining {
--- a/comfreyrail/internal/gateway/catalog/restore_test.go
+++ b/comfreyrail/internal/gateway/catalog/restore_test.go
@@ -137,6 +137,31 @@
 	refreshOnce(t, c, fake)
 }
 
+// newHoldingCatalog returns a catalog that holds a server back which had left, as the restored store still has its entry.
+func newHoldingCatalog(t *testing.T) (c *Catalog, fake *fakeStore) {
+	t.Helper()
+	fake = &fakeStore{now: time.Minute, era: 1, items: []store.Item{item("servers/left", "ready", 4)}}
+	c = newCatalog(fake, Instance{Name: "a"})
+	refreshOnce(t, c, fake)
+	fake.changes = []store.Item{removed("servers/left", 21)}
+	refreshOnce(t, c, fake)
+	restoreOnce(t, c, fake, 7, item("servers/left", "ready", 4))
+	return c, fake
+}
+
+// newCatalogMissingRecords returns a catalog whose store was restored without the records of two of three instances, and the record
+// that the store has.
+func newCatalogMissingRecords(t *testing.T) (c *Catalog, fake *fakeStore, kept store.Item) {
+	t.Helper()
+	instances := fleetOf("a", "b", "c")
+	kept = record(t, instances[0], 1)
+	fake = &fakeStore{now: time.Minute, era: 1, items: []store.Item{kept, record(t, instances[1], 2), record(t, instances[2], 3)}}
+	c = newCatalog(fake, highestRanked(instances, 1)[0])
+	refreshOnce(t, c, fake)
+	restoreOnce(t, c, fake, 3, kept)
+	return c, fake, kept
+}
+
 // wait lets time pass and runs the parts of Serve that depend on it.
 func wait(t *testing.T, c *Catalog, fake *fakeStore, d time.Duration) {
 	t.Helper()
@@ -186,12 +211,7 @@
 
 // Guards against a server being held back although it wrote its entry again after the restoration, or started anew.
 func TestServerThatWritesAgainAfterRestoration(t *testing.T) {
-	fake := &fakeStore{now: time.Minute, era: 1, items: []store.Item{item("servers/left", "ready", 4)}}
-	c := newCatalog(fake, Instance{Name: "a"})
-	refreshOnce(t, c, fake)
-	fake.changes = []store.Item{removed("servers/left", 21)}
-	refreshOnce(t, c, fake)
-	restoreOnce(t, c, fake, 7, item("servers/left", "ready", 4))
+	c, fake := newHoldingCatalog(t)
 	if got := c.Snapshot().Servers["app"]; len(got) != 1 || !got[0].Draining {
 		t.Fatalf("got %+v, want the server held back", got)
 	}
--- a/comfreyrail/internal/traffic/relay/fleet_test.go
+++ b/comfreyrail/internal/traffic/relay/fleet_test.go
@@ -212,6 +212,19 @@
 	return result
 }
 
+// verifyCalls compares the outcomes of calls, and the number of their runs, with the expected ones.
+func (f *fleet) verifyCalls(calls []callResult, outcomes []outcome.Outcome, runs int) {
+	f.t.Helper()
+	for i, call := range calls {
+		if got, want := call.outcome, outcomes[i]; got != want {
+			f.t.Errorf("got outcome %q (%s) of call %s, want %q", got, call.code, call.id, want)
+		}
+	}
+	if got, want := f.verifyRuns(calls), runs; got != want {
+		f.t.Errorf("got %d runs, want %d", got, want)
+	}
+}
+
 // verifyRuns compares the results of the calls with the runs that the backend server counted, and returns the number of runs.
 func (f *fleet) verifyRuns(results []callResult) (runs int) {
 	f.t.Helper()
--- a/comfreyrail/internal/traffic/relay/minted_test.go
+++ b/comfreyrail/internal/traffic/relay/minted_test.go
@@ -53,15 +53,7 @@
 			}
 			f.service.SetFaults(fakeservice.Faults{})
 			second := f.call(other, "second", key, test.body)
-			if got, want := first.outcome, test.first; got != want {
-				t.Errorf("got first outcome %q (%s), want %q", got, first.code, want)
-			}
-			if got, want := second.outcome, test.second; got != want {
-				t.Errorf("got second outcome %q (%s), want %q", got, second.code, want)
-			}
-			if got, want := f.verifyRuns([]callResult{first, second}), test.runs; got != want {
-				t.Errorf("got %d runs, want %d", got, want)
-			}
+			f.verifyCalls([]callResult{first, second}, []outcome.Outcome{test.first, test.second}, test.runs)
 		})
 	}
 }
