Read what has arrived before a deadline of a response takes effect

Cause: package net reports a passed read deadline without a look at the socket. When a process goes on after a hold-up, the deadlines are handled first, so bytes of a backend server that arrived meanwhile were not seen: the server was taken for silent, or the attempt failed at the deadline of the request although its response was whole. Send also dropped a response whose head was read after the deadline.

Change: package lastlook reads without waiting what a socket holds. The connections to backend servers use it when a deadline has passed, for 256 KiB at most, so that a server that sends without end is still given up. A response that arrived counts, late or not; no further attempt starts after the deadline.

--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -18,7 +18,7 @@
 func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, j *job) error {
 	var failure *heldResponse
 	defer func() { failure.discard() }()
-	for j.attempts < j.route.MaxAttempts {
+	for j.attempts < j.route.MaxAttempts && ctx.Err() == nil {
 		server, ok := f.nextPlainServer(j)
 		if !ok {
 			break
@@ -40,8 +40,11 @@
 			break
 		}
 	}
-	if failure != nil {
+	switch {
+	case failure != nil:
 		return failure.deliver(ctx, w)
+	case ctx.Err() != nil:
+		return j.timeoutResponse()
 	}
 	return f.withWait(j, j.failureResponse("no-server"))
 }
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -16,6 +16,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/lastlook"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
@@ -30,6 +31,8 @@
 	readBufferSize = 2 << 10
 	// tcpUserTimeout is the maximum time for which sent bytes may stay unacknowledged before the connection fails.
 	tcpUserTimeout = 3 * time.Second
+	// maxLateBytes is the maximum number of bytes that are read after a deadline before it takes effect.
+	maxLateBytes = 256 << 10
 )
 
 // Config holds the settings of a Client.
@@ -66,13 +69,14 @@
 	head          headMeter
 	idleUntil     time.Time
 	onReadTimeout func() time.Duration
+	lateBytes     int // bytes read after the current deadline
 }
 
-// Read reads from the connection, and fails if a response's heads become too large. When the read deadline passes, it calls
-// onReadTimeout, which returns how long to continue.
+// Read reads from the connection, and fails if a response's heads become too large. When the read deadline passes and no bytes have
+// arrived, it calls onReadTimeout, which returns how long to continue.
 func (c *conn) Read(b []byte) (n int, err error) {
 	for {
-		n, err = c.Conn.Read(b)
+		n, err = c.readArrived(b)
 		// No bytes are returned with the error: the parser ignores errors within a continued header line as long as bytes arrive.
 		if headErr := c.head.count(b[:n]); headErr != nil {
 			return 0, headErr
@@ -90,6 +94,18 @@
 	}
 }
 
+// readArrived reads from the connection. A deadline takes effect once nothing is left to read or maxLateBytes have been read after it.
+func (c *conn) readArrived(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.lateBytes >= maxLateBytes {
+		c.lateBytes = 0
+		return n, err
+	}
+	n, err = lastlook.Read(c.Conn, b)
+	c.lateBytes += n
+	return n, err
+}
+
 // Request is an HTTP request to a backend server.
 type Request struct {
 	// Address is the host and port of the backend server.
@@ -158,8 +174,8 @@
 	ctx           context.Context //nolint:containedctx // the context of Send, which applies until Close or Discard
 }
 
-// Send sends the request once and returns the response after reading its headers; the error is an *Error. Canceling the
-// context makes the connection fail, also while the body is read.
+// Send sends the request once and returns the response after reading its headers; the error is an *Error. The end of the
+// context makes the connection fail, also while the body is read, once all that had arrived has been read.
 func (client *Client) Send(ctx context.Context, request Request) (response *Response, err error) {
 	c, err := client.acquire(ctx, request)
 	if err != nil {
@@ -192,10 +208,6 @@
 	if err != nil {
 		return nil, &Error{MayHaveBeenSent: true, Cause: err}
 	}
-	// A response counts as none if the context ended before it was read, provided that the context has a deadline.
-	if _, hasDeadline := ctx.Deadline(); hasDeadline && ctx.Err() != nil {
-		return nil, &Error{MayHaveBeenSent: true, Cause: ctx.Err()}
-	}
 	return &Response{
 		Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, Framed: parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0, body: parsed.Body,
 		client: client, conn: c, address: request.Address, maxIdle: request.MaxIdle, closeAfter: parsed.Close, detachContext: detachContext, ctx: ctx,
