Keep the deadline of a request that ends during a read timeout

Cause: the end of a request's context sets a deadline on the connection. If a read timeout was handled at the same time, its next deadline replaced that one, and the request went on until it passed: the caller got status 504 up to 90 ms late and had left by then.

Change: after it sets a read deadline, a connection to a backend server sets the passed one again if the context has ended. relayBody needs no check of its own for that, so the events of a stream that have arrived at its deadline are relayed too.

--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -212,10 +212,6 @@
 	for {
 		// Bytes that complete no event do not move checkAt, so that a server that sends only such bytes is checked.
 		a.response.SetReadDeadline(a.checkAt)
-		// Canceling the context also sets a deadline, which the line above may have overwritten.
-		if err = ctx.Err(); err != nil {
-			return err
-		}
 		var n int
 		n, err = a.response.Read(buffer[:])
 		if n > 0 {
--- a/comfreyrail/internal/gateway/upstream/late_test.go
+++ b/comfreyrail/internal/gateway/upstream/late_test.go
@@ -138,3 +138,22 @@
 		t.Error("got a read that goes on after the deadline, want an end")
 	}
 }
+
+// Guards against a request that goes on after its deadline because a read timeout was handled at the same time.
+func TestReadTimeoutAtDeadline(t *testing.T) {
+	server := newScriptedServer(t, func(*net.TCPConn, int) { time.Sleep(10 * time.Second) })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	startedAt := time.Now()
+	_, err := newClient().Send(ctx, Request{
+		Address: server.address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{},
+		OnReadTimeout: func() time.Duration {
+			<-ctx.Done()
+			time.Sleep(10 * time.Millisecond) // lets the deadline be set on the connection
+			return 5 * time.Second
+		},
+	})
+	if took := time.Since(startedAt); err == nil || took > 2*time.Second {
+		t.Errorf("got %v after %v, want an error soon after the deadline", err, took)
+	}
+}
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -69,7 +69,8 @@
 	head          headMeter
 	idleUntil     time.Time
 	onReadTimeout func() time.Duration
-	lateBytes     int // bytes read after the current deadline
+	ended         func() bool // whether the context of the request has ended
+	lateBytes     int         // bytes read after the current deadline
 }
 
 // Read reads from the connection, and fails if a response's heads become too large. When the read deadline passes and no bytes have
@@ -81,19 +82,30 @@
 		if headErr := c.head.count(b[:n]); headErr != nil {
 			return 0, headErr
 		}
-		if n > 0 || c.onReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n > 0 || c.onReadTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.ended() {
 			return n, err
 		}
 		more := c.onReadTimeout()
 		if more <= 0 {
 			return n, err
 		}
-		if err = c.SetReadDeadline(time.Now().Add(more)); err != nil {
+		if err = c.setReadDeadline(time.Now().Add(more)); err != nil {
 			return 0, err
 		}
 	}
 }
 
+// passedDeadline is a deadline that has passed.
+var passedDeadline = time.Unix(1, 0)
+
+// setReadDeadline sets the read deadline. If the context of the request has ended, whose deadline it would replace, that stays in force.
+func (c *conn) setReadDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil || !c.ended() {
+		return err
+	}
+	return c.SetReadDeadline(passedDeadline)
+}
+
 // readArrived reads from the connection. A deadline takes effect once nothing is left to read or maxLateBytes have been read after it.
 func (c *conn) readArrived(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
@@ -170,8 +182,7 @@
 	maxIdle       int // maximum number of idle connections to the address
 	closeAfter    bool
 	complete      bool
-	detachContext func() bool     // stops the context from failing the connection; returns false if the context has ended
-	ctx           context.Context //nolint:containedctx // the context of Send, which applies until Close or Discard
+	detachContext func() bool // stops the context from failing the connection; returns false if the context has ended
 }
 
 // Send sends the request once and returns the response after reading its headers; the error is an *Error. The end of the
@@ -181,22 +192,16 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	detachContext := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	detachContext := context.AfterFunc(ctx, func() { _ = c.SetDeadline(passedDeadline) })
 	defer func() {
 		if err != nil {
 			detachContext()
 			c.close()
 		}
 	}()
-	c.onReadTimeout = nil
+	c.onReadTimeout, c.ended = request.OnReadTimeout, func() bool { return ctx.Err() != nil }
 	if request.OnReadTimeout != nil {
-		c.onReadTimeout = func() time.Duration {
-			if ctx.Err() != nil {
-				return 0
-			}
-			return request.OnReadTimeout()
-		}
-		_ = c.SetReadDeadline(time.Now().Add(request.ReadTimeout))
+		_ = c.setReadDeadline(time.Now().Add(request.ReadTimeout))
 	}
 	if err = ctx.Err(); err != nil {
 		return nil, &Error{Cause: err}
@@ -210,7 +215,7 @@
 	}
 	return &Response{
 		Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, Framed: parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0, body: parsed.Body,
-		client: client, conn: c, address: request.Address, maxIdle: request.MaxIdle, closeAfter: parsed.Close, detachContext: detachContext, ctx: ctx,
+		client: client, conn: c, address: request.Address, maxIdle: request.MaxIdle, closeAfter: parsed.Close, detachContext: detachContext,
 	}, nil
 }
 
@@ -346,16 +351,12 @@
 
 // SetOnReadTimeout replaces the function that is called whenever the read deadline passes.
 func (r *Response) SetOnReadTimeout(onReadTimeout func() time.Duration) {
-	r.conn.onReadTimeout = func() time.Duration {
-		if r.ctx.Err() != nil {
-			return 0
-		}
-		return onReadTimeout()
-	}
+	r.conn.onReadTimeout = onReadTimeout
 }
 
-// SetReadDeadline sets the time at which a blocked Read calls the OnReadTimeout function, or fails if there is none.
-func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.SetReadDeadline(at) }
+// SetReadDeadline sets the time at which a blocked Read calls the OnReadTimeout function, or fails if there is none. It does nothing
+// once the context of Send has ended.
+func (r *Response) SetReadDeadline(at time.Time) { _ = r.conn.setReadDeadline(at) }
 
 // Close returns the connection to the pool if the complete response has been read, nothing follows it and the server and the
 // pool allow it. Otherwise it closes the connection.
