Leave hold-ups of this process out of the silence of servers

Cause: silence and the timeouts of probes, reroutes and successors were measured by the clock alone. After a hold-up of 0.4 s and more every attempt had been silent for longer than its timeout, and each probe that was on its way had failed: sound servers were suspected, streams begun a second time and moved to other chains, engines reported as slow to other instances, and a crash that was being confirmed was not counted.

Change: rail/holdup tells running time from hold-ups: while a process runs it is observed every 50 ms, and 150 ms without an observation are a hold-up. A timeout leaves hold-ups out and lasts 50 ms at least after the first of them; repeated ones cannot prolong it for ever. runclock gives a process that clock, timers and contexts. The forwarder measures silence, gaps between events and the state of engines with it, and its probes and those that confirm a crash use its timeouts. The deadlines of requests stay as they are, since callers' clocks go on.

TestTimeoutOutlastsStop stops a process for 1 s by a signal: an ordinary timeout of 0.5 s has passed then, that of runclock has not.

--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -176,6 +176,7 @@
 	budget func(*BudgetConfig)
 	state  func(context.Context, backend.Server) (backend.State, error) // the state that engines report
 	ended  func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
+	now    func() time.Time
 }
 
 // newGateway returns a gateway with a route of each kind to the servers. The function modify, if not nil, changes the
@@ -238,7 +239,7 @@
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
 		FetchState:    options.state,
 		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
-		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
+		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil }, Now: options.now,
 	})
 	g.forwarder = f
 	proxy := httptest.NewServer(f)
--- a/comfreyrail/internal/gateway/forward/liveness.go
+++ b/comfreyrail/internal/gateway/forward/liveness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 )
@@ -62,7 +63,7 @@
 	ctx = context.WithoutCancel(ctx) // other requests wait for the result too
 	go func() {
 		defer close(result.done)
-		ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+		ctx, cancel := runclock.WithTimeout(ctx, livenessTimeout)
 		defer cancel()
 		result.state, result.err = p.config.FetchState(ctx, server)
 	}()
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
@@ -25,10 +26,10 @@
 			return wait
 		}
 	}
-	waited := time.Since(a.progressAt)
+	waited := f.silence(a)
 	if waited >= timeout {
 		f.replace(ctx, j, a, "")
-		waited = time.Since(a.progressAt)
+		waited = f.silence(a)
 		timeout = waited + checkInterval
 	}
 	if a.service.Engine == nil {
@@ -47,7 +48,7 @@
 	stage, ok := f.stageToReplace(ctx, j, a, minSilence)
 	if !ok {
 		// Zero would give the attempt up, so wait at least a millisecond.
-		return min(checkInterval, max(timeout-time.Since(a.progressAt), time.Millisecond))
+		return min(checkInterval, max(timeout-f.silence(a), time.Millisecond))
 	}
 	if stage > 0 {
 		f.reroute(ctx, j, a, stage)
@@ -58,6 +59,9 @@
 	return successorCheckInterval
 }
 
+// silence returns for how long an attempt has made no progress, without the time in which this process was held up.
+func (f *Forwarder) silence(a *streamAttempt) time.Duration { return f.config.Now().Sub(a.progressAt) }
+
 // stageToReplace returns the stage of a silent attempt whose engine is known to be dead or, unless the backoff of the probes forbids
 // them, is found to be at fault. It returns false if there is none.
 func (f *Forwarder) stageToReplace(ctx context.Context, j *job, a *streamAttempt, minSilence time.Duration) (stage int, ok bool) {
@@ -88,10 +92,10 @@
 func (f *Forwarder) reroute(ctx context.Context, j *job, a *streamAttempt, stage int) {
 	a.reroutes++
 	faulty := a.chain[stage].Server
-	reroute := event.Reroute{Request: j.request.ID, FirstEngine: a.chain[0].Server.ID, SilentEngine: faulty.ID, Waited: time.Since(a.progressAt)}
+	reroute := event.Reroute{Request: j.request.ID, FirstEngine: a.chain[0].Server.ID, SilentEngine: faulty.ID, Waited: f.silence(a)}
 	excluded := f.excludedEngines(a)
 	log := f.config.Log.WithFields(reroute.Fields()).WithFields(excludedEvent(excluded).Fields())
-	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+	ctx, cancel := runclock.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	f.selector.suspectEngine(a.service.Name, faulty.Address)
 	plan := reroutePlan{replaced: []string{faulty.ID}, excluded: excluded.IDs}
@@ -198,7 +202,7 @@
 	if f.config.Notices.Waiting(first) {
 		return first.Address
 	}
-	ctx, cancel := context.WithTimeout(ctx, stallQueryTimeout)
+	ctx, cancel := runclock.WithTimeout(ctx, stallQueryTimeout)
 	defer cancel()
 	state, err := f.config.FetchState(ctx, first)
 	if err != nil {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -196,7 +196,7 @@
 		f.recordFailedStreamAttempt(ctx, j, a, cmp.Or(meta.FaultyAddress, a.chain[0].Server.Address), err)
 		return err
 	}
-	f.recordProgress(a, time.Now(), 0)
+	f.recordProgress(a, 0)
 	f.watchForStalls(ctx, j, a)
 	if len(a.prefetched) > 0 {
 		if err = f.relayData(ctx, j, a, a.prefetched); err != nil {
@@ -247,7 +247,7 @@
 // watchForStalls makes the attempt check for a stall at checkAt, which each check and each progress moves.
 func (f *Forwarder) watchForStalls(ctx context.Context, j *job, a *streamAttempt) {
 	timeout := max(scale(j.route.GapTarget, gapTimeoutFactor), minStallTimeout)
-	a.checkAt = a.progressAt.Add(scale(j.route.GapTarget, gapCheckFactor))
+	a.checkAt = time.Now().Add(scale(j.route.GapTarget, gapCheckFactor))
 	a.response.SetOnReadTimeout(func() time.Duration {
 		more := f.checkStall(ctx, j, a, timeout)
 		a.checkAt = time.Now().Add(more)
@@ -263,7 +263,7 @@
 	if j.out.count > events {
 		f.cancelSuccession(j)
 		f.recordEvent(j, a, arrivedAt)
-		f.recordProgress(a, arrivedAt, arrivedAt.Sub(a.progressAt))
+		f.recordProgress(a, f.silence(a))
 		j.recordData(arrivedAt, events)
 		j.positionUnknown = j.out.positionUnknown
 		a.checkAt = arrivedAt.Add(scale(j.route.GapTarget, gapCheckFactor))
@@ -274,10 +274,10 @@
 	return err
 }
 
-// recordProgress records that an attempt made progress at the time, after a gap without any, and resets the backoff of its probes.
-func (f *Forwarder) recordProgress(a *streamAttempt, at time.Time, gap time.Duration) {
+// recordProgress records that an attempt made progress now, after a gap without any, and resets the backoff of its probes.
+func (f *Forwarder) recordProgress(a *streamAttempt, gap time.Duration) {
 	f.selector.progressed(a, gap)
-	a.progressAt, a.probeBackoff = at, 0
+	a.progressAt, a.probeBackoff = f.config.Now(), 0
 }
 
 // recordData records the arrival of data, with the number of events that were written before it.
--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
@@ -60,14 +61,14 @@
 
 // startSuccessor starts a successor of an attempt on a server or chain without the attempt's first server.
 func (f *Forwarder) startSuccessor(ctx context.Context, j *job, a *streamAttempt) {
-	s := &succession{silent: a, waited: time.Since(a.progressAt), done: make(chan struct{}), job: *j}
+	s := &succession{silent: a, waited: f.silence(a), done: make(chan struct{}), job: *j}
 	s.job.isSuccessor, s.job.avoid = true, slices.Clone(j.avoid)
 	if a.service.Engine != nil {
 		s.job.avoid = append(s.job.avoid, a.chain[0].Server.ID)
 	}
 	position := j.out.copyPosition()
 	ctx, s.cancel = context.WithCancelCause(ctx)
-	timer := time.AfterFunc(headerTimeout(j), func() { s.cancel(errSuccessorLate) })
+	timer := runclock.AfterFunc(headerTimeout(j), func() { s.cancel(errSuccessorLate) })
 	j.succession = s
 	go func() {
 		defer close(s.done)
