Leave hold-ups out of the timeouts of calls to the store and to instances

Cause: calls to the store, to other instances and to engines, and new connections, had timeouts of 0.15 to 2 s by the ordinary clock. After a hold-up their responses waited in the sockets, but the timeouts were handled first or at the same time: renewals that the store had confirmed counted as failed, the reader of the zone was put aside for 4 s, orders counted as not answered, and servers as unreachable.

Change: these timeouts are those of runclock. Its clock is now passed to its users instead of being one of the process; without one they use the ordinary clock, as tests in virtual time need. A lease is still trusted only until its own clock, which counts hold-ups, says that it may have ended, counted from the start of the renewal; so is the age of the content of the catalog.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -99,6 +100,8 @@
 	Random func() float64
 	// Elapsed returns the reading of a monotonic clock that includes the time that the machine is suspended.
 	Elapsed func() time.Duration
+	// Clock is the clock of the timeouts of calls; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Log is the logger.
 	Log *logrus.Entry
 }
--- a/comfreyrail/internal/gateway/catalog/fetch.go
+++ b/comfreyrail/internal/gateway/catalog/fetch.go
@@ -57,7 +57,7 @@
 }
 
 func (c *Catalog) fetchWithin(ctx context.Context, timeout time.Duration, peer Instance, request ChangesRequest) (Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := c.config.Clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.config.FetchChanges(ctx, peer.PeerAddress, request)
 }
@@ -84,7 +84,7 @@
 }
 
 func (c *Catalog) readItem(ctx context.Context, key string) (item store.Item, era uint64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := c.config.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return c.config.Get(ctx, key)
 }
--- a/comfreyrail/internal/gateway/catalog/read.go
+++ b/comfreyrail/internal/gateway/catalog/read.go
@@ -51,7 +51,7 @@
 		return c.readAll(ctx)
 	}
 	wait := c.watchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	ctx, cancel := c.config.Clock.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	changes, err := c.config.Watch(ctx, "", c.revision, wait)
 	if err != nil {
@@ -129,7 +129,7 @@
 }
 
 func (c *Catalog) readPage(ctx context.Context, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := c.config.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return c.config.Range(ctx, "", after)
 }
--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -116,7 +116,7 @@
 		stages = callStages(a.chain)
 	}
 	request := f.upstreamRequest(j, first, stages, lastID)
-	a.progressAt = f.config.Now()
+	a.progressAt = f.config.Clock.Now()
 	request.ReadTimeout = scale(j.route.LatencyTarget, headerCheckFactor)
 	request.OnReadTimeout = func() time.Duration { return f.checkStall(ctx, j, a, headerTimeout(j)) }
 	a.response, err = f.config.Upstream.Send(ctx, request)
--- a/comfreyrail/internal/gateway/forward/config.go
+++ b/comfreyrail/internal/gateway/forward/config.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/notices"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -58,9 +59,8 @@
 	// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and
 	// whether the answer had begun; it returns whether the engine has crashed.
 	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
-	// Now returns the time, for how long others are silent; nil means runclock.Now, which leaves out the time in which this process is
-	// held up.
-	Now func() time.Time
+	// Clock measures for how long others are silent; nil means an ordinary clock.
+	Clock *runclock.Clock
 	// Notices knows which backend servers are leaving or want no requests for a while; nil means a new one.
 	Notices *notices.Keeper
 	// RequestMemory bounds the memory of large request bodies; nil means no bound.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -12,7 +12,6 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/notices"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -33,9 +32,6 @@
 	if config.Notices == nil {
 		config.Notices = notices.New(notices.Config{Snapshot: config.Catalog.Snapshot, Metrics: config.Metrics, Log: config.Log})
 	}
-	if config.Now == nil {
-		config.Now = runclock.Now
-	}
 	return &Forwarder{config: config, selector: newSelector(config), liveness: newLivenessProber(config), startedAt: time.Now()}
 }
 
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/quarantine"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -176,7 +177,7 @@
 	budget func(*BudgetConfig)
 	state  func(context.Context, backend.Server) (backend.State, error) // the state that engines report
 	ended  func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
-	now    func() time.Time
+	clock  *runclock.Clock
 }
 
 // newGateway returns a gateway with a route of each kind to the servers. The function modify, if not nil, changes the
@@ -239,7 +240,7 @@
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
 		FetchState:    options.state,
 		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
-		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil }, Now: options.now,
+		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil }, Clock: options.clock,
 	})
 	g.forwarder = f
 	proxy := httptest.NewServer(f)
--- a/comfreyrail/internal/gateway/forward/holdup_test.go
+++ b/comfreyrail/internal/gateway/forward/holdup_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 )
 
 // Guards against sound servers being taken for silent, and streams being started a second time, after a hold-up of this process: the
@@ -22,8 +24,8 @@
 			t.Parallel()
 			respond := firstThen(test.silent, respondWithSilence(-1))
 			one, two := newServer(t, "one", respond), newServer(t, "two", respond)
-			startedAt := time.Now()
-			g := newGatewayWith(t, gatewayOptions{now: func() time.Time { return startedAt }}, one, two)
+			clock := runclock.New(runclock.Config{Elapsed: func() time.Duration { return 0 }})
+			g := newGatewayWith(t, gatewayOptions{clock: clock}, one, two)
 			response, body, complete := g.send(t, "/stream/", "")
 			if response.StatusCode != http.StatusOK || body != wholeStream() || !complete {
 				t.Errorf("got status %d, complete %v, body %q, want the whole stream", response.StatusCode, complete, body)
--- a/comfreyrail/internal/gateway/forward/liveness.go
+++ b/comfreyrail/internal/gateway/forward/liveness.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 )
@@ -63,7 +62,7 @@
 	ctx = context.WithoutCancel(ctx) // other requests wait for the result too
 	go func() {
 		defer close(result.done)
-		ctx, cancel := runclock.WithTimeout(ctx, livenessTimeout)
+		ctx, cancel := p.config.Clock.WithTimeout(ctx, livenessTimeout)
 		defer cancel()
 		result.state, result.err = p.config.FetchState(ctx, server)
 	}()
--- a/comfreyrail/internal/gateway/forward/liveness_test.go
+++ b/comfreyrail/internal/gateway/forward/liveness_test.go
@@ -31,7 +31,7 @@
 		},
 	})
 	engine := &backend.EngineSpec{Layers: 8, StepsPerPass: 1, StepTime: time.Millisecond, Cards: []backend.Card{{Name: "card", MemoryMB: 1000, DecodeFactor: 1, PrefillFactor: 1}}}
-	a := &streamAttempt{service: &route.Service{Name: "llm", Engine: engine}, progressAt: f.config.Now()}
+	a := &streamAttempt{service: &route.Service{Name: "llm", Engine: engine}, progressAt: time.Now()}
 	var servers []backend.Server
 	for i := range 4 {
 		id := fmt.Sprintf("e%d", i)
--- a/comfreyrail/internal/gateway/forward/prober.go
+++ b/comfreyrail/internal/gateway/forward/prober.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 )
@@ -64,7 +63,7 @@
 // probe fetches the state of one engine and records the result.
 func (p *Prober) probe(ctx context.Context, server backend.Server) {
 	defer p.inFlight.Done()
-	ctx, cancel := runclock.WithTimeout(ctx, slownessProbeTimeout)
+	ctx, cancel := p.forwarder.config.Clock.WithTimeout(ctx, slownessProbeTimeout)
 	defer cancel()
 	result := event.EngineProbe{Server: server.ID, Address: server.Address}
 	log := p.forwarder.config.Log.WithFields(result.Fields())
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -102,7 +102,7 @@
 	defer f.selector.mu.Unlock()
 	usage := make(map[string]pipeline.Usage)
 	for _, engines := range f.selector.engines {
-		for id, use := range engines.chooser.Usage(f.config.Now()) {
+		for id, use := range engines.chooser.Usage(f.config.Clock.Now()) {
 			use.WorkRate += usage[id].WorkRate
 			usage[id] = use
 		}
@@ -115,7 +115,7 @@
 func (s *selector) chooseChain(service *route.Service, snapshot *catalog.Snapshot, request pipeline.Request, class headroom.Class) (chain pipeline.Chain, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	engines, now := s.refreshedEngines(service, snapshot), s.config.Now()
+	engines, now := s.refreshedEngines(service, snapshot), s.config.Clock.Now()
 	request.Zone = s.config.Zone
 	request.FillLimit = engines.limiter.FillLimit(now, class)
 	chain, ok := engines.chooser.Choose(now, request)
@@ -148,7 +148,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engines[a.service.Name].chooser.Progressed(s.config.Now(), a.chain, gap)
+	s.engines[a.service.Name].chooser.Progressed(s.config.Clock.Now(), a.chain, gap)
 }
 
 // headersDelayed records that the headers of an attempt's response are unusually late; it counts as a slow event of each
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, engines := range s.engines {
-		servers = append(servers, engines.chooser.NextProbes(s.config.Now(), limit-len(servers))...)
+		servers = append(servers, engines.chooser.NextProbes(s.config.Clock.Now(), limit-len(servers))...)
 	}
 	return slices.DeleteFunc(servers, s.config.Notices.Waiting)
 }
@@ -175,7 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if engines := s.engines[server.Service]; engines != nil {
-		engines.chooser.ProbeSucceeded(s.config.Now(), server.ID, pipeline.ProbeResponse{Slowness: state.Slowness, KVUsed: state.KVUsed})
+		engines.chooser.ProbeSucceeded(s.config.Clock.Now(), server.ID, pipeline.ProbeResponse{Slowness: state.Slowness, KVUsed: state.KVUsed})
 	}
 }
 
@@ -183,14 +183,14 @@
 func (s *selector) typicalGap(a *streamAttempt) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.engines[a.service.Name].chooser.TypicalGap(s.config.Now(), a.chain)
+	return s.engines[a.service.Name].chooser.TypicalGap(s.config.Clock.Now(), a.chain)
 }
 
 // silentStages returns the stages of an attempt through which no request has made progress for minSilence.
 func (s *selector) silentStages(a *streamAttempt, minSilence time.Duration) []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.engines[a.service.Name].chooser.SilentStages(s.config.Now(), a.chain, minSilence)
+	return s.engines[a.service.Name].chooser.SilentStages(s.config.Clock.Now(), a.chain, minSilence)
 }
 
 // deadStage returns the first stage of an attempt whose engine failed a recent probe and through which no request has made
@@ -198,7 +198,7 @@
 func (s *selector) deadStage(a *streamAttempt, minSilence time.Duration) (stage int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.engines[a.service.Name].chooser.DeadStage(s.config.Now(), a.chain, minSilence)
+	return s.engines[a.service.Name].chooser.DeadStage(s.config.Clock.Now(), a.chain, minSilence)
 }
 
 // probeFailed records that an engine did not respond to a probe.
@@ -206,7 +206,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if engines := s.engines[server.Service]; engines != nil {
-		engines.chooser.ProbeFailed(s.config.Now(), server.ID)
+		engines.chooser.ProbeFailed(s.config.Clock.Now(), server.ID)
 	}
 }
 
@@ -215,7 +215,7 @@
 func (s *selector) planReroute(a *streamAttempt, plan reroutePlan) (chain pipeline.Chain, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, chooser := s.config.Now(), s.engines[a.service.Name].chooser
+	now, chooser := s.config.Clock.Now(), s.engines[a.service.Name].chooser
 	demand := a.demand
 	demand.Avoid = slices.Concat(plan.replaced, plan.avoided, plan.excluded)
 	chain = a.chain
@@ -235,14 +235,14 @@
 	chooser := s.engines[a.service.Name].chooser
 	chooser.Ended(a.chain, a.demand)
 	a.chain = chain
-	chooser.Started(s.config.Now(), chain, a.demand)
+	chooser.Started(s.config.Clock.Now(), chain, a.demand)
 }
 
 func (s *selector) suspectEngine(service, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if engines := s.engines[service]; engines != nil {
-		engines.chooser.MarkSuspected(s.config.Now(), address)
+		engines.chooser.MarkSuspected(s.config.Clock.Now(), address)
 	}
 }
 
--- a/comfreyrail/internal/gateway/forward/services_test.go
+++ b/comfreyrail/internal/gateway/forward/services_test.go
@@ -84,12 +84,12 @@
 	request := pipeline.Request{PromptTokens: 100, OutputTokens: 10}
 	want := make(map[string]float64)
 	for _, engines := range f.selector.engines {
-		chain, ok := engines.chooser.Choose(f.config.Now(), request)
+		chain, ok := engines.chooser.Choose(time.Now(), request)
 		if !ok {
 			t.Fatal("got no chain, want one")
 		}
-		engines.chooser.Started(f.config.Now(), chain, request)
-		for id, usage := range engines.chooser.Usage(f.config.Now()) {
+		engines.chooser.Started(time.Now(), chain, request)
+		for id, usage := range engines.chooser.Usage(time.Now()) {
 			want[id] += usage.WorkRate
 		}
 	}
@@ -132,7 +132,7 @@
 	service, snapshot := &route.Service{Name: "large", Engine: twoServicesSpec()}, f.config.Catalog.Snapshot()
 	f.selector.engines["large"].sequence = snapshot.Sequence
 	for _, server := range []string{"large2", "large3"} {
-		f.selector.engines["large"].chooser.ProbeFailed(f.config.Now(), server)
+		f.selector.engines["large"].chooser.ProbeFailed(time.Now(), server)
 	}
 	_, err := f.selector.chooseChain(service, snapshot, pipeline.Request{PromptTokens: 40, OutputTokens: 10}, headroom.Class{})
 	if !errors.Is(err, errNoChain) {
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -7,7 +7,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
@@ -60,7 +59,9 @@
 }
 
 // silence returns for how long an attempt has made no progress, without the time in which this process was held up.
-func (f *Forwarder) silence(a *streamAttempt) time.Duration { return f.config.Now().Sub(a.progressAt) }
+func (f *Forwarder) silence(a *streamAttempt) time.Duration {
+	return f.config.Clock.Now().Sub(a.progressAt)
+}
 
 // stageToReplace returns the stage of a silent attempt whose engine is known to be dead or, unless the backoff of the probes forbids
 // them, is found to be at fault. It returns false if there is none.
@@ -95,7 +96,7 @@
 	reroute := event.Reroute{Request: j.request.ID, FirstEngine: a.chain[0].Server.ID, SilentEngine: faulty.ID, Waited: f.silence(a)}
 	excluded := f.excludedEngines(a)
 	log := f.config.Log.WithFields(reroute.Fields()).WithFields(excludedEvent(excluded).Fields())
-	ctx, cancel := runclock.WithTimeout(ctx, rerouteTimeout)
+	ctx, cancel := f.config.Clock.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
 	f.selector.suspectEngine(a.service.Name, faulty.Address)
 	plan := reroutePlan{replaced: []string{faulty.ID}, excluded: excluded.IDs}
@@ -202,7 +203,7 @@
 	if f.config.Notices.Waiting(first) {
 		return first.Address
 	}
-	ctx, cancel := runclock.WithTimeout(ctx, stallQueryTimeout)
+	ctx, cancel := f.config.Clock.WithTimeout(ctx, stallQueryTimeout)
 	defer cancel()
 	state, err := f.config.FetchState(ctx, first)
 	if err != nil {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -277,7 +277,7 @@
 // recordProgress records that an attempt made progress now, after a gap without any, and resets the backoff of its probes.
 func (f *Forwarder) recordProgress(a *streamAttempt, gap time.Duration) {
 	f.selector.progressed(a, gap)
-	a.progressAt, a.probeBackoff = f.config.Now(), 0
+	a.progressAt, a.probeBackoff = f.config.Clock.Now(), 0
 }
 
 // recordData records the arrival of data, with the number of events that were written before it.
--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
@@ -68,7 +67,7 @@
 	}
 	position := j.out.copyPosition()
 	ctx, s.cancel = context.WithCancelCause(ctx)
-	timer := runclock.AfterFunc(headerTimeout(j), func() { s.cancel(errSuccessorLate) })
+	timer := f.config.Clock.AfterFunc(headerTimeout(j), func() { s.cancel(errSuccessorLate) })
 	j.succession = s
 	go func() {
 		defer close(s.done)
--- a/comfreyrail/internal/gateway/placer/lease.go
+++ b/comfreyrail/internal/gateway/placer/lease.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
 
@@ -34,6 +35,8 @@
 	Era func() uint64
 	// Elapsed returns the reading of a monotonic clock that includes the time that the machine is suspended.
 	Elapsed func() time.Duration
+	// Clock is the clock of the timeouts of calls; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Log is the logger.
 	Log *logrus.Entry
 }
@@ -82,7 +85,7 @@
 		l.set(store.Lease{}, 0)
 		return store.ErrNotFound
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := l.config.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	start := l.config.Elapsed()
 	era, err := l.config.Renew(ctx, renewed.ID)
@@ -109,7 +112,7 @@
 func (l *lease) acquireUnlessNotExecuted(
 	ctx context.Context, transaction func(granted store.Lease) (store.Transaction, error), notExecuted func(error) bool,
 ) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := l.config.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	start := l.config.Elapsed()
 	granted, err := l.config.Grant(ctx, l.ttl)
@@ -140,7 +143,7 @@
 	if granted.ID == 0 || l.isOutdated(granted) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := l.config.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := l.config.Revoke(ctx, granted.ID); err != nil {
 		l.config.Log.WithError(err).Warn("cannot revoke the lease; it will expire")
--- a/comfreyrail/internal/gateway/placer/placer.go
+++ b/comfreyrail/internal/gateway/placer/placer.go
@@ -214,7 +214,7 @@
 	defer p.inFlight.Done()
 	server, layers := assignment.Server, assignment.Layers
 	log := p.config.Log.WithFields(logrus.Fields{"server": server.ID, "from": layers.From, "to": layers.To})
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := p.config.Lease.Clock.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	state, err := p.config.FetchState(ctx, server)
 	if err != nil {
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -20,6 +19,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/usage"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/logs"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/platform"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -86,6 +86,8 @@
 	return logger.WithFields(logrus.Fields{"instance": cfg.Name}), nil
 }
 
+func provideRunClock() *runclock.Clock { return runclock.New(runclock.Config{}) }
+
 func provideMetrics() metrics.Registry { return metrics.NewRegistry() }
 
 func provideChecker(log *logrus.Entry, registry metrics.Registry) *invariant.Checker {
@@ -97,22 +99,22 @@
 
 // newHTTPClient returns a client that uses no proxy, follows no redirects and keeps up to maxIdle idle connections to each
 // host.
-func newHTTPClient(maxIdle int) *http.Client {
+func newHTTPClient(runClock *runclock.Clock, maxIdle int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
+			DialContext: runClock.Dialer(dialTimeout), MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
 			DisableCompression: true, DisableKeepAlives: maxIdle == 0, MaxResponseHeaderBytes: limit.HeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-func provideStore(cfg settings.Gateway) *platform.Store {
-	return &platform.Store{Address: cfg.Store.Address, HTTP: newHTTPClient(maxIdleStoreConns)}
+func provideStore(cfg settings.Gateway, runClock *runclock.Clock) *platform.Store {
+	return &platform.Store{Address: cfg.Store.Address, HTTP: newHTTPClient(runClock, maxIdleStoreConns)}
 }
 
-func provideEngines(noticeKeeper *notices.Keeper) *platform.Engines {
-	return &platform.Engines{HTTP: newHTTPClient(0), Responded: noticeKeeper.Received}
+func provideEngines(noticeKeeper *notices.Keeper, runClock *runclock.Clock) *platform.Engines {
+	return &platform.Engines{HTTP: newHTTPClient(runClock, 0), Responded: noticeKeeper.Received}
 }
 
 func provideNotices(cat *catalog.Catalog, log *logrus.Entry, registry metrics.Registry) *notices.Keeper {
@@ -127,19 +129,19 @@
 	return mirror.New(mirror.Config{Listen: cfg.Listen.Peer, Changes: cat.Changes, Log: log})
 }
 
-func provideCatalog(cfg settings.Gateway, self catalog.Instance, store *platform.Store, log *logrus.Entry, registry metrics.Registry) *catalog.Catalog {
+func provideCatalog(cfg settings.Gateway, self catalog.Instance, store *platform.Store, runClock *runclock.Clock, log *logrus.Entry, registry metrics.Registry) *catalog.Catalog {
 	return catalog.New(catalog.Config{
-		Range: store.Range, Get: store.Get, Watch: store.Watch, FetchChanges: mirror.NewClient(newHTTPClient(maxIdlePeerConns)).FetchChanges,
+		Range: store.Range, Get: store.Get, Watch: store.Watch, FetchChanges: mirror.NewClient(newHTTPClient(runClock, maxIdlePeerConns)).FetchChanges,
 		Self: self, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		ServerID: platform.ServerID, DecodeServer: platform.DecodeServer, WatchInterval: time.Duration(cfg.Store.WatchInterval),
-		Elapsed: clock.Monotonic, Log: log, Metrics: registry,
+		Elapsed: clock.Monotonic, Clock: runClock, Log: log, Metrics: registry,
 	})
 }
 
-func provideLeaseConfig(cat *catalog.Catalog, store *platform.Store, log *logrus.Entry) placer.LeaseConfig {
+func provideLeaseConfig(cat *catalog.Catalog, store *platform.Store, runClock *runclock.Clock, log *logrus.Entry) placer.LeaseConfig {
 	return placer.LeaseConfig{
 		Grant: store.Grant, Renew: store.Renew, Revoke: store.Revoke, Commit: store.Commit,
-		Era: func() uint64 { return cat.Snapshot().Era }, Elapsed: clock.Monotonic, Log: log,
+		Era: func() uint64 { return cat.Snapshot().Era }, Elapsed: clock.Monotonic, Clock: runClock, Log: log,
 	}
 }
 
@@ -154,9 +156,9 @@
 	})
 }
 
-func provideUpstream(memory memoryBudgets, registry metrics.Registry) *upstream.Client {
+func provideUpstream(memory memoryBudgets, runClock *runclock.Clock, registry metrics.Registry) *upstream.Client {
 	opened := metrics.GetOrRegisterCounter("upstream.opened", registry)
-	return upstream.New(upstream.Config{DialTimeout: dialTimeout, Budget: memory.responses, Opened: func() { opened.Inc(1) }})
+	return upstream.New(upstream.Config{DialTimeout: dialTimeout, Clock: runClock, Budget: memory.responses, Opened: func() { opened.Inc(1) }})
 }
 
 func provideBudgets(cfg settings.Gateway, cat *catalog.Catalog) *forward.Budgets {
@@ -168,20 +170,20 @@
 	})
 }
 
-func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, quarantineKeeper *quarantine.Keeper, noticeKeeper *notices.Keeper, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, memory memoryBudgets, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
+func provideForwarder(cfg settings.Gateway, cat *catalog.Catalog, usages *peerUsage, quarantineKeeper *quarantine.Keeper, noticeKeeper *notices.Keeper, client *upstream.Client, engines *platform.Engines, budgets *forward.Budgets, memory memoryBudgets, runClock *runclock.Clock, log *logrus.Entry, registry metrics.Registry) *forward.Forwarder {
 	return forward.New(forward.Config{
 		Catalog: cat, Upstream: client, PeerUsage: usages.PeerUsage, Zone: cfg.Zone, Retries: budgets, Log: log, Metrics: registry,
 		MaxConfigAge: maxConfigAge(cfg), MaxApplyDelay: time.Duration(cfg.ConfigDelays.MaxApplyDelay),
 		ReadRequest: platform.ReadRequest, WriteBackendRequest: platform.WriteBackendRequest, ReadResponse: platform.ReadResponse,
 		Reroute: engines.Reroute, FetchState: engines.FetchState, RequestMemory: memory.requests, ResponseMemory: memory.responses,
 		PromptBlocked: quarantineKeeper.Blocked, PromptBegan: quarantineKeeper.Began, PromptAnswered: quarantineKeeper.Answered, ConnectionEnded: quarantineKeeper.ConnectionEnded,
-		Notices: noticeKeeper,
+		Notices: noticeKeeper, Clock: runClock,
 	})
 }
 
-func provideQuarantine(cfg settings.Gateway, cat *catalog.Catalog, store *platform.Store, engines *platform.Engines, log *logrus.Entry, registry metrics.Registry) *quarantine.Keeper {
+func provideQuarantine(cfg settings.Gateway, cat *catalog.Catalog, store *platform.Store, engines *platform.Engines, runClock *runclock.Clock, log *logrus.Entry, registry metrics.Registry) *quarantine.Keeper {
 	return quarantine.New(quarantine.Config{
-		Name: cfg.Name, Snapshot: cat.Snapshot, FetchState: engines.FetchState, Grant: store.Grant, Commit: store.Commit, Metrics: registry, Log: log,
+		Name: cfg.Name, Snapshot: cat.Snapshot, FetchState: engines.FetchState, Grant: store.Grant, Commit: store.Commit, Clock: runClock, Metrics: registry, Log: log,
 	})
 }
 
--- a/comfreyrail/internal/gateway/process/providers_test.go
+++ b/comfreyrail/internal/gateway/process/providers_test.go
@@ -49,7 +49,7 @@
 	}
 	defer func() { _ = listener.Close() }()
 	go serveOrders(listener)
-	engines, engine := provideEngines(notices.New(notices.Config{})), backend.Server{ID: "engine", Address: listener.Addr().String()}
+	engines, engine := provideEngines(notices.New(notices.Config{}), nil), backend.Server{ID: "engine", Address: listener.Addr().String()}
 	if err = engines.OrderLoad(context.Background(), engine, 0, backend.Range{To: 8}); err == nil {
 		t.Fatal("got no error for the first order, want it refused")
 	}
--- a/comfreyrail/internal/gateway/process/wire.go
+++ b/comfreyrail/internal/gateway/process/wire.go
@@ -14,6 +14,7 @@
 func Build(loaded settings.Gateway) (*Gateway, error) {
 	wire.Build(
 		provideLog,
+		provideRunClock,
 		provideMetrics,
 		provideMemoryBudgets,
 		provideChecker,
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -17,25 +17,26 @@
 // Build returns a Gateway built from its settings.
 func Build(loaded settings.Gateway) (*Gateway, error) {
 	instance := provideSelf(loaded)
-	store := provideStore(loaded)
+	clock := provideRunClock()
+	store := provideStore(loaded, clock)
 	entry, err := provideLog(loaded)
 	if err != nil {
 		return nil, err
 	}
 	registry := provideMetrics()
-	catalog := provideCatalog(loaded, instance, store, entry, registry)
-	leaseConfig := provideLeaseConfig(catalog, store, entry)
+	catalog := provideCatalog(loaded, instance, store, clock, entry, registry)
+	leaseConfig := provideLeaseConfig(catalog, store, clock, entry)
 	membership := placer.NewMembership(instance, leaseConfig)
 	keeper := provideNotices(catalog, entry, registry)
-	engines := provideEngines(keeper)
+	engines := provideEngines(keeper, clock)
 	placerPlacer := providePlacer(loaded, catalog, leaseConfig, engines, keeper, entry)
 	server := provideMirror(loaded, catalog, entry)
 	processPeerUsage := providePeerUsage()
-	quarantineKeeper := provideQuarantine(loaded, catalog, store, engines, entry, registry)
+	quarantineKeeper := provideQuarantine(loaded, catalog, store, engines, clock, entry, registry)
 	processMemoryBudgets := provideMemoryBudgets(loaded)
-	client := provideUpstream(processMemoryBudgets, registry)
+	client := provideUpstream(processMemoryBudgets, clock, registry)
 	budgets := provideBudgets(loaded, catalog)
-	forwarder := provideForwarder(loaded, catalog, processPeerUsage, quarantineKeeper, keeper, client, engines, budgets, processMemoryBudgets, entry, registry)
+	forwarder := provideForwarder(loaded, catalog, processPeerUsage, quarantineKeeper, keeper, client, engines, budgets, processMemoryBudgets, clock, entry, registry)
 	exchange := provideExchange(loaded, catalog, forwarder, processPeerUsage, entry)
 	prober := forward.NewProber(forwarder)
 	checker := provideChecker(entry, registry)
--- a/comfreyrail/internal/gateway/quarantine/probe.go
+++ b/comfreyrail/internal/gateway/quarantine/probe.go
@@ -9,7 +9,6 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 )
 
@@ -80,7 +79,7 @@
 
 // refusesConnections probes an engine and counts it if it has crashed.
 func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server) bool {
-	ctx, cancel := runclock.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	ctx, cancel := k.config.Clock.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	_, err := k.config.FetchState(ctx, server)
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
--- a/comfreyrail/internal/gateway/quarantine/publisher.go
+++ b/comfreyrail/internal/gateway/quarantine/publisher.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	ctx, cancel := config.Clock.WithTimeout(ctx, publishTimeout)
 	defer cancel()
 	if time.Since(p.grantedAt) > leaseReuse {
 		if p.lease, err = config.Grant(ctx, poison.ReportTTL+leaseReuse); err != nil {
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/store"
@@ -30,6 +31,8 @@
 	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	// Commit commits a transaction and returns the era of the store, zero if unknown.
 	Commit func(ctx context.Context, transaction store.Transaction) (era uint64, err error)
+	// Clock is the clock of the timeouts of calls; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Metrics counts crashes and blocked requests.
 	Metrics metrics.Registry
 	// Log is the logger.
--- a/comfreyrail/internal/gateway/upstream/upstream.go
+++ b/comfreyrail/internal/gateway/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/lastlook"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 )
 
@@ -39,6 +40,8 @@
 type Config struct {
 	// DialTimeout is the timeout of opening a connection.
 	DialTimeout time.Duration
+	// Clock is the clock of DialTimeout; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Opened is called after each new connection is opened; it may be nil.
 	Opened func()
 	// Budget bounds the memory of large response headers; nil means no bound.
@@ -279,9 +282,7 @@
 		}
 		_ = c.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, client.config.DialTimeout)
-	defer cancel()
-	netConn, err := new(net.Dialer).DialContext(ctx, "tcp", request.Address)
+	netConn, err := client.config.Clock.Dialer(client.config.DialTimeout)(ctx, "tcp", request.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/comfreyrail/internal/runclock/process_test.go
+++ b/comfreyrail/internal/runclock/process_test.go
@@ -32,7 +32,7 @@
 func reportAfterStop() {
 	ordinary, cancelOrdinary := context.WithTimeout(context.Background(), callTimeout)
 	defer cancelOrdinary()
-	ctx, cancel := WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := New(Config{}).WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	last := time.Now()
 	fmt.Println("started")
--- a/comfreyrail/internal/runclock/runclock.go
+++ b/comfreyrail/internal/runclock/runclock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -10,56 +11,79 @@
 	"github.com/comfreyrail/comfreyrail/rail/holdup"
 )
 
-// clock is a holdup.Meter that is safe for concurrent use.
-type clock struct {
-	startedAt time.Time
-	now       func() time.Duration
-	mu        sync.Mutex
-	meter     holdup.Meter
+// Config configures a Clock.
+type Config struct {
+	// Elapsed returns the reading of a monotonic clock; nil means that of package time.
+	Elapsed func() time.Duration
 }
 
-// process returns the clock of this process, and starts the observations at its first call.
-var process = sync.OnceValue(func() *clock {
-	startedAt := time.Now()
-	c := &clock{startedAt: startedAt, now: func() time.Duration { return time.Since(startedAt) }}
-	go c.observe()
-	return c
-})
+// Clock is a clock that stands still while this process is held up. Its methods may be called concurrently; nil is an ordinary clock.
+type Clock struct {
+	startedAt time.Time
+	elapsed   func() time.Duration
+
+	mu    sync.Mutex
+	meter holdup.Meter
+}
 
-// observe observes for ever that the process runs.
-func (c *clock) observe() {
-	for range time.Tick(holdup.Interval) {
-		c.running()
+// New returns a Clock, which observes from now on whether the process runs.
+func New(config Config) *Clock {
+	c := &Clock{startedAt: time.Now(), elapsed: config.Elapsed}
+	if c.elapsed == nil {
+		c.elapsed = func() time.Duration { return time.Since(c.startedAt) }
 	}
+	go func() {
+		for range time.Tick(holdup.Interval) {
+			c.HeldUp()
+		}
+	}()
+	return c
 }
 
-func (c *clock) running() time.Duration {
+// Now returns the time. It must only be compared with other times of this Clock.
+func (c *Clock) Now() time.Time {
+	if c == nil {
+		return time.Now()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.meter.Running(c.now())
+	return c.startedAt.Add(c.meter.Running(c.elapsed()))
 }
 
-func (c *clock) start(d time.Duration) holdup.Timeout {
+// HeldUp returns for how long this process has been held up in all since New was called.
+func (c *Clock) HeldUp() time.Duration {
+	if c == nil {
+		return 0
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.meter.Start(c.now(), d)
+	now := c.elapsed()
+	return now - c.meter.Running(now)
 }
 
-func (c *clock) left(t *holdup.Timeout) time.Duration {
+// start starts a timeout, which has no limit of its own with an ordinary clock.
+func (c *Clock) start(d time.Duration) holdup.Timeout {
+	if c == nil {
+		return holdup.Timeout{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.meter.Left(c.now(), t)
+	return c.meter.Start(c.elapsed(), d)
 }
 
-// Now returns a time that does not go on while this process is held up. It must only be compared with other times of this clock.
-func Now() time.Time {
-	c := process()
-	return c.startedAt.Add(c.running())
+// left returns how long a timeout still lasts after its duration has passed.
+func (c *Clock) left(t *holdup.Timeout) time.Duration {
+	if c == nil {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.meter.Left(c.elapsed(), t)
 }
 
 // Timer calls a function once a timeout has ended.
 type Timer struct {
-	clock   *clock
+	clock   *Clock
 	timeout holdup.Timeout
 	f       func()
 
@@ -68,10 +92,8 @@
 	over  bool // whether the timer was stopped or the function was called
 }
 
-// AfterFunc returns a Timer that calls f in a goroutine of its own once this process has run for d.
-func AfterFunc(d time.Duration, f func()) *Timer { return process().afterFunc(d, f) }
-
-func (c *clock) afterFunc(d time.Duration, f func()) *Timer {
+// AfterFunc returns a Timer that calls f in a goroutine of its own after d.
+func (c *Clock) AfterFunc(d time.Duration, f func()) *Timer {
 	t := &Timer{clock: c, timeout: c.start(d), f: f}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -122,17 +144,24 @@
 	return err
 }
 
-// WithTimeout returns a context that ends with context.DeadlineExceeded once this process has run for d. The cancel function must be
-// called to release it.
-func WithTimeout(parent context.Context, d time.Duration) (ctx context.Context, cancel context.CancelFunc) {
-	return process().withTimeout(parent, d)
-}
-
-func (c *clock) withTimeout(parent context.Context, d time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+// WithTimeout returns a context that ends with context.DeadlineExceeded after d. The cancel function must be called to release it.
+func (c *Clock) WithTimeout(parent context.Context, d time.Duration) (ctx context.Context, cancel context.CancelFunc) {
+	if c == nil {
+		return context.WithTimeout(parent, d)
+	}
 	inner, cancelCause := context.WithCancelCause(parent)
-	timer := c.afterFunc(d, func() { cancelCause(context.DeadlineExceeded) })
+	timer := c.AfterFunc(d, func() { cancelCause(context.DeadlineExceeded) })
 	return timeoutContext{inner}, func() {
 		timer.Stop()
 		cancelCause(nil)
 	}
 }
+
+// Dialer returns a function that opens connections with a timeout.
+func (c *Clock) Dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := c.WithTimeout(ctx, timeout)
+		defer cancel()
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+}
--- a/comfreyrail/internal/runclock/runclock_test.go
+++ b/comfreyrail/internal/runclock/runclock_test.go
@@ -8,21 +8,20 @@
 	"time"
 )
 
-// jumpingClock returns a clock that can be moved ahead, as a hold-up does with that of a process.
-func jumpingClock() (c *clock, jump func(d time.Duration)) {
+// jumpingClock returns a Clock that can be moved ahead, as a hold-up does with that of a process.
+func jumpingClock() (c *Clock, jump func(d time.Duration)) {
 	startedAt := time.Now()
 	var ahead atomic.Int64
-	c = &clock{now: func() time.Duration { return time.Since(startedAt) + time.Duration(ahead.Load()) }}
-	go c.observe()
+	c = New(Config{Elapsed: func() time.Duration { return time.Since(startedAt) + time.Duration(ahead.Load()) }})
 	return c, func(d time.Duration) { ahead.Add(int64(d)) }
 }
 
 // Guards against a call being given up because this process did not run.
 func TestTimeoutLeavesOutHoldUp(t *testing.T) {
 	c, jump := jumpingClock()
-	ctx, cancel := c.withTimeout(context.Background(), 400*time.Millisecond)
+	ctx, cancel := c.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer cancel()
-	c.running()
+	c.HeldUp()
 	jump(time.Second)
 	time.Sleep(100 * time.Millisecond)
 	if err := ctx.Err(); err != nil {
@@ -40,7 +39,7 @@
 // Guards against a canceled call that looks like one which has reached its timeout.
 func TestCanceledBeforeTimeout(t *testing.T) {
 	parent, cancelParent := context.WithCancel(context.Background())
-	ctx, cancel := WithTimeout(parent, time.Minute)
+	ctx, cancel := New(Config{}).WithTimeout(parent, time.Minute)
 	defer cancel()
 	cancelParent()
 	<-ctx.Done()
@@ -52,7 +51,8 @@
 // Guards against a function being called although Stop returned true.
 func TestStopPreventsCall(t *testing.T) {
 	var calls atomic.Int32
-	timer := AfterFunc(20*time.Millisecond, func() { calls.Add(1) })
+	c := New(Config{})
+	timer := c.AfterFunc(20*time.Millisecond, func() { calls.Add(1) })
 	if got := timer.Stop(); !got {
 		t.Error("got false of Stop before the end, want true")
 	}
@@ -60,7 +60,7 @@
 	if got := calls.Load(); got != 0 {
 		t.Errorf("got %d calls, want none", got)
 	}
-	late := AfterFunc(time.Millisecond, func() { calls.Add(1) })
+	late := c.AfterFunc(time.Millisecond, func() { calls.Add(1) })
 	for end := time.Now().Add(5 * time.Second); calls.Load() == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
