Router mode: leave hold-ups out of the silence of engines and of probes

Cause: a stream's session ended the opening of stages and a probe of them at a time of the ordinary clock. After a hold-up of 0.25 s and more the tick was handled although the responses waited: all stages of the chain counted as failed and were replaced. The timeouts of the calls, those of status probes (0.5 s, which report the server as failed) and of heartbeats had the same fault.

Change: the event stream.HeldUp shifts the times of the session and of the stall detector by a hold-up, but not the deadline of the request. The driver passes it before the event that follows a hold-up. The timeouts of opening, probes, cancellations, status probes, heartbeats and calls to the store are those of runclock.

Result: TestHoldUpIsNoStall fails in its three phases if HeldUp has no effect, which is what the session did before: it probes while stages open or the stream runs. It passes, as does TestDeadlineInHoldUp.

--- a/comfreyrail/internal/control/membership/heartbeat.go
+++ b/comfreyrail/internal/control/membership/heartbeat.go
@@ -54,7 +54,7 @@
 
 // sendHeartbeat sends one heartbeat and passes the response or the failure to the control goroutine.
 func (m *Membership) sendHeartbeat(ctx context.Context, heartbeat gossip.Heartbeat) {
-	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	callCtx, cancel := m.config.Clock.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var response gossip.Message
 	if err := m.Call(callCtx, heartbeat.To, KindHeartbeat, heartbeat.Message, &response); err != nil {
@@ -122,7 +122,7 @@
 func (m *Membership) MemberGenerations(ctx context.Context) []member.Member {
 	snapshot := m.config.Control.Snapshot()
 	members := snapshot.Members()
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := m.config.Clock.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	slots := make(chan struct{}, maxParallelRecords)
 	var group sync.WaitGroup
--- a/comfreyrail/internal/control/membership/membership.go
+++ b/comfreyrail/internal/control/membership/membership.go
@@ -12,6 +12,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/gossip"
 	"github.com/comfreyrail/comfreyrail/rail/kv"
 	"github.com/comfreyrail/comfreyrail/rail/member"
@@ -52,6 +53,8 @@
 	Store *kv.Client
 	// Control holds the list of members and their state.
 	Control *control.Control
+	// Clock is the clock of the timeouts of calls; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Log receives a line for each failed registration, renewal, listing or heartbeat, and for each malformed record in
 	// a listing.
 	Log *logrus.Entry
@@ -116,7 +119,7 @@
 // becomes the epoch.
 func (m *Membership) register(ctx context.Context) (err error) {
 	defer errors.DeferredAnnotatef(&err, "register instance")
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := m.config.Clock.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	lease, err := m.store.Grant(ctx, leaseIntervals*m.renewInterval())
 	if err != nil {
@@ -172,7 +175,7 @@
 func (m *Membership) renewLease(ctx context.Context) {
 	for pause.For(ctx, m.renewInterval()) == nil {
 		lease := m.lease.Load()
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		callCtx, cancel := m.config.Clock.WithTimeout(ctx, storeTimeout)
 		err := m.store.Renew(callCtx, lease.ID)
 		cancel()
 		tooShort := lease.TTL < leaseIntervals*m.renewInterval()/2
@@ -204,7 +207,7 @@
 }
 
 func (m *Membership) readMembers(ctx context.Context) (members []member.Member, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := m.config.Clock.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	records, err := m.store.List(ctx, keyPrefix)
 	if err != nil {
@@ -230,7 +233,7 @@
 			return update.Member, nil
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := m.config.Clock.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	record, err := m.store.Get(ctx, keyPrefix+name)
 	if err != nil {
@@ -257,7 +260,7 @@
 	if lease == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := m.config.Clock.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	return m.store.Revoke(ctx, lease.ID)
 }
--- a/comfreyrail/internal/control/probe/probe.go
+++ b/comfreyrail/internal/control/probe/probe.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/health"
 )
@@ -40,6 +41,8 @@
 	HTTP *http.Client
 	// Select returns the names of the servers to probe; nil means all that the tables list.
 	Select func(snapshot *control.Snapshot) []string
+	// Clock is the clock of the timeouts of probes; nil means an ordinary one.
+	Clock *runclock.Clock
 }
 
 // Prober requests the status of the backend servers at a limited rate, with at most one outstanding call to each.
@@ -125,7 +128,7 @@
 // requestStatus requests the status of the backend server at the address.
 func (p *Prober) requestStatus(ctx context.Context, address string) (status engine.Status, err error) {
 	defer errors.DeferredAnnotatef(&err, "status of %s", address)
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	ctx, cancel := p.config.Clock.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.PathStatus, nil)
 	if err != nil {
--- a/comfreyrail/internal/process/providers.go
+++ b/comfreyrail/internal/process/providers.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/membership"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control/probe"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/peer"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/settings"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/admission"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/traffic/chooser"
@@ -59,6 +60,8 @@
 	}
 }
 
+func provideRunClock() *runclock.Clock { return runclock.New(runclock.Config{}) }
+
 func provideChecker(log *logrus.Entry, registry metrics.Registry) *invariant.Checker {
 	return &invariant.Checker{Report: func(violation *invariant.Violation) {
 		metrics.GetOrRegisterCounter("invariant."+violation.Name, registry).Inc(1)
@@ -92,8 +95,8 @@
 	}
 }
 
-func provideMembership(self member.Member, store *kv.Client, state *control.Control, log *logrus.Entry) *membership.Membership {
-	return membership.New(membership.Config{Self: self, Store: store, Control: state, Log: log})
+func provideMembership(self member.Member, store *kv.Client, state *control.Control, runClock *runclock.Clock, log *logrus.Entry) *membership.Membership {
+	return membership.New(membership.Config{Self: self, Store: store, Control: state, Clock: runClock, Log: log})
 }
 
 func providePeerTransport(loaded settings.Settings, identity peer.Identity, members *membership.Membership, log *logrus.Entry) *peer.Transport {
@@ -104,18 +107,18 @@
 	return link.New(link.Config{Control: state, Sync: sync, Membership: members, Transport: transport, Seeds: loaded.Peer.Seeds})
 }
 
-func provideProber(state *control.Control, client *http.Client) *probe.Prober {
-	return probe.New(probe.Config{Control: state, HTTP: client})
+func provideProber(state *control.Control, client *http.Client, runClock *runclock.Clock) *probe.Prober {
+	return probe.New(probe.Config{Control: state, HTTP: client, Clock: runClock})
 }
 
 func provideLister(store *kv.Client, state *control.Control, log *logrus.Entry) *probe.Lister {
 	return probe.NewLister(probe.ListerConfig{Store: store, Control: state, Log: log})
 }
 
-func provideCompletionRunner(loaded settings.Settings, state *control.Control, client *http.Client, servers *chooser.Chooser, budgets *retries.Budgets, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
+func provideCompletionRunner(loaded settings.Settings, state *control.Control, client *http.Client, servers *chooser.Chooser, budgets *retries.Budgets, runClock *runclock.Clock, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *completion.Runner {
 	return completion.New(completion.Config{
 		Control: state, HTTP: client, Log: log, Zone: loaded.Zone, Checker: checker, Metrics: registry,
-		ChooseChain: servers.ChooseChain, Track: servers.Track, TakeRetry: budgets.Allow,
+		ChooseChain: servers.ChooseChain, Track: servers.Track, TakeRetry: budgets.Allow, Clock: runClock,
 	})
 }
 
--- a/comfreyrail/internal/process/wire.go
+++ b/comfreyrail/internal/process/wire.go
@@ -14,6 +14,7 @@
 		provideLog,
 		provideMetrics,
 		provideHTTPClient,
+		provideRunClock,
 		provideChecker,
 		provideStore,
 		provideControl,
--- a/comfreyrail/internal/traffic/completion/completion.go
+++ b/comfreyrail/internal/traffic/completion/completion.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/control"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/chain"
 	"github.com/comfreyrail/comfreyrail/rail/engine"
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
@@ -80,6 +81,8 @@
 	TakeRetry func(pool string) bool
 	// Stall configures the detection of stalled streams; the zero value means stall.DefaultConfig.
 	Stall stall.Config
+	// Clock is the clock of the timeouts of engines; nil means an ordinary one.
+	Clock *runclock.Clock
 	// AlwaysNewChain starts a whole new chain after every failure. Benchmarks use it for comparison.
 	AlwaysNewChain bool
 }
--- a/comfreyrail/internal/traffic/completion/driver.go
+++ b/comfreyrail/internal/traffic/completion/driver.go
@@ -55,6 +55,7 @@
 	defer cancel()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	heldUp := d.runner.config.Clock.HeldUp()
 	actions := d.session.Begin(time.Now())
 	for {
 		for _, action := range actions {
@@ -70,7 +71,12 @@
 		if event == nil {
 			return "", d.disconnectError(ctx.Err())
 		}
-		actions = d.session.Handle(time.Now(), event)
+		actions = nil
+		if total := d.runner.config.Clock.HeldUp(); total > heldUp {
+			actions = d.session.Handle(time.Now(), stream.HeldUp{Duration: total - heldUp})
+			heldUp = total
+		}
+		actions = append(actions, d.session.Handle(time.Now(), event)...)
 	}
 }
 
@@ -172,7 +178,7 @@
 
 // openStage opens one stage and sends a StageOpened or OpenFailed event.
 func (d *driver) openStage(ctx context.Context, stage engine.Stage, open engine.Open, newConnection bool) {
-	callCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	callCtx, cancel := d.runner.config.Clock.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	response, err := d.runner.post(callCtx, stage.Address, engine.PathOpen, open, newConnection)
 	if err != nil {
@@ -222,7 +228,7 @@
 //
 // A server that fails before the timeout, such as by refusing the connection, is reported as failed at once.
 func (d *driver) probeStage(ctx context.Context, probe, index int, stage engine.Stage) {
-	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	callCtx, cancel := d.runner.config.Clock.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	sentAt := time.Now()
 	result := stream.StageProbed{Probe: probe, Index: index}
@@ -248,7 +254,7 @@
 
 // cancelStream cancels the stream at one backend server, over a new connection if there was more than one attempt.
 func (r *Runner) cancelStream(ctx context.Context, address string, message engine.Cancel) {
-	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	ctx, cancel := r.config.Clock.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	response, err := r.post(ctx, address, engine.PathCancel, message, message.Attempt > 1)
 	if err == nil {
--- a/rail/stall/stall.go
+++ b/rail/stall/stall.go
@@ -60,6 +60,14 @@
 	d.frameGap = gapEstimate{}
 }
 
+// LeaveOut shifts the times so far by a duration in which this process was held up, so that it does not count as time without frames.
+func (d *Detector) LeaveOut(heldUp time.Duration) {
+	d.lastFrame, d.lastToken = d.lastFrame.Add(heldUp), d.lastToken.Add(heldUp)
+	if !d.lastProbe.IsZero() {
+		d.lastProbe = d.lastProbe.Add(heldUp)
+	}
+}
+
 // ObserveFrame records a frame without a token.
 func (d *Detector) ObserveFrame(now time.Time) {
 	d.frameGap.add(now.Sub(d.lastFrame))
--- a/rail/stream/event.go
+++ b/rail/stream/event.go
@@ -65,6 +65,9 @@
 // Tick reports that the time returned by Session.NextTick has come.
 type Tick struct{}
 
+// HeldUp reports that this process was held up for a time, in which it handled nothing that may have arrived.
+type HeldUp struct{ Duration time.Duration }
+
 // Action is an action that the program must carry out.
 type Action interface {
 	action()
--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -291,6 +291,15 @@
 	}
 }
 
+// The deadline stays, since the caller does not wait for this process.
+func (e HeldUp) handle(s *Session, _ time.Time) {
+	if s.phase == opening || s.phase == probing {
+		s.phaseDeadline = s.phaseDeadline.Add(e.Duration)
+	}
+	s.probe.result.StartedAt = s.probe.result.StartedAt.Add(e.Duration)
+	s.detector.LeaveOut(e.Duration)
+}
+
 // probeStages starts a probe of the stages. If a probe is already in progress, probeStages only records the reason.
 func (s *Session) probeStages(now time.Time, reason string) {
 	s.failure.Reason = reason
