Read what waits before a deadline ends a caller's connection

Cause: the runtime reports a read deadline that has passed without a look at the socket. net/http then closes the connection, and one with unread bytes is reset. So a whole request that had been sent on a kept connection, while the process was held up and the idle timeout passed, got neither a response nor a refusal. The stop's end of idle connections decided by a clock as well and dropped what was waiting; if the idle timeout coincided with it, the connection was closed before the response was sent, since it lingered with a deadline that had passed. The first bytes of a request left the idle timeout in force, which could then cut the others.

Change: after a deadline the reader takes what waits in the socket's buffer. Only if nothing does, and no request is being served, the connection is ended, by one way for timeouts and stops: a response 408 with Connection: close, which promises that no request has run, then FIN, and what arrives for 2 s is discarded and counted. For that, package stop asks for the end of an idle connection and the reader confirms it (Machine.End), unless a request has begun. The first bytes of a request set the deadline of its headers. Router mode uses the same server. Counters: connections.ended.REASON, .late and .dropped.

--- a/comfreyrail/internal/gateway/forward/stop.go
+++ b/comfreyrail/internal/gateway/forward/stop.go
@@ -21,9 +21,18 @@
 // CloseResponse returns the complete HTTP response that ends an idle connection while the instance is stopping. To a caller that has
 // sent a request at the same time it shows that the request was not run.
 func CloseResponse() []byte {
-	body := stoppingResponse().code + "\n"
+	return endingResponse(stoppingResponse().code, retryElsewhereAfter)
+}
+
+// TimeoutResponse returns the complete HTTP response that ends a connection on which no whole request arrived in time. To a caller
+// that has sent a request at the same time it shows that the request was not run and can be sent again at once.
+func TimeoutResponse() []byte { return endingResponse("no-request", 0) }
+
+// endingResponse returns a complete HTTP response with status 408 that ends a connection.
+func endingResponse(code string, retryAfter time.Duration) []byte {
+	body := code + "\n"
 	const format = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nRetry-After: %.2f\r\nContent-Length: %d\r\n\r\n%s"
-	return fmt.Appendf(nil, format, retryElsewhereAfter.Seconds(), len(body), body)
+	return fmt.Appendf(nil, format, retryAfter.Seconds(), len(body), body)
 }
 
 // stopPlan holds the times of a planned stop of the instance, with their monotonic clock readings.
--- a/comfreyrail/internal/gateway/process/caller_server.go
+++ b/comfreyrail/internal/gateway/process/caller_server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
@@ -40,7 +41,7 @@
 
 // NewCallerServer returns a CallerServer that passes requests to the forwarder and releases the leases when it
 // stops.
-func NewCallerServer(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, membership *placer.Membership, role *placer.Placer, checker *invariant.Checker, log *logrus.Entry) *CallerServer {
+func NewCallerServer(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, membership *placer.Membership, role *placer.Placer, checker *invariant.Checker, registry metrics.Registry, log *logrus.Entry) *CallerServer {
 	s := &CallerServer{catalog: cat, maxConfigAge: maxConfigAge(cfg)}
 	s.server = graceful.New(graceful.Config{
 		Listen:        cfg.Listen.Caller,
@@ -48,8 +49,8 @@
 		IdleTimeout:   func() time.Duration { return callerIdleTimeout(configLimits(cat.Snapshot().Index)) },
 		Handler:       forwarder,
 		Refuse:        forwarder.RefuseStopping,
-		CloseResponse: forward.CloseResponse(),
-		RequestID:     forwarder.RequestID,
+		CloseResponse: forward.CloseResponse(), TimeoutResponse: forward.TimeoutResponse(),
+		RequestID: forwarder.RequestID,
 		Stop: stop.Config{
 			BalancerLag: time.Duration(cfg.Stop.BalancerLag), IdleTimeout: time.Duration(cfg.Stop.IdleTimeout), Timeout: time.Duration(cfg.Stop.Timeout), Checker: checker,
 		},
@@ -62,7 +63,7 @@
 			role.Release(ctx)
 			membership.Release(ctx)
 		},
-		Log: log,
+		Metrics: registry, Log: log,
 	})
 	return s
 }
--- a/comfreyrail/internal/gateway/process/wire_gen.go
+++ b/comfreyrail/internal/gateway/process/wire_gen.go
@@ -39,7 +39,7 @@
 	exchange := provideExchange(loaded, catalog, forwarder, processPeerUsage, entry)
 	prober := forward.NewProber(forwarder)
 	checker := provideChecker(entry, registry)
-	callerServer := NewCallerServer(loaded, catalog, forwarder, membership, placerPlacer, checker, entry)
+	callerServer := NewCallerServer(loaded, catalog, forwarder, membership, placerPlacer, checker, registry, entry)
 	operatorServer := provideOperatorServer(loaded, callerServer, catalog, registry, entry)
 	components := Components{
 		Catalog:        catalog,
--- a/comfreyrail/internal/traffic/entry/listener.go
+++ b/comfreyrail/internal/traffic/entry/listener.go
@@ -45,13 +45,14 @@
 		},
 		Handler:       s,
 		Refuse:        s.refuseStopping,
-		CloseResponse: closeResponse(),
+		CloseResponse: closeResponse(stoppingFailure()), TimeoutResponse: closeResponse(timeoutFailure()),
 		Stop: stop.Config{
 			BalancerLag: time.Duration(s.config.Stop.BalancerLag), IdleTimeout: time.Duration(s.config.Stop.IdleTimeout),
 			Timeout: time.Duration(s.config.Stop.Timeout), Checker: s.config.Checker,
 		},
 		SetUnready:   func(ctx context.Context) { s.config.Control.Send(ctx, control.ShutdownStarted{}) },
 		ReleaseLease: s.releaseLease,
+		Metrics:      s.config.Metrics,
 		Log:          s.config.Log,
 	}
 }
@@ -68,11 +69,16 @@
 	return outcome.NotRunf(outcome.CodeStopping, "the instance is stopping; send the request again")
 }
 
-// closeResponse returns the HTTP response that ends an idle connection.
+// timeoutFailure returns the failure of a request that was not run because its connection ended before it had arrived.
+func timeoutFailure() *outcome.Failure {
+	return outcome.NotRunf(outcome.CodeDeadline, "no whole request arrived in time; send the request again")
+}
+
+// closeResponse returns the HTTP response that ends a connection.
 //
 // A caller that is sending a request at that time reads it as the response to that request.
-func closeResponse() []byte {
-	body, _ := json.Marshal(failureBody{Error: stoppingFailure()})
+func closeResponse(failure *outcome.Failure) []byte {
+	body, _ := json.Marshal(failureBody{Error: failure})
 	const format = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s"
 	return fmt.Appendf(nil, format, outcome.Header, outcome.NotRun, len(body), body)
 }
--- a/comfreyrail/internal/traffic/graceful/handler.go
+++ b/comfreyrail/internal/traffic/graceful/handler.go
@@ -33,6 +33,7 @@
 		s.config.Handler.ServeHTTP(w, r)
 		return
 	}
+	c.serving.Store(true)
 	id := s.config.RequestID(r)
 	decision := s.startRequest(c.id, id)
 	rw := &responseWriter{ResponseWriter: w, server: s, closeConn: decision.Close}
--- a/comfreyrail/internal/traffic/graceful/server.go
+++ b/comfreyrail/internal/traffic/graceful/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
@@ -32,8 +33,10 @@
 	Handler http.Handler
 	// Refuse responds to a request that must not run because the instance is stopping.
 	Refuse http.HandlerFunc
-	// CloseResponse is the complete HTTP response that ends an idle connection.
+	// CloseResponse is the complete HTTP response with which the graceful shutdown ends an idle connection.
 	CloseResponse []byte
+	// TimeoutResponse is the complete HTTP response that ends a connection on which no whole request arrived in time.
+	TimeoutResponse []byte
 	// Stop configures the graceful shutdown.
 	Stop stop.Config
 	// SetUnready reports to the load balancer that the instance is not ready; nil does nothing.
@@ -43,6 +46,8 @@
 	ReleaseLease func(ctx context.Context)
 	// RequestID returns the ID of a request for the log; nil uses random IDs.
 	RequestID func(r *http.Request) string
+	// Metrics holds counters of the ends of connections; nil selects a new registry.
+	Metrics metrics.Registry
 	// Log receives lines about the graceful shutdown, with an error for each request that was aborted.
 	Log *logrus.Entry
 }
@@ -53,12 +58,14 @@
 	stopRequested chan struct{}
 	stopped       chan struct{}
 
-	mu         sync.Mutex
-	machine    *stop.Machine
-	conns      map[uint64]*conn
-	lastConnID uint64
-	aborted    []stop.Request
-	dropped    int // number of connections on which bytes arrived after they had been ended
+	mu sync.Mutex
+	// headerTimeout is that of the http.Server.
+	headerTimeout time.Duration
+	machine       *stop.Machine
+	conns         map[uint64]*conn
+	lastConnID    uint64
+	aborted       []stop.Request
+	dropped       int // number of connections on which bytes arrived after the graceful shutdown had ended them
 }
 
 // New returns a Server that listens once Serve is called.
@@ -69,6 +76,9 @@
 	if config.ReleaseLease == nil {
 		config.ReleaseLease = func(context.Context) {}
 	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewRegistry()
+	}
 	if config.RequestID == nil {
 		config.RequestID = func(*http.Request) string { return rand.Text() }
 	}
@@ -133,6 +143,7 @@
 	}
 	accepting := &listener{TCPListener: netListener.(*net.TCPListener), server: s}
 	server := s.config.NewHTTPServer()
+	s.withLock(func() { s.headerTimeout = server.ReadHeaderTimeout })
 	server.Handler, server.ConnState = s, s.handleConnState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey, c) }
 	defer func() { _ = server.Close() }()
@@ -216,8 +227,7 @@
 	actions := s.machine.Step(time.Now())
 	for _, action := range actions {
 		if c := s.conns[action.Connection]; action.Kind == stop.EndConnection && c != nil {
-			c.ended.Store(true)
-			go c.sendCloseResponse(s.config.CloseResponse)
+			c.startEnd()
 		}
 	}
 	return actions
@@ -228,12 +238,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastConnID++
-	c := &conn{TCPConn: accepted, id: s.lastConnID, server: s}
+	c := &conn{TCPConn: accepted, id: s.lastConnID, server: s, headerTimeout: s.headerTimeout}
 	s.conns[c.id] = c
 	s.machine.Open(c.id, time.Now())
 	return c
 }
 
+// endConn records that a connection is ended, and reports whether it is.
+func (s *Server) endConn(c *conn, reason endReason) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.machine.End(c.id) {
+		return false
+	}
+	c.reason = reason
+	c.ended.Store(true)
+	return true
+}
+
 // startRead records that bytes of a request arrived on the connection, and reports whether they may be read.
 func (s *Server) startRead(id uint64) bool {
 	s.mu.Lock()
@@ -249,14 +271,20 @@
 }
 
 // recordDropped counts a connection on which n bytes arrived after it had been ended, and logs n. It does nothing if n is zero.
-func (s *Server) recordDropped(n int64) {
+func (s *Server) recordDropped(reason endReason, n int64) {
 	if n == 0 {
 		return
 	}
-	s.withLock(func() { s.dropped++ })
-	s.config.Log.WithField("bytes", n).Info("stopping: dropped what arrived on a connection after its end")
+	s.count("connections.dropped")
+	if reason == endStopping {
+		s.withLock(func() { s.dropped++ })
+	}
+	s.config.Log.WithFields(logrus.Fields{"bytes": n, "reason": reason}).Info("dropped what arrived on a connection after its end")
 }
 
+// count adds one to a counter.
+func (s *Server) count(name string) { metrics.GetOrRegisterCounter(name, s.config.Metrics).Inc(1) }
+
 // handleConnState is the ConnState hook of the http.Server; it records that a connection is idle, or that a request has been read.
 //
 // If the first byte of the next request has been read already, it records the start of that request too.
@@ -268,7 +296,7 @@
 	switch state {
 	case http.StateActive:
 		// The request may have arrived in the same read as the previous one.
-		c.idleSince.Store(nil)
+		c.startRequest()
 		s.startRead(c.id)
 	case http.StateIdle:
 		s.setIdle(c)
@@ -282,8 +310,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.machine.SetIdle(c.id, now)
+	c.serving.Store(false)
+	c.reading.Store(false)
 	if c.readAhead.Swap(false) {
 		s.machine.StartRead(c.id, now)
+		c.startReadAhead()
 		return
 	}
 	c.idleSince.Store(&now)
--- a/rail/stop/doc.go
+++ b/rail/stop/doc.go
@@ -13,5 +13,6 @@
 // without a request: status 408 with the outcome "not run". A caller
 // that was sending a request takes it as the response to that request, and an
 // idle caller finds the connection closed. Bytes that arrive later are never
-// read as a request, so the outcome is correct.
+// read as a request, so the outcome is correct. Bytes that are waiting when the
+// connection is to be ended are read instead, and their request is served.
 package stop
--- a/rail/stop/stop.go
+++ b/rail/stop/stop.go
@@ -27,7 +27,7 @@
 const (
 	// SetUnready reports to the load balancer and the peers that the instance is not ready.
 	SetUnready ActionKind = iota
-	// EndConnection ends an idle connection with a response that reports that no request ran.
+	// EndConnection ends an idle connection, once Machine.End allows it, with a response that reports that no request ran.
 	EndConnection
 	// CloseListener accepts the connections that wait at the listener and then closes it.
 	CloseListener
@@ -71,7 +71,9 @@
 	idle phase = iota
 	// busy is the phase of a connection on which a request is arriving or in progress.
 	busy
-	// ended is the phase of a connection that EndConnection has ended.
+	// ending is the phase of an idle connection for which Step has returned EndConnection.
+	ending
+	// ended is the phase of a connection that has been ended, from which no request is read any more.
 	ended
 )
 
@@ -84,6 +86,8 @@
 	openedLate bool
 	// request is the ID of the request in progress; it is empty while the request is being read.
 	request string
+	// decided reports whether Decide has been called for the request in progress.
+	decided bool
 }
 
 // Machine is the state machine of the graceful shutdown of one instance; it is not safe for concurrent use.
@@ -136,12 +140,23 @@
 	if c == nil || c.phase == ended {
 		return false
 	}
-	if c.phase == idle {
-		c.phase, c.since, c.request = busy, now, ""
+	if c.phase != busy {
+		c.phase, c.since, c.request, c.decided = busy, now, "", false
 	}
 	return true
 }
 
+// End records that a connection is ended, unless a request on it has been decided on, and reports whether it is. Before the call, the
+// code that calls Machine must have found that no bytes are waiting on the connection; no request is read from it afterwards.
+func (m *Machine) End(id uint64) bool {
+	c := m.connections[id]
+	if c == nil || c.phase == ended || c.phase == busy && c.decided {
+		return false
+	}
+	c.phase = ended
+	return true
+}
+
 // Decide records a request that has been read and returns how to treat it.
 func (m *Machine) Decide(id uint64, request string) Decision {
 	c := m.connections[id]
@@ -149,7 +164,7 @@
 	if m.config.Checker.Check(arrived, "stop.begin", "request %s on a connection that is ended, closed or idle", request) != nil {
 		return Decision{Refuse: true, Close: true}
 	}
-	c.request = request
+	c.request, c.decided = request, true
 	return Decision{Refuse: c.openedLate, Close: m.Stopping()}
 }
 
@@ -217,7 +232,7 @@
 	var actions []Action
 	for id, c := range m.connections {
 		if c.phase == idle && now.Sub(c.since) >= m.config.IdleTimeout {
-			c.phase = ended
+			c.phase = ending
 			actions = append(actions, Action{Kind: EndConnection, Connection: id})
 		}
 	}
