Accept what waits in the backlog before the listener closes

Cause: at the end of a stop the listener accepts from its backlog for 50 ms and closes by the clock. If the process is held up for so long, the runtime reports the deadline without an attempt to accept, and the callers whose connections wait in the backlog are reset, with their requests.

Change: after the deadline Accept looks whether a connection is waiting, and goes on for another 50 ms if one is. What Accept returns once the time has passed and nothing is waiting is unchanged.

--- a/comfreyrail/internal/traffic/graceful/conn.go
+++ b/comfreyrail/internal/traffic/graceful/conn.go
@@ -249,18 +249,22 @@
 	closing atomic.Bool
 }
 
-// Accept waits for the next connection; it returns net.ErrClosed once backlogTime has passed since drainBacklog was
-// called.
+// Accept waits for the next connection. Once drainBacklog has been called, it returns net.ErrClosed when no connection has arrived for
+// backlogTime and none is waiting.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.AcceptTCP()
-	if err == nil {
-		return l.server.addConn(accepted), nil
-	}
-	var timeout net.Error
-	if l.closing.Load() && errors.As(err, &timeout) && timeout.Timeout() {
-		return nil, net.ErrClosed
+	for {
+		accepted, err := l.AcceptTCP()
+		if err == nil {
+			return l.server.addConn(accepted), nil
+		}
+		if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		if !readable(l.TCPListener) {
+			return nil, net.ErrClosed
+		}
+		_ = l.SetDeadline(time.Now().Add(backlogTime))
 	}
-	return nil, err
 }
 
 // drainBacklog makes Accept return the connections of the backlog for backlogTime, and then fail.
--- a/comfreyrail/internal/traffic/graceful/socket.go
+++ b/comfreyrail/internal/traffic/graceful/socket.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// readable reports whether a socket has data waiting, its end, or an error.
+// readable reports whether a socket has data or connections waiting, its end, or an error.
 func readable(socket syscall.Conn) bool {
 	raw, err := socket.SyscallConn()
 	if err != nil {
