--- a/comfreyrail/internal/traffic/graceful/conn.go
+++ b/comfreyrail/internal/traffic/graceful/conn.go
@@ -267,7 +267,7 @@
 	}
 }
 
-// drainBacklog makes Accept return the connections of the backlog for backlogTime, and then fail.
+// drainBacklog makes Accept return the connections of the backlog until none has arrived for backlogTime, and then fail.
 func (l *listener) drainBacklog() {
 	l.closing.Store(true)
 	_ = l.SetDeadline(time.Now().Add(backlogTime))
