Soak: hold-ups in series, changes of timeouts, requests without an answer

Instances are stopped and continued by signals for 0.4 to 1.5 s in series that overlap with each other and with stops, kills and changes; the configuration's idle and route timeouts change; callers pause up to 0.2 s, about as long as the short idle timeouts. A request whose connection ends later than 0.2 s after its last byte, without a response and without an exit of its process, is a violation.

--- a/soak/internal/soak/callers.go
+++ b/soak/internal/soak/callers.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/platform/fakeplatform"
@@ -22,6 +24,8 @@
 	leavingAt time.Time // when the head of a response arrived which says that the server is leaving, zero if none did
 	refused   bool      // the status of the response states that the request did not run
 	served    bool      // a complete answer was received, whether correct or not
+	writtenAt time.Time // when the last byte was sent on a connection that then ended without a response, zero for other requests
+	cutAt     time.Time // when that connection ended
 }
 
 // callers holds the requests of all callers and the violations found in their answers. It is safe for concurrent use.
@@ -55,7 +59,13 @@
 	sent := sentRequest{id: c.nextID(), kind: kind, instance: target.name, key: key, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := fakeplatform.NewRequest(ctx, target.callerAddress, "/"+kind+"/x", sent.id, key)
+	var writtenAt atomic.Pointer[time.Time]
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			writtenAt.Store(&now)
+		}
+	}})
+	request, err := fakeplatform.NewRequest(traced, target.callerAddress, "/"+kind+"/x", sent.id, key)
 	if err != nil {
 		c.addViolation("%s: %v", sent.id, err)
 		return
@@ -67,6 +77,8 @@
 		}
 		c.checkResponse(&sent, response)
 		_ = response.Body.Close()
+	} else if at := writtenAt.Load(); at != nil && ctx.Err() == nil {
+		sent.writtenAt, sent.cutAt = *at, time.Now()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/internal/soak/inject.go
+++ b/soak/internal/soak/inject.go
@@ -37,6 +37,8 @@
 	{"roll", 1, (*harness).rollInstances},
 	{"store restored", 2, (*harness).restoreStore},
 	{"server silent", 2, (*harness).silenceServer},
+	{"hold-ups", 5, (*harness).holdUpInstances},
+	{"timeouts", 4, (*harness).changeTimeouts},
 }
 
 // inject injects a fault of a random kind and records its description.
--- a/soak/internal/soak/instance.go
+++ b/soak/internal/soak/instance.go
@@ -25,6 +25,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	stopped bool
+	exits   []time.Time
 }
 
 // newInstance writes the settings file of an instance into dir and starts the instance, with a proxy between it and the store. It
@@ -79,11 +80,18 @@
 		i.mu.Unlock()
 		if err == nil {
 			_ = i.command.Wait()
+			i.recordExit()
 		}
 		time.Sleep(restartDelay)
 	}
 }
 
+func (i *instance) recordExit() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.exits = append(i.exits, time.Now())
+}
+
 // signal sends a signal to the process, if it was started.
 func (i *instance) signal(sig syscall.Signal) {
 	i.mu.Lock()
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -37,8 +37,13 @@
 	recoveryTime = 4 * time.Second
 	// entryInterval is the time between two writes of a backend server's entry to the store.
 	entryInterval = 400 * time.Millisecond
-	// requestInterval is the time between the end of a request and the next one of the same caller.
+	// requestInterval is the time between the end of a request and the next one of the same caller, except every longPauseEvery-th time
+	// on average.
 	requestInterval = 15 * time.Millisecond
+	// longPauseEvery is the mean number of pauses of a caller to one that is up to maxPause long, about as long as an idle timeout.
+	longPauseEvery = 4
+	// maxPause is the maximum time between two requests of a caller.
+	maxPause = 200 * time.Millisecond
 	// callerCount is the number of concurrent callers.
 	callerCount = 6
 	// plainServerCount and engineServerCount are the numbers of plain backend servers and of engines.
@@ -88,9 +93,10 @@
 	said          []string             // what the backend servers said of themselves
 	interruptions []interruption       // of instances and servers, in the order of their starts
 
-	mu      sync.Mutex // guards version, keys and the additions to interruptions
-	version int
-	keys    []fakeplatform.APIKey
+	mu       sync.Mutex // guards version, keys, timeouts and the additions to interruptions
+	version  int
+	keys     []fakeplatform.APIKey
+	timeouts fakeplatform.Timeouts
 }
 
 // Run runs instances under load with injected faults, and returns an error if they violate a guarantee or serve no request.
@@ -98,7 +104,7 @@
 	defer errors.DeferredAnnotatef(&err, "seed %d", config.Seed)
 	h := &harness{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), store: fakeplatform.NewStore(),
-		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(),
+		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(), timeouts: fakeplatform.DefaultTimeouts,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -111,6 +117,7 @@
 	report.Violations, report.Served = h.callers.verify(h.cluster.Runs(), h.revoked)
 	report.Violations = append(report.Violations, h.cluster.Violations()...)
 	report.Violations = append(report.Violations, verifyNotices(h.callers.requests, h.cluster.Arrivals(), h.interruptions)...)
+	report.Violations = append(report.Violations, verifyAnswered(h.callers.requests, h.exits())...)
 	report.Requests = len(h.callers.requests)
 	if report.Served == 0 {
 		report.Violations = append(report.Violations, "no request was served")
@@ -215,7 +222,7 @@
 	defer h.mu.Unlock()
 	change()
 	h.version++
-	h.store.PutConfig(h.version, h.keys)
+	h.store.PutConfig(h.version, h.keys, h.timeouts)
 }
 
 // runLoad runs the callers through a warm-up, the configured duration with faults and a recovery time. Between the last two it
@@ -249,7 +256,11 @@
 	for ctx.Err() == nil {
 		target := h.instances[random.IntN(len(h.instances))]
 		h.callers.send(context.WithoutCancel(ctx), client, target, kinds[random.IntN(len(kinds))], keys[random.IntN(len(keys))])
-		time.Sleep(requestInterval)
+		if random.IntN(longPauseEvery) == 0 {
+			time.Sleep(time.Duration(random.Int64N(int64(maxPause))))
+		} else {
+			time.Sleep(requestInterval)
+		}
 	}
 }
 
