Remove servers by what the content shows, not by the time of its reading

Cause: a server whose entry expired in an outage of the store is removed 2.5 s after the outage if its entry has not been written again. The time of the reading decided, also if what was read had been confirmed long before: an instance that was held up beside a refresh removed sound servers whose entries were back, until its next refresh. The same held for crash reports and records of instances after a restoration of the store.

Change: the time limit must have passed, and the content must be confirmed as of 0.5 s before its end at least, which is one watch interval.

A server that is gone is removed by the refresh that shows it.

--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -68,6 +68,9 @@
 	// reappearTimeout is how long after an outage of the store a server that isn't draining stays listed although its entry was
 	// removed during the outage or since.
 	reappearTimeout = 2500 * time.Millisecond
+	// maxContentLag is the maximum time before the end of such a time limit as of which the content must be confirmed, so that what it
+	// lacks has not been written again in time.
+	maxContentLag = 500 * time.Millisecond
 )
 
 // Config configures a Catalog.
--- a/comfreyrail/internal/gateway/catalog/catalog_test.go
+++ b/comfreyrail/internal/gateway/catalog/catalog_test.go
@@ -22,6 +22,7 @@
 // fakeStore provides responses of the store and of other instances, and a clock, that a test sets.
 type fakeStore struct {
 	now         time.Duration
+	heldUp      time.Duration // for which a watch lasts because this instance is held up
 	items       []store.Item
 	changes     []store.Item
 	era         uint64
@@ -51,6 +52,7 @@
 		},
 		Watch: func(context.Context, string, uint64, time.Duration) (store.Changes, error) {
 			fake.reads++
+			fake.now += fake.heldUp
 			revision := uint64(0)
 			for _, item := range fake.changes {
 				revision = max(revision, item.Revision)
--- a/comfreyrail/internal/gateway/catalog/outage_test.go
+++ b/comfreyrail/internal/gateway/catalog/outage_test.go
@@ -35,6 +35,42 @@
 	}
 }
 
+// Guards against the removal of sound servers whose entries were written again while this instance was held up: what is read at its
+// end was confirmed before the time in which entries reappear was over.
+func TestEntriesWrittenAgainDuringHoldUp(t *testing.T) {
+	const outageEnd = 6 * time.Second
+	tests := []struct {
+		name    string
+		changes []store.Item // that a refresh reads which starts 0.1 s after the outage and ends after the hold-up
+	}{
+		{"entry had expired before", nil},
+		{"entry expires in the refresh", []store.Item{removed("servers/one", 21)}},
+	}
+	for _, test := range tests {
+		fake := &fakeStore{items: []store.Item{item("servers/one", "ready", 1), item("servers/two", "ready", 2)}}
+		c := newCatalog(fake, Instance{Name: "a"})
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = errDown, 3*time.Second
+		refreshOnce(t, c, fake)
+		fake.err, fake.now = nil, outageEnd
+		if test.changes == nil {
+			fake.changes = []store.Item{removed("servers/one", 20)}
+		}
+		refreshOnce(t, c, fake)
+		fake.now = outageEnd + 100*time.Millisecond
+		fake.changes, fake.heldUp = test.changes, reappearTimeout
+		refreshOnce(t, c, fake)
+		if got, want := servers(c), []string{"one", "two"}; !slices.Equal(got, want) {
+			t.Errorf("%s: got %v after the hold-up, want %v", test.name, got, want)
+		}
+		fake.changes, fake.heldUp = nil, 0
+		refreshOnce(t, c, fake)
+		if got, want := servers(c), []string{"two"}; !slices.Equal(got, want) {
+			t.Errorf("%s: got %v after the next refresh, want %v", test.name, got, want)
+		}
+	}
+}
+
 // Guards against a server that leaves soon after an outage getting requests for longer than one whose entry expired in it: an
 // entry that is missing when reappearTimeout has passed since the outage stands for a server that is gone, whenever it was
 // removed.
--- a/comfreyrail/internal/gateway/catalog/restore.go
+++ b/comfreyrail/internal/gateway/catalog/restore.go
@@ -169,7 +169,7 @@
 	}
 	now := c.config.Elapsed()
 	for key, until := range c.restored.missing {
-		if now > until {
+		if c.confirmedAfter(until) {
 			delete(c.restored.missing, key)
 			c.unpublished = c.updateState(store.Item{Key: key, Deleted: true}) || c.unpublished
 		}
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
@@ -186,11 +187,11 @@
 	if !known {
 		return false
 	}
-	now, until := c.config.Elapsed(), c.upToDateSince+reappearTimeout
+	until := c.upToDateSince + reappearTimeout
 	if !c.upToDate {
-		until = now + reappearTimeout
+		until = c.config.Elapsed() + reappearTimeout
 	}
-	if !server.Draining && c.hadOutage && now < until {
+	if !server.Draining && c.hadOutage && !c.confirmedAfter(until) {
 		if _, expiring := c.expiring[id]; !expiring {
 			c.expiring[id] = until
 		}
@@ -208,14 +209,20 @@
 	c.config.Log.WithFields(logrus.Fields{"server": id, "reason": reason}).Info(event.ServerRemoved)
 }
 
+// confirmedAfter reports whether the time until has passed, and the content shows whether something was written again by then. The
+// content may be older if this instance was held up.
+func (c *Catalog) confirmedAfter(until time.Duration) bool {
+	return c.config.Elapsed() > until && time.Duration(c.confirmedAt.Load()) >= until-maxContentLag
+}
+
 // expireServers removes the servers whose entries did not reappear in time after an outage.
 func (c *Catalog) expireServers() {
 	if !c.upToDate {
 		return
 	}
-	now, deleted := c.config.Elapsed(), false
+	deleted := false
 	for id, until := range c.expiring {
-		if now > until {
+		if c.confirmedAfter(until) {
 			c.deleteServer(id, "entry not written again")
 			deleted = true
 		}
