Soak: draw hold-ups and pauses apart from the other faults

Cause: as further kinds of faults, hold-ups changed what each seed drew, and with it what the seeds in soak/seeds.txt guard.

Change: hold-ups and changes of timeouts, and the callers' pauses, have streams of random numbers of their own, as what servers say has. Each run has hold-ups now.

--- a/soak/internal/soak/holdup.go
+++ b/soak/internal/soak/holdup.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
@@ -11,6 +13,8 @@
 
 // Times of hold-ups and of requests without an answer.
 const (
+	// seriesInterval is the maximum time between the starts of two series of hold-ups, or changes of timeouts.
+	seriesInterval = 1500 * time.Millisecond
 	// holdUpInterval is the time between the starts of two hold-ups of a series.
 	holdUpInterval = 600 * time.Millisecond
 	// minHoldUp and maxHoldUp are the limits of the time of a hold-up. They exceed the timeouts of probes and low idle timeouts.
@@ -22,12 +26,37 @@
 	exitTime = time.Second
 )
 
+// Numbers of the streams of random numbers for hold-ups, and from pauseRandomStream on for the pauses of the callers.
+const (
+	holdUpRandomStream = 2000
+	pauseRandomStream  = 3000
+)
+
+// injectHoldUps holds instances up and changes timeouts until the deadline.
+func (h *harness) injectHoldUps(ctx context.Context, deadline time.Time) {
+	random := rand.New(rand.NewPCG(h.config.Seed, holdUpRandomStream))
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		inject := h.holdUpInstances
+		if random.IntN(2) == 0 {
+			inject = h.changeTimeouts
+		}
+		at := time.Since(h.startedAt).Round(time.Millisecond)
+		h.heldUp = append(h.heldUp, fmt.Sprintf("%v %s", at, inject(random)))
+		time.Sleep(between(random, 0, seriesInterval))
+	}
+}
+
+// between returns a duration of at least low and less than high.
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
 // holdUpInstances suspends random instances with SIGSTOP a few times in succession, so that the hold-ups may overlap.
-func (h *harness) holdUpInstances() string {
-	description := ""
-	for n := range 2 + h.random.IntN(3) {
-		i, duration := h.randomInstance(), h.randomDuration(minHoldUp, maxHoldUp)
-		description += fmt.Sprintf("%s for %v ", i.name, duration.Round(time.Millisecond))
+func (h *harness) holdUpInstances(random *rand.Rand) string {
+	description := "hold-ups"
+	for n := range 2 + random.IntN(3) {
+		i, duration := h.instances[random.IntN(len(h.instances))], between(random, minHoldUp, maxHoldUp)
+		description += fmt.Sprintf(" %s for %v", i.name, duration.Round(time.Millisecond))
 		time.AfterFunc(time.Duration(n)*holdUpInterval, func() {
 			h.interrupt(i.name, duration)
 			i.signal(syscall.SIGSTOP)
@@ -38,13 +67,13 @@
 }
 
 // changeTimeouts writes a configuration with other timeouts: an idle timeout about as long as the callers' pauses, or the default one.
-func (h *harness) changeTimeouts() string {
-	timeouts := fakeplatform.Timeouts{Route: h.randomDuration(1500*time.Millisecond, 3*time.Second), Idle: fakeplatform.DefaultTimeouts.Idle}
-	if h.random.IntN(3) > 0 {
-		timeouts.Idle = h.randomDuration(60*time.Millisecond, 150*time.Millisecond)
+func (h *harness) changeTimeouts(random *rand.Rand) string {
+	timeouts := fakeplatform.Timeouts{Route: between(random, 1500*time.Millisecond, 3*time.Second), Idle: fakeplatform.DefaultTimeouts.Idle}
+	if random.IntN(3) > 0 {
+		timeouts.Idle = between(random, 60*time.Millisecond, 150*time.Millisecond)
 	}
 	h.updateConfig(func() { h.timeouts = timeouts })
-	return fmt.Sprintf("route %v, idle %v", timeouts.Route.Round(time.Millisecond), timeouts.Idle.Round(time.Millisecond))
+	return fmt.Sprintf("timeouts route %v, idle %v", timeouts.Route.Round(time.Millisecond), timeouts.Idle.Round(time.Millisecond))
 }
 
 // exits returns the times at which the processes of the instances exited, by the name of the instance.
--- a/soak/internal/soak/inject.go
+++ b/soak/internal/soak/inject.go
@@ -37,8 +37,6 @@
 	{"roll", 1, (*harness).rollInstances},
 	{"store restored", 2, (*harness).restoreStore},
 	{"server silent", 2, (*harness).silenceServer},
-	{"hold-ups", 5, (*harness).holdUpInstances},
-	{"timeouts", 4, (*harness).changeTimeouts},
 }
 
 // inject injects a fault of a random kind and records its description.
@@ -61,7 +59,7 @@
 
 // randomDuration returns a duration of at least low and less than high.
 func (h *harness) randomDuration(low, high time.Duration) time.Duration {
-	return low + time.Duration(h.random.Int64N(int64(high-low)))
+	return between(h.random, low, high)
 }
 
 func (h *harness) killInstance() string {
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -89,6 +90,7 @@
 	callers       callers
 	startedAt     time.Time
 	injected      []string
+	heldUp        []string             // the hold-ups and the changes of timeouts
 	revoked       map[string]time.Time // time of revocation by API key
 	said          []string             // what the backend servers said of themselves
 	interruptions []interruption       // of instances and servers, in the order of their starts
@@ -113,7 +115,7 @@
 		return report, err
 	}
 	h.runLoad(ctx)
-	report = Report{Seed: config.Seed, InjectedFaults: append(h.injected, h.said...), Runs: len(h.cluster.Runs()), Reroutes: h.cluster.Reroutes()}
+	report = Report{Seed: config.Seed, InjectedFaults: slices.Concat(h.injected, h.said, h.heldUp), Runs: len(h.cluster.Runs()), Reroutes: h.cluster.Reroutes()}
 	report.Violations, report.Served = h.callers.verify(h.cluster.Runs(), h.revoked)
 	report.Violations = append(report.Violations, h.cluster.Violations()...)
 	report.Violations = append(report.Violations, verifyNotices(h.callers.requests, h.cluster.Arrivals(), h.interruptions)...)
@@ -231,11 +233,13 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for i := range callerCount {
-		group.Go(func() { h.runCaller(callersCtx, rand.New(rand.NewPCG(h.config.Seed, uint64(i+1)))) })
+		random, pauses := rand.New(rand.NewPCG(h.config.Seed, uint64(i+1))), rand.New(rand.NewPCG(h.config.Seed, uint64(pauseRandomStream+i)))
+		group.Go(func() { h.runCaller(callersCtx, random, pauses) })
 	}
 	time.Sleep(warmUpTime)
 	deadline := time.Now().Add(h.config.Duration)
 	group.Go(func() { h.injectNotices(ctx, deadline) })
+	group.Go(func() { h.injectHoldUps(ctx, deadline) })
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		h.inject()
 		time.Sleep(time.Duration(h.random.IntN(600)) * time.Millisecond)
@@ -246,9 +250,9 @@
 	group.Wait()
 }
 
-// runCaller sends requests to random instances over kept-alive connections until ctx is done. It does not cancel the request in
-// progress.
-func (h *harness) runCaller(ctx context.Context, random *rand.Rand) {
+// runCaller sends requests to random instances over kept-alive connections, with random pauses, until ctx is done. It does not cancel
+// the request in progress.
+func (h *harness) runCaller(ctx context.Context, random, pauses *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	kinds := []string{"once", "safe", "stream"}
 	keys := []fakeplatform.APIKey{}
@@ -256,8 +260,8 @@
 	for ctx.Err() == nil {
 		target := h.instances[random.IntN(len(h.instances))]
 		h.callers.send(context.WithoutCancel(ctx), client, target, kinds[random.IntN(len(kinds))], keys[random.IntN(len(keys))])
-		if random.IntN(longPauseEvery) == 0 {
-			time.Sleep(time.Duration(random.Int64N(int64(maxPause))))
+		if pauses.IntN(longPauseEvery) == 0 {
+			time.Sleep(time.Duration(pauses.Int64N(int64(maxPause))))
 		} else {
 			time.Sleep(requestInterval)
 		}
