Check the engines of an attempt only after its silence without hold-ups

Cause: a read timeout that passes in a hold-up calls the check for stalls at once. For an attempt without a response the check counted a slow event of each engine of its chain before it looked at the silence, so that engines were probed for their slowness.

Change: the check returns the rest of the time until it is due.

Result: TestEarlyCheckIsNoSlowness failed (probes of four engines after early checks) and passes.

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -117,7 +117,7 @@
 	}
 	request := f.upstreamRequest(j, first, stages, lastID)
 	a.progressAt = f.config.Clock.Now()
-	request.ReadTimeout = scale(j.route.LatencyTarget, headerCheckFactor)
+	request.ReadTimeout = firstCheck(j, a)
 	request.OnReadTimeout = func() time.Duration { return f.checkStall(ctx, j, a, headerTimeout(j)) }
 	a.response, err = f.config.Upstream.Send(ctx, request)
 	switch {
--- a/comfreyrail/internal/gateway/forward/holdup_test.go
+++ b/comfreyrail/internal/gateway/forward/holdup_test.go
@@ -1,12 +1,16 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
 // Guards against sound servers being taken for silent, and streams being started a second time, after a hold-up of this process: the
@@ -36,3 +40,17 @@
 		})
 	}
 }
+
+// Guards against engines being probed for their slowness because a check for silence comes early, as it does after a hold-up.
+func TestEarlyCheckIsNoSlowness(t *testing.T) {
+	f, j, a := newStreamAttempt(t, func(string) (backend.State, error) { return backend.State{}, nil }, new(atomic.Int32))
+	j.route = &route.Route{LatencyTarget: 10 * time.Second, GapTarget: 10 * time.Second}
+	for range 20 {
+		if wait := f.checkStall(context.Background(), j, a, time.Minute); wait < time.Second {
+			t.Errorf("got the next check after %v, want it after the rest of the time", wait)
+		}
+	}
+	if got := f.selector.nextProbes(len(a.chain)); len(got) > 0 {
+		t.Errorf("got probes of %d engines, want none", len(got))
+	}
+}
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -26,6 +26,9 @@
 		}
 	}
 	waited := f.silence(a)
+	if rest := firstCheck(j, a) - waited; rest > 0 {
+		return rest
+	}
 	if waited >= timeout {
 		f.replace(ctx, j, a, "")
 		waited = f.silence(a)
@@ -58,6 +61,14 @@
 	return successorCheckInterval
 }
 
+// firstCheck returns the silence of an attempt after which its engines are checked.
+func firstCheck(j *job, a *streamAttempt) time.Duration {
+	if a.response == nil {
+		return scale(j.route.LatencyTarget, headerCheckFactor)
+	}
+	return scale(j.route.GapTarget, gapCheckFactor)
+}
+
 // silence returns for how long an attempt has made no progress, without the time in which this process was held up.
 func (f *Forwarder) silence(a *streamAttempt) time.Duration {
 	return f.config.Clock.Now().Sub(a.progressAt)
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -247,7 +247,7 @@
 // watchForStalls makes the attempt check for a stall at checkAt, which each check and each progress moves.
 func (f *Forwarder) watchForStalls(ctx context.Context, j *job, a *streamAttempt) {
 	timeout := max(scale(j.route.GapTarget, gapTimeoutFactor), minStallTimeout)
-	a.checkAt = time.Now().Add(scale(j.route.GapTarget, gapCheckFactor))
+	a.checkAt = time.Now().Add(firstCheck(j, a))
 	a.response.SetOnReadTimeout(func() time.Duration {
 		more := f.checkStall(ctx, j, a, timeout)
 		a.checkAt = time.Now().Add(more)
@@ -266,7 +266,7 @@
 		f.recordProgress(a, f.silence(a))
 		j.recordData(arrivedAt, events)
 		j.positionUnknown = j.out.positionUnknown
-		a.checkAt = arrivedAt.Add(scale(j.route.GapTarget, gapCheckFactor))
+		a.checkAt = arrivedAt.Add(firstCheck(j, a))
 	}
 	if isInvalidEvent(err) {
 		f.recordFailedStreamAttempt(ctx, j, a, a.chain[0].Server.Address, err)
