Soak: kept connections, changes of the idle timeout, short hold-ups

Twelve callers each keep a connection to one instance and pause for 0.7 to 1.2 times the idle timeout in force; at random times that timeout changes (60 to 150 ms) or an instance is held up for 0.4 s by SIGSTOP. A request whose connection ends without a response is a violation, unless the process of its instance exited within a second. This holds for the other callers too. The draws of the other faults are unchanged, and hold-ups excuse nothing in the other checks.

--- a/soak/internal/soak/callers.go
+++ b/soak/internal/soak/callers.go
@@ -20,6 +20,7 @@
 	key       fakeplatform.APIKey
 	sentAt    time.Time
 	leavingAt time.Time // when the head of a response arrived which says that the server is leaving, zero if none did
+	cutAt     time.Time // when the connection ended without a response to the request, zero if it didn't
 	refused   bool      // the status of the response states that the request did not run
 	served    bool      // a complete answer was received, whether correct or not
 }
@@ -61,6 +62,9 @@
 		return
 	}
 	response, err := client.Do(request)
+	if err != nil && isCut(err) {
+		sent.cutAt = time.Now()
+	}
 	if err == nil {
 		if fakeplatform.Leaving(response.Header) {
 			sent.leavingAt = time.Now()
--- a/soak/internal/soak/instance.go
+++ b/soak/internal/soak/instance.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	stopped bool
+	exits   []time.Time // of the process
 }
 
 // newInstance writes the settings file of an instance into dir and starts the instance, with a proxy between it and the store. It
@@ -79,11 +81,21 @@
 		i.mu.Unlock()
 		if err == nil {
 			_ = i.command.Wait()
+			i.mu.Lock()
+			i.exits = append(i.exits, time.Now())
+			i.mu.Unlock()
 		}
 		time.Sleep(restartDelay)
 	}
 }
 
+// exitTimes returns the times at which the process exited.
+func (i *instance) exitTimes() []time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.exits)
+}
+
 // signal sends a signal to the process, if it was started.
 func (i *instance) signal(sig syscall.Signal) {
 	i.mu.Lock()
--- a/soak/internal/soak/restore.go
+++ b/soak/internal/soak/restore.go
@@ -15,7 +15,7 @@
 	time.AfterFunc(age+outage, func() {
 		h.readConfig(func() {
 			h.store.Restore(copied)
-			h.store.PutConfig(h.version, h.keys)
+			h.store.PutConfig(h.version, h.keys, h.idleTimeout)
 		})
 		h.store.FailWith(0)
 	})
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -88,9 +88,10 @@
 	said          []string             // what the backend servers said of themselves
 	interruptions []interruption       // of instances and servers, in the order of their starts
 
-	mu      sync.Mutex // guards version, keys and the additions to interruptions
-	version int
-	keys    []fakeplatform.APIKey
+	mu          sync.Mutex // guards the fields below and the additions to interruptions
+	version     int
+	keys        []fakeplatform.APIKey
+	idleTimeout time.Duration
 }
 
 // Run runs instances under load with injected faults, and returns an error if they violate a guarantee or serve no request.
@@ -98,7 +99,7 @@
 	defer errors.DeferredAnnotatef(&err, "seed %d", config.Seed)
 	h := &harness{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), store: fakeplatform.NewStore(),
-		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(),
+		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(), idleTimeout: usualIdleTimeout,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -111,6 +112,7 @@
 	report.Violations, report.Served = h.callers.verify(h.cluster.Runs(), h.revoked)
 	report.Violations = append(report.Violations, h.cluster.Violations()...)
 	report.Violations = append(report.Violations, verifyNotices(h.callers.requests, h.cluster.Arrivals(), h.interruptions)...)
+	report.Violations = append(report.Violations, verifyResponses(h.callers.requests, h.exits())...)
 	report.Requests = len(h.callers.requests)
 	if report.Served == 0 {
 		report.Violations = append(report.Violations, "no request was served")
@@ -215,7 +217,7 @@
 	defer h.mu.Unlock()
 	change()
 	h.version++
-	h.store.PutConfig(h.version, h.keys)
+	h.store.PutConfig(h.version, h.keys, h.idleTimeout)
 }
 
 // runLoad runs the callers through a warm-up, the configured duration with faults and a recovery time. Between the last two it
@@ -226,9 +228,13 @@
 	for i := range callerCount {
 		group.Go(func() { h.runCaller(callersCtx, rand.New(rand.NewPCG(h.config.Seed, uint64(i+1)))) })
 	}
+	for i := range keeperCount {
+		group.Go(func() { h.runKeeper(callersCtx, i) })
+	}
 	time.Sleep(warmUpTime)
 	deadline := time.Now().Add(h.config.Duration)
 	group.Go(func() { h.injectNotices(ctx, deadline) })
+	group.Go(func() { h.injectHoldUps(ctx, deadline) })
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		h.inject()
 		time.Sleep(time.Duration(h.random.IntN(600)) * time.Millisecond)
@@ -260,6 +266,15 @@
 	read()
 }
 
+// exits returns the times at which the processes of the instances exited, by instance.
+func (h *harness) exits() map[string][]time.Time {
+	exits := make(map[string][]time.Time)
+	for _, i := range h.instances {
+		exits[i.name] = i.exitTimes()
+	}
+	return exits
+}
+
 // killAll kills all instances.
 func (h *harness) killAll() {
 	for _, i := range h.instances {
