Update what is known of crashes by what has changed

Cause: the detector of poisoned parts recomputed everything that all instances had ever reported at each event: an answer to a prompt with a suspected part, a crash, each changed report, and each look at its own report, four times a second in each instance. The cost grows with the instances times the crashes.

Change: an index of crashes, parts and engines, changed by what an event is about. Reports that are the same slices as before are passed over. Companions of a part are looked up when a request with it is checked.

--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -39,23 +39,13 @@
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
 // must not be called concurrently.
 type Detector struct {
-	config    Config
-	survived  map[string]time.Time // when an engine last survived a prompt with the part
-	crashes   []seenCrash
-	learnedAt map[string]time.Time // when each crash became known, by engine
-	known     nameSets             // parts by engine, of all crashes
-	cleared   nameSets             // parts by engine, which answers seen here clear of its crash
-	told      nameSets             // what of cleared was reported
-	reports   map[string]Report    // by instance, also of a previous incarnation of this one
-	adopted   bool                 // whether the report of the previous incarnation, or an own one, was adopted
-	suspected nameSets             // engines by part, which has not been cleared of their crashes
-	poisoned  map[string]verdict   // by part
-}
-
-// verdict is what is known of a poisoned part.
-type verdict struct {
-	companions []string  // the other parts under which all the engines crashed that crashed under it
-	until      time.Time // when it is no longer blocked, zero if it stays blocked
+	config   Config
+	survived map[string]time.Time // when an engine last survived a prompt with the part
+	crashes  []seenCrash
+	index    crashIndex
+	told     nameSets          // parts by engine, which were reported as cleared of its crash
+	reports  map[string]Report // by instance, also of a previous incarnation of this one
+	adopted  bool              // whether the report of the previous incarnation, or an own one, was adopted
 }
 
 // seenCrash is a crash that this instance saw.
@@ -64,51 +54,39 @@
 	at time.Time
 }
 
-// add adds parts and reports whether there was a new one and room for it.
-func (c *seenCrash) add(parts []string) (added bool) {
+// add adds parts and returns the new ones for which there was room.
+func (c *seenCrash) add(parts []string) (added []string) {
 	for _, part := range parts {
 		if len(c.Parts) < maxParts && !slices.Contains(c.Parts, part) {
 			c.Parts = append(c.Parts, part)
-			added = true
+			added = append(added, part)
 		}
 	}
 	return added
 }
 
-// nameSets holds a set of names for each name.
-type nameSets map[string]map[string]bool
-
-func (n nameSets) add(key string, names ...string) {
-	if n[key] == nil {
-		n[key] = make(map[string]bool)
-	}
-	for _, name := range names {
-		n[key][name] = true
-	}
-}
-
-// crash returns the parts of an engine's crash in order.
-func (n nameSets) crash(engine string) Crash {
-	return Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(n[engine]))}
-}
-
 // New returns a Detector with the given configuration.
 func New(config Config) *Detector {
-	return &Detector{config: config, survived: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nameSets), told: make(nameSets)}
+	return &Detector{config: config, survived: make(map[string]time.Time), index: newCrashIndex(), told: make(nameSets)}
 }
 
 // Survived records that an engine has not crashed under a prompt with the parts.
 func (d *Detector) Survived(now time.Time, parts []string) {
-	suspected := false
 	for _, part := range parts {
 		d.survived[part] = now
-		suspected = suspected || d.suspected[part] != nil
+		for engine := range d.index.listed[part] {
+			d.clearIfSurvived(engine, part)
+		}
 	}
 	if len(d.survived) > maxSurvived {
 		d.forgetSurvived(now)
 	}
-	if suspected {
-		d.update(now)
+}
+
+// clearIfSurvived clears a part of a crash if an engine has survived it shortly before the crash became known, or later.
+func (d *Detector) clearIfSurvived(engine, part string) {
+	if survived, ok := d.survived[part]; ok && !survived.Before(d.index.learnedAt[engine].Add(-clearMargin)) {
+		d.index.clear(engine, part)
 	}
 }
 
@@ -128,43 +106,99 @@
 		at, ok := d.survived[part]
 		return ok && now.Sub(at) <= clearMargin
 	})
+	d.learn(now, engine, d.seen(now, engine).add(parts))
+}
+
+// seen returns the crash of an engine as this instance saw it, without parts if it is new. The oldest crash makes room for a new one.
+func (d *Detector) seen(now time.Time, engine string) *seenCrash {
 	i := slices.IndexFunc(d.crashes, func(c seenCrash) bool { return c.Engine == engine })
-	if i < 0 {
-		d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
-		d.crashes = d.crashes[max(len(d.crashes)-maxCrashes, 0):]
-		i = len(d.crashes) - 1
+	if i >= 0 {
+		return &d.crashes[i]
 	}
-	if d.crashes[i].add(parts) {
-		d.update(now)
+	if len(d.crashes) == maxCrashes {
+		d.forget(d.crashes[0].Crash)
+		d.crashes = d.crashes[1:]
 	}
+	d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
+	return &d.crashes[len(d.crashes)-1]
 }
 
-// SetReports replaces the reports of all instances, by their names.
+// learn adds parts of a crash that a report lists, and clears those of the new ones that an engine has survived.
+func (d *Detector) learn(now time.Time, engine string, parts []string) {
+	for _, part := range d.index.add(now, engine, parts) {
+		d.clearIfSurvived(engine, part)
+	}
+}
+
+// forget removes the parts of a crash that a report no longer lists.
+func (d *Detector) forget(crash Crash) {
+	d.index.remove(crash.Engine, crash.Parts)
+	if d.index.reports[crash.Engine] == nil {
+		delete(d.told, crash.Engine)
+	}
+}
+
+// SetReports replaces the reports of all instances, by their names. Neither the map nor the reports may be changed afterwards. A report
+// that is the same slices as before costs nothing.
 func (d *Detector) SetReports(now time.Time, reports map[string]Report) {
+	previous := d.reports
 	d.reports = reports
-	if previous, ok := reports[d.config.Name]; ok && !d.adopted {
-		d.adopt(now, previous)
+	for name, report := range reports {
+		if name != d.config.Name && !report.sharesContent(previous[name]) {
+			d.addReport(now, report)
+		}
+	}
+	for name, report := range previous {
+		if name != d.config.Name && !report.sharesContent(reports[name]) {
+			d.removeReport(report)
+		}
+	}
+	if own, ok := reports[d.config.Name]; ok && !d.adopted {
+		d.adopt(now, own)
+	}
+}
+
+func (d *Detector) addReport(now time.Time, report Report) {
+	for _, crash := range report.Crashes {
+		d.learn(now, crash.Engine, crash.Parts)
+	}
+	for _, crash := range report.Cleared {
+		d.index.addClears(crash.Engine, crash.Parts, 1)
+	}
+}
+
+func (d *Detector) removeReport(report Report) {
+	for _, crash := range report.Cleared {
+		d.index.addClears(crash.Engine, crash.Parts, -1)
+	}
+	for _, crash := range report.Crashes {
+		d.forget(crash)
 	}
-	d.update(now)
 }
 
 // adopt takes over what a previous incarnation of this instance has told.
 func (d *Detector) adopt(now time.Time, previous Report) {
 	d.adopted = true
 	for _, crash := range previous.Crashes {
-		if !slices.ContainsFunc(d.crashes, func(c seenCrash) bool { return c.Engine == crash.Engine }) {
-			d.crashes = append(d.crashes, seenCrash{Crash: crash, at: now})
-		}
+		d.learn(now, crash.Engine, d.seen(now, crash.Engine).add(crash.Parts))
 	}
-	d.crashes = d.crashes[max(len(d.crashes)-maxCrashes, 0):]
 	for _, crash := range previous.Cleared {
-		d.told.add(crash.Engine, crash.Parts...)
+		for _, part := range crash.Parts {
+			d.told.add(crash.Engine, part)
+			d.index.clear(crash.Engine, part)
+		}
 	}
 }
 
 // Report returns what this instance has to tell the others, which includes what its previous incarnation told.
 func (d *Detector) Report(now time.Time) (report Report) {
-	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool { return now.Sub(c.at) > ReportTTL })
+	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool {
+		expired := now.Sub(c.at) > ReportTTL
+		if expired {
+			d.forget(c.Crash)
+		}
+		return expired
+	})
 	for _, crash := range d.crashes {
 		report.Crashes = append(report.Crashes, crash.Crash)
 	}
@@ -175,110 +209,49 @@
 // clearedHere returns the parts that this instance clears of crashes for the others: those that are close to being poisoned
 // without that, unless another instance has cleared them before. What has been told once stays.
 func (d *Detector) clearedHere() (cleared []Crash) {
-	elsewhere := d.clearedBy(func(name string) bool { return name != d.config.Name })
-	for part, engines := range uncleared(d.known, elsewhere) {
-		if len(engines) < d.config.MinCrashes {
+	for part, engines := range d.index.cleared {
+		if len(d.index.listed[part]) < d.config.MinCrashes {
+			continue
+		}
+		open := d.index.unclearedElsewhere(part)
+		if len(open) < d.config.MinCrashes {
 			continue
 		}
-		for engine := range engines {
-			if d.cleared[engine][part] {
+		for _, engine := range open {
+			if engines[engine] {
 				d.told.add(engine, part)
 			}
 		}
 	}
 	for _, engine := range slices.Sorted(maps.Keys(d.told)) {
-		if d.known[engine] != nil {
-			cleared = append(cleared, d.told.crash(engine))
-		}
-	}
-	return cleared
-}
-
-// clearedBy returns the parts that the reports of the chosen instances clear of crashes.
-func (d *Detector) clearedBy(chosen func(name string) bool) (cleared nameSets) {
-	cleared = make(nameSets)
-	for name, report := range d.reports {
-		for _, crash := range report.Cleared {
-			if chosen(name) {
-				cleared.add(crash.Engine, crash.Parts...)
-			}
+		if d.index.reports[engine] != nil {
+			cleared = append(cleared, Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(d.told[engine]))})
 		}
 	}
 	return cleared
 }
 
-// uncleared returns the engines that crashed under each part and that the part is not cleared of.
-func uncleared(known, cleared nameSets) (engines nameSets) {
-	engines = make(nameSets)
-	for engine, parts := range known {
-		for part := range parts {
-			if !cleared[engine][part] {
-				engines.add(part, engine)
-			}
-		}
-	}
-	return engines
-}
-
 // Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none. If
 // other parts explain all crashes of the poisoned part as well, only a request that has these too is blocked: which of them
 // causes the crashes is not known yet, and most requests have but one.
 func (d *Detector) Blocked(now time.Time, parts []string) (part string, ok bool) {
 	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
 	for _, part := range parts {
-		v, poisoned := d.poisoned[part]
-		expired := !v.until.IsZero() && now.After(v.until)
-		if poisoned && !expired && !slices.ContainsFunc(v.companions, missing) {
+		if d.isPoisoned(now, part) && !slices.ContainsFunc(d.index.companions(part), missing) {
 			return part, true
 		}
 	}
 	return "", false
 }
 
-// update recomputes which parts are suspected and which are poisoned.
-func (d *Detector) update(now time.Time) {
-	d.known = d.knownCrashes(now)
-	for engine, parts := range d.known {
-		for part := range parts {
-			if survived, ok := d.survived[part]; ok && !survived.Before(d.learnedAt[engine].Add(-clearMargin)) {
-				d.cleared.add(engine, part)
-			}
-		}
+// isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
+func (d *Detector) isPoisoned(now time.Time, part string) bool {
+	engines := d.index.suspected[part]
+	if len(engines) < d.config.MinCrashes {
+		return false
 	}
-	cleared := d.clearedBy(func(string) bool { return true })
-	for engine := range d.cleared {
-		cleared.add(engine, d.cleared.crash(engine).Parts...)
-	}
-	d.suspected = uncleared(d.known, cleared)
-	d.poisoned = make(map[string]verdict)
-	for part, engines := range d.suspected {
-		if len(engines) >= d.config.MinCrashes {
-			d.poisoned[part] = verdict{companions: d.companions(part), until: d.suspectedUntil(engines)}
-		}
-	}
-}
-
-// knownCrashes returns the crashes that this instance saw and those that are reported, and keeps when each became known.
-func (d *Detector) knownCrashes(now time.Time) (known nameSets) {
-	known = make(nameSets)
-	for _, crash := range d.crashes {
-		known.add(crash.Engine, crash.Parts...)
-	}
-	for _, report := range d.reports {
-		for _, crash := range report.Crashes {
-			known.add(crash.Engine, crash.Parts...)
-		}
-	}
-	for engine := range known {
-		if _, ok := d.learnedAt[engine]; !ok {
-			d.learnedAt[engine] = now
-		}
-	}
-	gone := func(engine string) bool { return known[engine] == nil }
-	maps.DeleteFunc(d.learnedAt, func(engine string, _ time.Time) bool { return gone(engine) })
-	maps.DeleteFunc(d.cleared, func(engine string, _ map[string]bool) bool { return gone(engine) })
-	maps.DeleteFunc(d.told, func(engine string, _ map[string]bool) bool { return gone(engine) })
-	return known
+	until := d.suspectedUntil(engines)
+	return until.IsZero() || !now.After(until)
 }
 
 // suspectedUntil returns when a part is no longer blocked under which the engines crashed, or zero if it stays blocked.
@@ -287,28 +260,9 @@
 		return until
 	}
 	for engine := range engines {
-		if end := d.learnedAt[engine].Add(suspicionTTL); end.After(until) {
+		if end := d.index.learnedAt[engine].Add(suspicionTTL); end.After(until) {
 			until = end
 		}
 	}
 	return until
 }
-
-// companions returns the other parts under which all the engines crashed that crashed under the part.
-func (d *Detector) companions(part string) (others []string) {
-	for other, engines := range d.suspected {
-		if other != part && containsAll(engines, d.suspected[part]) {
-			others = append(others, other)
-		}
-	}
-	return others
-}
-
-func containsAll(set, subset map[string]bool) bool {
-	for key := range subset {
-		if !set[key] {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/rail/poison/index.go
@@ -0,0 +1,146 @@
+package poison
+
+import "time"
+
+// nameSets holds a set of names for each name.
+type nameSets map[string]map[string]bool
+
+func (n nameSets) add(key, name string) {
+	if n[key] == nil {
+		n[key] = make(map[string]bool)
+	}
+	n[key][name] = true
+}
+
+func (n nameSets) remove(key, name string) {
+	delete(n[key], name)
+	if len(n[key]) == 0 {
+		delete(n, key)
+	}
+}
+
+// nameCounts holds a number for each pair of names.
+type nameCounts map[string]map[string]int
+
+// add adds to the number of a pair and returns it. A number that becomes zero is removed.
+func (n nameCounts) add(key, name string, change int) (count int) {
+	if n[key] == nil {
+		n[key] = make(map[string]int)
+	}
+	count = n[key][name] + change
+	n[key][name] = count
+	if count == 0 {
+		delete(n[key], name)
+	}
+	if len(n[key]) == 0 {
+		delete(n, key)
+	}
+	return count
+}
+
+// crashIndex holds the crashes that all instances saw, and of which crashes each part has been cleared. A change costs as much as the
+// crashes and parts that it is about, however many others there are.
+type crashIndex struct {
+	learnedAt map[string]time.Time // when each crash became known, by engine
+	reports   nameCounts           // number of reports that list a part, by engine and part
+	listed    nameSets             // engines by part, under which they may have crashed
+	clears    nameCounts           // number of reports of other instances that clear a part, by engine and part
+	cleared   nameSets             // engines by part, which answers seen here clear of their crashes
+	suspected nameSets             // engines by part, which has not been cleared of their crashes
+}
+
+func newCrashIndex() crashIndex {
+	return crashIndex{
+		learnedAt: make(map[string]time.Time), reports: make(nameCounts), listed: make(nameSets), clears: make(nameCounts),
+		cleared: make(nameSets), suspected: make(nameSets),
+	}
+}
+
+// add adds parts of a crash that a report lists. It returns those that no report listed before.
+func (x *crashIndex) add(now time.Time, engine string, parts []string) (added []string) {
+	for _, part := range parts {
+		if x.reports.add(engine, part, 1) > 1 {
+			continue
+		}
+		if _, ok := x.learnedAt[engine]; !ok {
+			x.learnedAt[engine] = now
+		}
+		x.listed.add(part, engine)
+		x.setSuspected(engine, part)
+		added = append(added, part)
+	}
+	return added
+}
+
+// remove removes parts of a crash that a report no longer lists.
+func (x *crashIndex) remove(engine string, parts []string) {
+	for _, part := range parts {
+		if x.reports.add(engine, part, -1) > 0 {
+			continue
+		}
+		x.listed.remove(part, engine)
+		x.cleared.remove(part, engine)
+		x.setSuspected(engine, part)
+	}
+	if x.reports[engine] == nil {
+		delete(x.learnedAt, engine)
+	}
+}
+
+// addClears adds a number to the number of reports that clear parts of a crash.
+func (x *crashIndex) addClears(engine string, parts []string, change int) {
+	for _, part := range parts {
+		x.clears.add(engine, part, change)
+		x.setSuspected(engine, part)
+	}
+}
+
+// clear records that an answer seen here clears a part of a known crash.
+func (x *crashIndex) clear(engine, part string) {
+	if x.listed[part][engine] {
+		x.cleared.add(part, engine)
+		x.setSuspected(engine, part)
+	}
+}
+
+// setSuspected adds a pair to the suspected ones or removes it.
+func (x *crashIndex) setSuspected(engine, part string) {
+	if x.listed[part][engine] && !x.cleared[part][engine] && x.clears[engine][part] == 0 {
+		x.suspected.add(part, engine)
+		return
+	}
+	x.suspected.remove(part, engine)
+}
+
+// unclearedElsewhere returns the engines that crashed under a part and that no other instance clears it of.
+func (x *crashIndex) unclearedElsewhere(part string) (engines []string) {
+	for engine := range x.listed[part] {
+		if x.clears[engine][part] == 0 {
+			engines = append(engines, engine)
+		}
+	}
+	return engines
+}
+
+// isExplainedBy reports whether all the engines that crashed under a suspected part crashed under the other one as well.
+func (x *crashIndex) isExplainedBy(part, other string) bool {
+	for engine := range x.suspected[part] {
+		if !x.suspected[other][engine] {
+			return false
+		}
+	}
+	return true
+}
+
+// companions returns the other parts that explain all the crashes of a suspected part.
+func (x *crashIndex) companions(part string) (others []string) {
+	for engine := range x.suspected[part] {
+		for other := range x.reports[engine] {
+			if other != part && x.isExplainedBy(part, other) {
+				others = append(others, other)
+			}
+		}
+		return others
+	}
+	return others
+}
--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -25,6 +25,15 @@
 // isEmpty reports whether there is nothing to tell.
 func (r Report) isEmpty() bool { return len(r.Crashes)+len(r.Cleared) == 0 }
 
+// sharesContent reports whether the report is the other one or a copy of it that shares its slices.
+func (r Report) sharesContent(other Report) bool {
+	return sameSlice(r.Crashes, other.Crashes) && sameSlice(r.Cleared, other.Cleared)
+}
+
+func sameSlice(a, b []Crash) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // check returns an error if the report holds more than maxCrashes crashes, or a crash more than maxParts parts.
 func (r Report) check() error {
 	if len(r.Crashes) > maxCrashes {
