--- a/comfreyrail/internal/gateway/catalog/fetch.go
+++ b/comfreyrail/internal/gateway/catalog/fetch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -15,6 +17,7 @@
 	if err != nil {
 		return 0, err
 	}
+	c.countFetched(changes.Items)
 	if c.isBehind(changes) {
 		return 0, errPeerBehind
 	}
@@ -32,6 +35,25 @@
 	return changes.Age, nil
 }
 
+// Names of the counters of the bytes of values that were fetched from other instances.
+const (
+	fetchedBytes       = "catalog.fetched.bytes"
+	fetchedReportBytes = "catalog.fetched.crash-report-bytes"
+)
+
+// countFetched counts the bytes of values that another instance sent, and those of crash reports among them.
+func (c *Catalog) countFetched(items []store.Item) {
+	var all, reports int
+	for _, item := range items {
+		all += len(item.Value)
+		if strings.HasPrefix(item.Key, CrashReportPrefix) {
+			reports += len(item.Value)
+		}
+	}
+	metrics.GetOrRegisterCounter(fetchedBytes, c.config.Metrics).Inc(int64(all))
+	metrics.GetOrRegisterCounter(fetchedReportBytes, c.config.Metrics).Inc(int64(reports))
+}
+
 // isBehind reports whether changes of another instance cannot be applied: they are of an earlier era or revision than this instance
 // knows of, or they are of a later era but not the whole content.
 func (c *Catalog) isBehind(changes Changes) bool {
--- a/comfreyrail/internal/gateway/quarantine/publisher.go
+++ b/comfreyrail/internal/gateway/quarantine/publisher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
@@ -78,5 +79,7 @@
 		return err
 	}
 	p.report = report
+	metrics.GetOrRegisterCounter("quarantine.reports", config.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter("quarantine.report-bytes", config.Metrics).Inc(int64(len(value)))
 	return nil
 }
