Bound what all instances together write of crashes

Cause: each instance wrote, in one record, all that it saw of all crashes, and cleared each part of each crash for the others as soon as it could, all at about the same time. What one writes reaches all others, so the bytes that an instance gets grew with the fleet. Crash reports were 99.9% of the bytes that instances fetched from the readers of their zones.

Change: - The answers that were not whole at a crash are told only if no part explains the crash that was known to crash most engines before their answers began, and 1 to 2 s later in a large fleet. Such a crash does not count against other parts either. - A part that another instance has just cleared of a crash is not reported of the next one. - An instance clears a part of the last crash only; that clears those before. It waits up to 4 s in a large fleet, each for another time, and not at all if another instance has told the same. - The time between two writes of an instance grows with the number of instances and the size of the record: 64 KiB/s for all together. The records keep their form. An older instance takes a cleared crash for that crash alone.

--- a/comfreyrail/internal/gateway/quarantine/publisher.go
+++ b/comfreyrail/internal/gateway/quarantine/publisher.go
@@ -15,8 +15,6 @@
 
 // Times of writing the own report.
 const (
-	// minPublishInterval is the minimum time between two writes of the own report.
-	minPublishInterval = 200 * time.Millisecond
 	// publishRetryInterval is the minimum time between a failed write and the next one.
 	publishRetryInterval = time.Second
 	// leaseReuse is how long reports are written under one lease.
@@ -28,6 +26,7 @@
 // publisher writes the own report to the store.
 type publisher struct {
 	report    poison.Evidence // the last one that was written
+	size      int             // of the last one in bytes
 	at        time.Time       // when a write was last tried
 	failed    bool            // whether that write failed
 	lease     store.Lease     // of the record in the store
@@ -42,11 +41,11 @@
 	}
 }
 
-// isDue reports whether a report must be written now.
-func (p *publisher) isDue(report poison.Evidence) bool {
-	interval := minPublishInterval
+// isDue reports whether a report must be written now, by the number of live instances.
+func (p *publisher) isDue(report poison.Evidence, instances int) bool {
+	interval := poison.WriteInterval(instances, p.size)
 	if p.failed {
-		interval = publishRetryInterval
+		interval = max(interval, publishRetryInterval)
 	}
 	return !report.IsEmpty() && !reflect.DeepEqual(report, p.report) && time.Since(p.at) >= interval
 }
@@ -78,7 +77,7 @@
 		p.grantedAt = time.Time{}
 		return err
 	}
-	p.report = report
+	p.report, p.size = report, len(value)
 	metrics.GetOrRegisterCounter("quarantine.reports", config.Metrics).Inc(1)
 	metrics.GetOrRegisterCounter("quarantine.report-bytes", config.Metrics).Inc(int64(len(value)))
 	return nil
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -123,9 +123,11 @@
 		case <-k.changed:
 		case <-ticker.C:
 		}
-		p.forgetIfRestored(k.config.Snapshot().Era)
-		report := k.report()
-		if !p.isDue(report) {
+		snapshot := k.config.Snapshot()
+		p.forgetIfRestored(snapshot.Era)
+		instances := max(len(snapshot.Instances), 1)
+		report := k.report(instances)
+		if !p.isDue(report, instances) {
 			continue
 		}
 		if err := p.publish(ctx, k.config, report); err != nil {
@@ -134,9 +136,10 @@
 	}
 }
 
-func (k *Keeper) report() poison.Evidence {
+// report returns what this instance has to tell the others, by the number of live instances.
+func (k *Keeper) report(instances int) poison.Evidence {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.readEvidence()
-	return k.finder.Evidence(time.Now())
+	return k.finder.Evidence(time.Now(), instances)
 }
--- a/comfreyrail/internal/gateway/quarantine/quarantine_test.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine_test.go
@@ -210,7 +210,7 @@
 	report := poison.Evidence{Report: poison.Report{Crashes: []poison.Crash{{Engine: "one", Parts: []string{"a"}}}}}
 	p := publisher{report: report, lease: store.Lease{ID: 1}, grantedAt: time.Now()}
 	p.forgetIfRestored(1)
-	if p.isDue(report) {
+	if p.isDue(report, 1) {
 		t.Error("got the report due again under a new lease, want it kept")
 	}
 }
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -34,6 +34,9 @@
 	Name string
 	// MinCrashes is the number of engines that must have crashed under a part before requests with it are blocked.
 	MinCrashes int
+	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
+	// it. Nil means that it never is, and that crashes are reported at once.
+	IsExplained func(now time.Time, engine string) bool
 }
 
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
@@ -43,15 +46,18 @@
 	survived map[string]time.Time // when an engine last survived a prompt with the part
 	crashes  []seenCrash
 	index    crashIndex
-	told     nameSets          // parts by engine, which were reported as cleared of its crash
-	reports  map[string]Report // by instance, also of a previous incarnation of this one
-	adopted  bool              // whether the report of the previous incarnation, or an own one, was adopted
+	told     nameSets             // parts by engine, which were reported as cleared of its crash
+	reports  map[string]Report    // by instance, also of a previous incarnation of this one
+	adopted  bool                 // whether the report of the previous incarnation, or an own one, was adopted
+	clearAt  map[string]time.Time // when to report a part that is cleared, not told yet and close to being poisoned
+	vouched  map[string]time.Time // when another instance last cleared the part of a crash
 }
 
 // seenCrash is a crash that this instance saw.
 type seenCrash struct {
 	Crash
-	at time.Time
+	at       time.Time
+	reported []string // the parts that were reported
 }
 
 // add adds parts and returns the new ones for which there was room.
@@ -67,7 +73,9 @@
 
 // New returns a Detector with the given configuration.
 func New(config Config) *Detector {
-	return &Detector{config: config, survived: make(map[string]time.Time), index: newCrashIndex(), told: make(nameSets)}
+	return &Detector{
+		config: config, survived: make(map[string]time.Time), index: newCrashIndex(), told: make(nameSets), vouched: make(map[string]time.Time),
+	}
 }
 
 // Survived records that an engine has not crashed under a prompt with the parts.
@@ -78,9 +86,7 @@
 			d.clearIfSurvived(engine, part)
 		}
 	}
-	if len(d.survived) > maxSurvived {
-		d.forgetSurvived(now)
-	}
+	forgetSurvived(now, d.survived)
 }
 
 // clearIfSurvived clears a part of a crash if an engine has survived it shortly before the crash became known, or later.
@@ -90,12 +96,15 @@
 	}
 }
 
-// forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash, or all of them if that does not make
-// room.
-func (d *Detector) forgetSurvived(now time.Time) {
-	maps.DeleteFunc(d.survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
-	if len(d.survived) > maxSurvived {
-		clear(d.survived)
+// forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash if there are more than maxSurvived, or
+// all of them if that does not make room.
+func forgetSurvived(now time.Time, survived map[string]time.Time) {
+	if len(survived) <= maxSurvived {
+		return
+	}
+	maps.DeleteFunc(survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
+	if len(survived) > maxSurvived {
+		clear(survived)
 	}
 }
 
@@ -163,13 +172,16 @@
 		d.learn(now, crash.Engine, crash.Parts)
 	}
 	for _, crash := range report.Cleared {
-		d.index.addClears(crash.Engine, crash.Parts, 1)
+		for _, part := range d.index.addClears(crash.Engine, crash.Parts) {
+			d.vouched[part] = now
+		}
 	}
+	forgetSurvived(now, d.vouched)
 }
 
 func (d *Detector) removeReport(report Report) {
 	for _, crash := range report.Cleared {
-		d.index.addClears(crash.Engine, crash.Parts, -1)
+		d.index.removeClears(crash.Engine, crash.Parts)
 	}
 	for _, crash := range report.Crashes {
 		d.forget(crash)
@@ -180,18 +192,21 @@
 func (d *Detector) adopt(now time.Time, previous Report) {
 	d.adopted = true
 	for _, crash := range previous.Crashes {
-		d.learn(now, crash.Engine, d.seen(now, crash.Engine).add(crash.Parts))
+		seen := d.seen(now, crash.Engine)
+		seen.reported = slices.Clone(crash.Parts)
+		d.learn(now, crash.Engine, seen.add(crash.Parts))
 	}
 	for _, crash := range previous.Cleared {
 		for _, part := range crash.Parts {
 			d.told.add(crash.Engine, part)
-			d.index.clear(crash.Engine, part)
+			d.index.clearUntil(crash.Engine, part)
 		}
 	}
 }
 
-// Report returns what this instance has to tell the others, which includes what its previous incarnation told.
-func (d *Detector) Report(now time.Time) (report Report) {
+// Report returns what this instance has to tell the others, which includes what its previous incarnation told. The number of live
+// instances, this one included, decides how long it waits for others to clear a part.
+func (d *Detector) Report(now time.Time, instances int) (report Report) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool {
 		expired := now.Sub(c.at) > ReportTTL
 		if expired {
@@ -199,30 +214,66 @@
 		}
 		return expired
 	})
-	for _, crash := range d.crashes {
-		report.Crashes = append(report.Crashes, crash.Crash)
+	for i := range d.crashes {
+		if parts := d.reportParts(now, &d.crashes[i], instances); len(parts) > 0 {
+			report.Crashes = append(report.Crashes, Crash{Engine: d.crashes[i].Engine, Parts: parts})
+		}
 	}
-	report.Cleared = d.clearedHere()
+	report.Cleared = d.clearedHere(now, instances)
 	return report
 }
 
+// reportParts returns the parts of a crash that the others are told: those that were told before, and those that no answer clears here,
+// nor elsewhere of a crash at that time.
+func (d *Detector) reportParts(now time.Time, crash *seenCrash, instances int) (parts []string) {
+	if d.config.IsExplained != nil && len(crash.reported) == 0 {
+		if now.Sub(crash.at) < answerReportDelay(d.config.Name, crash.Engine, instances) || d.config.IsExplained(now, crash.Engine) {
+			return nil
+		}
+	}
+	for _, part := range crash.Parts {
+		vouchedAt, vouched := d.vouched[part]
+		vouched = vouched && crash.at.Sub(vouchedAt) <= clearMargin
+		if !vouched && !d.index.cleared[part][crash.Engine] && !slices.Contains(crash.reported, part) {
+			crash.reported = append(crash.reported, part)
+		}
+	}
+	return crash.reported
+}
+
+// explains reports whether a part is known under which the engine crashed, as did most others lately.
+func (d *Detector) explains(now time.Time, engine string) bool {
+	lately := 0
+	for _, at := range d.index.learnedAt {
+		if now.Sub(at) <= suspicionTTL {
+			lately++
+		}
+	}
+	for part := range d.index.reports[engine] {
+		engines := d.index.suspected[part]
+		if engines[engine] && len(engines) >= max(d.config.MinCrashes, lately/2) {
+			return true
+		}
+	}
+	return false
+}
+
 // clearedHere returns the parts that this instance clears of crashes for the others: those that are close to being poisoned
 // without that, unless another instance has cleared them before. What has been told once stays.
-func (d *Detector) clearedHere() (cleared []Crash) {
-	for part, engines := range d.index.cleared {
-		if len(d.index.listed[part]) < d.config.MinCrashes {
-			continue
+func (d *Detector) clearedHere(now time.Time, instances int) (cleared []Crash) {
+	waiting := make(map[string]time.Time)
+	for part, engine := range d.untold() {
+		at, ok := d.clearAt[part]
+		if !ok {
+			at = now.Add(clearDelay(d.config.Name, part, instances))
 		}
-		open := d.index.unclearedElsewhere(part)
-		if len(open) < d.config.MinCrashes {
+		if now.Before(at) {
+			waiting[part] = at
 			continue
 		}
-		for _, engine := range open {
-			if engines[engine] {
-				d.told.add(engine, part)
-			}
-		}
+		d.told.add(engine, part)
 	}
+	d.clearAt = waiting
 	for _, engine := range slices.Sorted(maps.Keys(d.told)) {
 		if d.index.reports[engine] != nil {
 			cleared = append(cleared, Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(d.told[engine]))})
@@ -231,6 +282,26 @@
 	return cleared
 }
 
+// untold returns, for each part that answers seen here clear and that is close to being poisoned, the engine whose crash became known
+// last of those that neither this instance nor another has told to be cleared of it: that tells the same of the ones before.
+func (d *Detector) untold() (engineByPart map[string]string) {
+	engineByPart = make(map[string]string)
+	for part, engines := range d.index.cleared {
+		if len(d.index.listed[part]) < d.config.MinCrashes {
+			continue
+		}
+		open := d.index.unclearedElsewhere(part)
+		if len(open) < d.config.MinCrashes {
+			continue
+		}
+		open = slices.DeleteFunc(open, func(engine string) bool { return !engines[engine] })
+		if last := d.index.lastLearned(open); last != "" && !d.told[last][part] {
+			engineByPart[part] = last
+		}
+	}
+	return engineByPart
+}
+
 // Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none. If
 // other parts explain all crashes of the poisoned part as well, only a request that has these too is blocked: which of them
 // causes the crashes is not known yet, and most requests have but one.
@@ -246,7 +317,7 @@
 
 // isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
 func (d *Detector) isPoisoned(now time.Time, part string) bool {
-	engines := d.index.suspected[part]
+	engines := d.unexplained(now, part)
 	if len(engines) < d.config.MinCrashes {
 		return false
 	}
@@ -254,6 +325,21 @@
 	return until.IsZero() || !now.After(until)
 }
 
+// unexplained returns the engines that crashed under a suspected part and whose crashes have no known cause.
+func (d *Detector) unexplained(now time.Time, part string) (engines map[string]bool) {
+	suspected := d.index.suspected[part]
+	if d.config.IsExplained == nil || len(suspected) < d.config.MinCrashes {
+		return suspected
+	}
+	engines = make(map[string]bool, len(suspected))
+	for engine := range suspected {
+		if !d.config.IsExplained(now, engine) {
+			engines[engine] = true
+		}
+	}
+	return engines
+}
+
 // suspectedUntil returns when a part is no longer blocked under which the engines crashed, or zero if it stays blocked.
 func (d *Detector) suspectedUntil(engines map[string]bool) (until time.Time) {
 	if len(engines) >= confirmingCrashes {
--- a/rail/poison/detector_test.go
+++ b/rail/poison/detector_test.go
@@ -104,13 +104,13 @@
 	for i := range 3 {
 		crash(a, 0, i, "shared", "poisoned")
 	}
-	reports := map[string]Report{"a": a.Report(start)}
+	reports := map[string]Report{"a": a.Report(start, 1)}
 	b.Survived(start, []string{"shared"})
 	b.SetReports(start, reports)
 	if _, ok := b.Blocked(start, []string{"poisoned"}); !ok {
 		t.Error("got a request with the poisoned part sent at another instance, want it blocked")
 	}
-	reports["b"] = b.Report(start)
+	reports["b"] = b.Report(start, 1)
 	restarted := newDetector("a")
 	restarted.SetReports(start, reports)
 	if _, ok := restarted.Blocked(start, []string{"poisoned"}); !ok {
@@ -119,10 +119,10 @@
 	if _, ok := restarted.Blocked(start, []string{"shared"}); ok {
 		t.Error("got a request with the shared part blocked, want it sent: an answer began elsewhere")
 	}
-	if got, want := restarted.Report(start), reports["a"]; !reflect.DeepEqual(got, want) {
+	if got, want := restarted.Report(start, 1), reports["a"]; !reflect.DeepEqual(got, want) {
 		t.Errorf("got report %+v after a restart, want what it told before: %+v", got, want)
 	}
-	if got := a.Report(start.Add(ReportTTL + time.Second)); len(got.Crashes) != 0 {
+	if got := a.Report(start.Add(ReportTTL+time.Second), 1); len(got.Crashes) != 0 {
 		t.Errorf("got %d crashes after ReportTTL, want none", len(got.Crashes))
 	}
 }
@@ -157,7 +157,7 @@
 			crash(d, 0, i, fmt.Sprintf("%d-%d", i, j))
 		}
 	}
-	report := d.Report(start)
+	report := d.Report(start, 1)
 	value, err := Evidence{Report: report}.Encode()
 	if len(report.Crashes) != maxCrashes || len(report.Crashes[0].Parts) != maxParts || err != nil {
 		t.Errorf("got %d crashes with %d parts, %v, want %d with %d", len(report.Crashes), len(report.Crashes[0].Parts), err, maxCrashes, maxParts)
@@ -202,7 +202,7 @@
 			if visible := published[now.Add(-delay)]; visible != nil {
 				d.SetReports(now, visible)
 			}
-			reports[fmt.Sprint(i)] = d.Report(now)
+			reports[fmt.Sprint(i)] = d.Report(now, instances)
 		}
 		published[now] = reports
 		for len(running) > 0 && !running[0].at.After(now) {
@@ -263,3 +263,53 @@
 		}
 	}
 }
+
+// Guards against an instance that clears a part of one crash after the other for all others, although what clears it of the last one
+// clears it of those before.
+func TestClearCoversEarlierCrashes(t *testing.T) {
+	const crashes = 6
+	a, b := newDetector("a"), newDetector("b")
+	reports := make(map[string]Report)
+	for i := range crashes {
+		at := time.Duration(i) * clearMargin
+		crash(a, at, i, "sound")
+		reports = map[string]Report{"a": a.Report(start.Add(at), 1)}
+		b.SetReports(start.Add(at), reports)
+	}
+	end := start.Add(crashes * clearMargin)
+	b.Survived(end, []string{"sound"})
+	told := b.Report(end, 1)
+	if len(told.Cleared) != 1 || told.Cleared[0].Engine != fmt.Sprint("engine", crashes-1) {
+		t.Errorf("got %+v cleared, want the last crash", told.Cleared)
+	}
+	a.SetReports(end, map[string]Report{"a": reports["a"], "b": told})
+	if _, ok := a.Blocked(end, []string{"sound"}); ok {
+		t.Error("got the part blocked, want it sent: it is cleared of the last crash")
+	}
+	for i := range MinCrashes {
+		crash(a, (crashes+1)*clearMargin, crashes+i, "sound")
+	}
+	if _, ok := a.Blocked(end.Add(clearMargin), []string{"sound"}); !ok {
+		t.Error("got the part sent, want it blocked: it is not cleared of later crashes")
+	}
+}
+
+// Guards against a part of a crash being reported that another instance has just cleared of another crash, so that it needs clearing
+// again.
+func TestVouchedPartIsNotReported(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		later time.Duration
+		want  int
+	}{{"just before", clearMargin / 2, 0}, {"long before", 2 * clearMargin, 1}} {
+		d := newDetector("a")
+		d.SetReports(start, map[string]Report{
+			"b": {Crashes: []Crash{{Engine: "old", Parts: []string{"sound"}}}},
+			"c": {Cleared: []Crash{{Engine: "old", Parts: []string{"sound"}}}},
+		})
+		crash(d, test.later, 1, "sound")
+		if got := len(d.Report(start.Add(test.later), 1).Crashes); got != test.want {
+			t.Errorf("%s: got %d crashes reported, want %d", test.name, got, test.want)
+		}
+	}
+}
--- a/rail/poison/dying_engines_test.go
+++ b/rail/poison/dying_engines_test.go
@@ -48,7 +48,7 @@
 		if visible := f.published[now.Add(-reportDelay)]; visible != nil {
 			finder.SetEvidence(now, visible)
 		}
-		evidence[fmt.Sprint(i)] = finder.Evidence(now)
+		evidence[fmt.Sprint(i)] = finder.Evidence(now, len(f.finders))
 	}
 	f.published[now] = evidence
 }
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -15,7 +15,9 @@
 
 // NewFinder returns a Finder of the instance with the name.
 func NewFinder(self string) *Finder {
-	return &Finder{begins: New(Config{Name: self, MinCrashes: MinCrashes}), answers: New(Config{Name: self, MinCrashes: minAnswerCrashes})}
+	begins := New(Config{Name: self, MinCrashes: MinCrashes})
+	answers := New(Config{Name: self, MinCrashes: minAnswerCrashes, IsExplained: begins.explains})
+	return &Finder{begins: begins, answers: answers}
 }
 
 // Began records that an answer to a prompt with the parts has begun.
@@ -43,9 +45,10 @@
 	f.answers.SetReports(now, answers)
 }
 
-// Evidence returns what this instance has to tell the others.
-func (f *Finder) Evidence(now time.Time) Evidence {
-	return Evidence{Report: f.begins.Report(now), Answers: f.answers.Report(now)}
+// Evidence returns what this instance has to tell the others. The number of live instances, this one included, decides how long it
+// waits for others to tell the same.
+func (f *Finder) Evidence(now time.Time, instances int) Evidence {
+	return Evidence{Report: f.begins.Report(now, instances), Answers: f.answers.Report(now, instances)}
 }
 
 // Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none.
--- a/rail/poison/finder_test.go
+++ b/rail/poison/finder_test.go
@@ -47,9 +47,33 @@
 			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.want)
 		}
 		other := NewFinder("b")
-		other.SetEvidence(start, map[string]Evidence{"a": f.Evidence(start)})
+		other.SetEvidence(start, map[string]Evidence{"a": f.Evidence(start, 1)})
 		if _, got := other.Blocked(start.Add(time.Second), []string{"part"}); got != test.want {
 			t.Errorf("%s: got blocked %v at another instance, want %v", test.name, got, test.want)
 		}
 	}
 }
+
+// Guards against each instance telling all others of the answers that were not whole at crashes whose cause is known, and against
+// sound parts of these answers being blocked.
+func TestExplainedCrashesAreNotReported(t *testing.T) {
+	for _, explained := range []bool{true, false} {
+		f := NewFinder("a")
+		for i := range minAnswerCrashes {
+			engine := fmt.Sprint("engine", i)
+			f.Crashed(start, engine, []string{"sound"}, true)
+			if explained {
+				f.Crashed(start, engine, []string{"poisoned"}, false)
+			}
+		}
+		if _, got := f.Blocked(start, []string{"poisoned"}); got != explained {
+			t.Errorf("explained %v: got the poisoned part blocked %v", explained, got)
+		}
+		if _, got := f.Blocked(start, []string{"sound"}); got == explained {
+			t.Errorf("explained %v: got the other part blocked %v", explained, got)
+		}
+		if got := len(f.Evidence(start, 1).Answers.Crashes) == 0; got != explained {
+			t.Errorf("explained %v: got no crash of answers reported %v", explained, got)
+		}
+	}
+}
--- a/rail/poison/large_fleet_test.go
+++ b/rail/poison/large_fleet_test.go
@@ -63,7 +63,7 @@
 			changed["0"] = largeReport(0)
 			d.SetReports(now, changed)
 		}},
-		{"the own report is asked for", func() { d.Report(now) }},
+		{"the own report is asked for", func() { d.Report(now, largeFleetInstances) }},
 		{"a request is checked", func() { d.Blocked(now, []string{popularPart(1)}) }},
 	}
 	for _, test := range tests {
@@ -87,7 +87,7 @@
 	})
 	b.Run("report", func(b *testing.B) {
 		for i := range b.N {
-			d.Report(start.Add(time.Duration(i)))
+			d.Report(start.Add(time.Duration(i)), largeFleetInstances)
 		}
 	})
 }
