--- a/rail/poison/pace.go
+++ b/rail/poison/pace.go
@@ -13,8 +13,9 @@
 	minWriteInterval = 200 * time.Millisecond
 	// writeIntervalPerInstance times the number of instances is the time between two writes of one of them in a large fleet.
 	writeIntervalPerInstance = 5 * time.Millisecond
-	// maxWriteRate is the maximum number of bytes that all instances write together in a second.
-	maxWriteRate = 64 << 10
+	// maxWriteRate is the maximum number of bytes that all instances write together in a second. An instance that reads the store for
+	// others sends it to dozens of them over a narrow link.
+	maxWriteRate = 32 << 10
 	// answerDelayPerInstance times the number of other instances is the maximum time that an instance waits for the cause of a crash to
 	// become known before it tells the others of the answers that were not whole.
 	answerDelayPerInstance = 10 * time.Millisecond
