--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -34,90 +34,77 @@
 	Name string
 	// MinCrashes is the number of engines that must have crashed under a part before requests with it are blocked.
 	MinCrashes int
+	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
+	// it. Nil means that it never is, and that crashes are reported at once.
+	IsExplained func(now time.Time, engine string) bool
 }
 
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
 // must not be called concurrently.
 type Detector struct {
-	config    Config
-	survived  map[string]time.Time // when an engine last survived a prompt with the part
-	crashes   []seenCrash
-	learnedAt map[string]time.Time // when each crash became known, by engine
-	known     nameSets             // parts by engine, of all crashes
-	cleared   nameSets             // parts by engine, which answers seen here clear of its crash
-	told      nameSets             // what of cleared was reported
-	reports   map[string]Report    // by instance, also of a previous incarnation of this one
-	adopted   bool                 // whether the report of the previous incarnation, or an own one, was adopted
-	suspected nameSets             // engines by part, which has not been cleared of their crashes
-	poisoned  map[string]verdict   // by part
-}
-
-// verdict is what is known of a poisoned part.
-type verdict struct {
-	companions []string  // the other parts under which all the engines crashed that crashed under it
-	until      time.Time // when it is no longer blocked, zero if it stays blocked
+	config   Config
+	survived map[string]time.Time // when an engine last survived a prompt with the part
+	crashes  []seenCrash
+	index    crashIndex
+	told     nameSets             // parts by engine, which were reported as cleared of its crash
+	reports  map[string]Report    // by instance, also of a previous incarnation of this one
+	adopted  bool                 // whether the report of the previous incarnation, or an own one, was adopted
+	clearAt  map[string]time.Time // when to report a part that is cleared, not told yet and close to being poisoned
+	vouched  map[string]time.Time // when another instance last cleared the part of a crash
 }
 
 // seenCrash is a crash that this instance saw.
 type seenCrash struct {
 	Crash
-	at time.Time
+	at       time.Time
+	reported []string // the parts that were reported
 }
 
-// add adds parts and reports whether there was a new one and room for it.
-func (c *seenCrash) add(parts []string) (added bool) {
+// add adds parts and returns the new ones for which there was room.
+func (c *seenCrash) add(parts []string) (added []string) {
 	for _, part := range parts {
 		if len(c.Parts) < maxParts && !slices.Contains(c.Parts, part) {
 			c.Parts = append(c.Parts, part)
-			added = true
+			added = append(added, part)
 		}
 	}
 	return added
 }
 
-// nameSets holds a set of names for each name.
-type nameSets map[string]map[string]bool
-
-func (n nameSets) add(key string, names ...string) {
-	if n[key] == nil {
-		n[key] = make(map[string]bool)
-	}
-	for _, name := range names {
-		n[key][name] = true
-	}
-}
-
-// crash returns the parts of an engine's crash in order.
-func (n nameSets) crash(engine string) Crash {
-	return Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(n[engine]))}
-}
-
 // New returns a Detector with the given configuration.
 func New(config Config) *Detector {
-	return &Detector{config: config, survived: make(map[string]time.Time), learnedAt: make(map[string]time.Time), cleared: make(nameSets), told: make(nameSets)}
+	return &Detector{
+		config: config, survived: make(map[string]time.Time), index: newCrashIndex(), told: make(nameSets), vouched: make(map[string]time.Time),
+	}
 }
 
 // Survived records that an engine has not crashed under a prompt with the parts.
 func (d *Detector) Survived(now time.Time, parts []string) {
-	suspected := false
 	for _, part := range parts {
 		d.survived[part] = now
-		suspected = suspected || d.suspected[part] != nil
-	}
-	if len(d.survived) > maxSurvived {
-		d.forgetSurvived(now)
+		for engine := range d.index.listed[part] {
+			d.clearIfSurvived(engine, part)
+		}
 	}
-	if suspected {
-		d.update(now)
+	forgetSurvived(now, d.survived)
+}
+
+// clearIfSurvived clears a part of a crash if an engine has survived it shortly before the crash became known, or later.
+func (d *Detector) clearIfSurvived(engine, part string) {
+	if survived, ok := d.survived[part]; ok && !survived.Before(d.index.learnedAt[engine].Add(-clearMargin)) {
+		d.index.clear(engine, part)
 	}
 }
 
-// forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash, or all of them if that does not make
-// room.
-func (d *Detector) forgetSurvived(now time.Time) {
-	maps.DeleteFunc(d.survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
-	if len(d.survived) > maxSurvived {
-		clear(d.survived)
+// forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash if there are more than maxSurvived, or
+// all of them if that does not make room.
+func forgetSurvived(now time.Time, survived map[string]time.Time) {
+	if len(survived) <= maxSurvived {
+		return
+	}
+	maps.DeleteFunc(survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
+	if len(survived) > maxSurvived {
+		clear(survived)
 	}
 }
 
@@ -128,96 +115,191 @@
 		at, ok := d.survived[part]
 		return ok && now.Sub(at) <= clearMargin
 	})
+	d.learn(now, engine, d.seen(now, engine).add(parts))
+}
+
+// seen returns the crash of an engine as this instance saw it, without parts if it is new. The oldest crash makes room for a new one.
+func (d *Detector) seen(now time.Time, engine string) *seenCrash {
 	i := slices.IndexFunc(d.crashes, func(c seenCrash) bool { return c.Engine == engine })
-	if i < 0 {
-		d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
-		d.crashes = d.crashes[max(len(d.crashes)-maxCrashes, 0):]
-		i = len(d.crashes) - 1
+	if i >= 0 {
+		return &d.crashes[i]
+	}
+	if len(d.crashes) == maxCrashes {
+		d.forget(d.crashes[0].Crash)
+		d.crashes = d.crashes[1:]
 	}
-	if d.crashes[i].add(parts) {
-		d.update(now)
+	d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
+	return &d.crashes[len(d.crashes)-1]
+}
+
+// learn adds parts of a crash that a report lists, and clears those of the new ones that an engine has survived.
+func (d *Detector) learn(now time.Time, engine string, parts []string) {
+	for _, part := range d.index.add(now, engine, parts) {
+		d.clearIfSurvived(engine, part)
 	}
 }
 
-// SetReports replaces the reports of all instances, by their names.
+// forget removes the parts of a crash that a report no longer lists.
+func (d *Detector) forget(crash Crash) {
+	d.index.remove(crash.Engine, crash.Parts)
+	if d.index.reports[crash.Engine] == nil {
+		delete(d.told, crash.Engine)
+	}
+}
+
+// SetReports replaces the reports of all instances, by their names. Neither the map nor the reports may be changed afterwards. A report
+// that is the same slices as before costs nothing.
 func (d *Detector) SetReports(now time.Time, reports map[string]Report) {
+	previous := d.reports
 	d.reports = reports
-	if previous, ok := reports[d.config.Name]; ok && !d.adopted {
-		d.adopt(now, previous)
+	for name, report := range reports {
+		if name != d.config.Name && !report.sharesContent(previous[name]) {
+			d.addReport(now, report)
+		}
+	}
+	for name, report := range previous {
+		if name != d.config.Name && !report.sharesContent(reports[name]) {
+			d.removeReport(report)
+		}
+	}
+	if own, ok := reports[d.config.Name]; ok && !d.adopted {
+		d.adopt(now, own)
+	}
+}
+
+func (d *Detector) addReport(now time.Time, report Report) {
+	for _, crash := range report.Crashes {
+		d.learn(now, crash.Engine, crash.Parts)
+	}
+	for _, crash := range report.Cleared {
+		for _, part := range d.index.addClears(crash.Engine, crash.Parts) {
+			d.vouched[part] = now
+		}
+	}
+	forgetSurvived(now, d.vouched)
+}
+
+func (d *Detector) removeReport(report Report) {
+	for _, crash := range report.Cleared {
+		d.index.removeClears(crash.Engine, crash.Parts)
+	}
+	for _, crash := range report.Crashes {
+		d.forget(crash)
 	}
-	d.update(now)
 }
 
 // adopt takes over what a previous incarnation of this instance has told.
 func (d *Detector) adopt(now time.Time, previous Report) {
 	d.adopted = true
 	for _, crash := range previous.Crashes {
-		if !slices.ContainsFunc(d.crashes, func(c seenCrash) bool { return c.Engine == crash.Engine }) {
-			d.crashes = append(d.crashes, seenCrash{Crash: crash, at: now})
-		}
+		seen := d.seen(now, crash.Engine)
+		seen.reported = slices.Clone(crash.Parts)
+		d.learn(now, crash.Engine, seen.add(crash.Parts))
 	}
-	d.crashes = d.crashes[max(len(d.crashes)-maxCrashes, 0):]
 	for _, crash := range previous.Cleared {
-		d.told.add(crash.Engine, crash.Parts...)
+		for _, part := range crash.Parts {
+			d.told.add(crash.Engine, part)
+			d.index.clearUntil(crash.Engine, part)
+		}
 	}
 }
 
-// Report returns what this instance has to tell the others, which includes what its previous incarnation told.
-func (d *Detector) Report(now time.Time) (report Report) {
-	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool { return now.Sub(c.at) > ReportTTL })
-	for _, crash := range d.crashes {
-		report.Crashes = append(report.Crashes, crash.Crash)
+// Report returns what this instance has to tell the others, which includes what its previous incarnation told. The number of live
+// instances, this one included, decides how long it waits for others to clear a part.
+func (d *Detector) Report(now time.Time, instances int) (report Report) {
+	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool {
+		expired := now.Sub(c.at) > ReportTTL
+		if expired {
+			d.forget(c.Crash)
+		}
+		return expired
+	})
+	for i := range d.crashes {
+		if parts := d.reportParts(now, &d.crashes[i], instances); len(parts) > 0 {
+			report.Crashes = append(report.Crashes, Crash{Engine: d.crashes[i].Engine, Parts: parts})
+		}
 	}
-	report.Cleared = d.clearedHere()
+	report.Cleared = d.clearedHere(now, instances)
 	return report
 }
 
-// clearedHere returns the parts that this instance clears of crashes for the others: those that are close to being poisoned
-// without that, unless another instance has cleared them before. What has been told once stays.
-func (d *Detector) clearedHere() (cleared []Crash) {
-	elsewhere := d.clearedBy(func(name string) bool { return name != d.config.Name })
-	for part, engines := range uncleared(d.known, elsewhere) {
-		if len(engines) < d.config.MinCrashes {
-			continue
+// reportParts returns the parts of a crash that the others are told: those that were told before, and those that no answer clears here,
+// nor elsewhere of a crash at that time.
+func (d *Detector) reportParts(now time.Time, crash *seenCrash, instances int) (parts []string) {
+	if d.config.IsExplained != nil && len(crash.reported) == 0 {
+		if now.Sub(crash.at) < answerReportDelay(d.config.Name, crash.Engine, instances) || d.config.IsExplained(now, crash.Engine) {
+			return nil
 		}
-		for engine := range engines {
-			if d.cleared[engine][part] {
-				d.told.add(engine, part)
-			}
+	}
+	for _, part := range crash.Parts {
+		vouchedAt, vouched := d.vouched[part]
+		vouched = vouched && crash.at.Sub(vouchedAt) <= clearMargin
+		if !vouched && !d.index.cleared[part][crash.Engine] && !slices.Contains(crash.reported, part) {
+			crash.reported = append(crash.reported, part)
 		}
 	}
-	for _, engine := range slices.Sorted(maps.Keys(d.told)) {
-		if d.known[engine] != nil {
-			cleared = append(cleared, d.told.crash(engine))
+	return crash.reported
+}
+
+// explains reports whether a part is known under which the engine crashed, as did most others lately.
+func (d *Detector) explains(now time.Time, engine string) bool {
+	lately := 0
+	for _, at := range d.index.learnedAt {
+		if now.Sub(at) <= suspicionTTL {
+			lately++
 		}
 	}
-	return cleared
+	for part := range d.index.reports[engine] {
+		engines := d.index.suspected[part]
+		if engines[engine] && len(engines) >= max(d.config.MinCrashes, lately/2) {
+			return true
+		}
+	}
+	return false
 }
 
-// clearedBy returns the parts that the reports of the chosen instances clear of crashes.
-func (d *Detector) clearedBy(chosen func(name string) bool) (cleared nameSets) {
-	cleared = make(nameSets)
-	for name, report := range d.reports {
-		for _, crash := range report.Cleared {
-			if chosen(name) {
-				cleared.add(crash.Engine, crash.Parts...)
-			}
+// clearedHere returns the parts that this instance clears of crashes for the others: those that are close to being poisoned
+// without that, unless another instance has cleared them before. What has been told once stays.
+func (d *Detector) clearedHere(now time.Time, instances int) (cleared []Crash) {
+	waiting := make(map[string]time.Time)
+	for part, engine := range d.untold() {
+		at, ok := d.clearAt[part]
+		if !ok {
+			at = now.Add(clearDelay(d.config.Name, part, instances))
+		}
+		if now.Before(at) {
+			waiting[part] = at
+			continue
+		}
+		d.told.add(engine, part)
+	}
+	d.clearAt = waiting
+	for _, engine := range slices.Sorted(maps.Keys(d.told)) {
+		if d.index.reports[engine] != nil {
+			cleared = append(cleared, Crash{Engine: engine, Parts: slices.Sorted(maps.Keys(d.told[engine]))})
 		}
 	}
 	return cleared
 }
 
-// uncleared returns the engines that crashed under each part and that the part is not cleared of.
-func uncleared(known, cleared nameSets) (engines nameSets) {
-	engines = make(nameSets)
-	for engine, parts := range known {
-		for part := range parts {
-			if !cleared[engine][part] {
-				engines.add(part, engine)
-			}
+// untold returns, for each part that answers seen here clear and that is close to being poisoned, the engine whose crash became known
+// last of those that neither this instance nor another has told to be cleared of it: that tells the same of the ones before.
+func (d *Detector) untold() (engineByPart map[string]string) {
+	engineByPart = make(map[string]string)
+	for part, engines := range d.index.cleared {
+		if len(d.index.listed[part]) < d.config.MinCrashes {
+			continue
+		}
+		open := d.index.unclearedElsewhere(part)
+		if len(open) < d.config.MinCrashes {
+			continue
+		}
+		open = slices.DeleteFunc(open, func(engine string) bool { return !engines[engine] })
+		if last := d.index.lastLearned(open); last != "" && !d.told[last][part] {
+			engineByPart[part] = last
 		}
 	}
-	return engines
+	return engineByPart
 }
 
 // Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none. If
@@ -226,59 +308,36 @@
 func (d *Detector) Blocked(now time.Time, parts []string) (part string, ok bool) {
 	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
 	for _, part := range parts {
-		v, poisoned := d.poisoned[part]
-		expired := !v.until.IsZero() && now.After(v.until)
-		if poisoned && !expired && !slices.ContainsFunc(v.companions, missing) {
+		if d.isPoisoned(now, part) && !slices.ContainsFunc(d.index.companions(part), missing) {
 			return part, true
 		}
 	}
 	return "", false
 }
 
-// update recomputes which parts are suspected and which are poisoned.
-func (d *Detector) update(now time.Time) {
-	d.known = d.knownCrashes(now)
-	for engine, parts := range d.known {
-		for part := range parts {
-			if survived, ok := d.survived[part]; ok && !survived.Before(d.learnedAt[engine].Add(-clearMargin)) {
-				d.cleared.add(engine, part)
-			}
-		}
-	}
-	cleared := d.clearedBy(func(string) bool { return true })
-	for engine := range d.cleared {
-		cleared.add(engine, d.cleared.crash(engine).Parts...)
-	}
-	d.suspected = uncleared(d.known, cleared)
-	d.poisoned = make(map[string]verdict)
-	for part, engines := range d.suspected {
-		if len(engines) >= d.config.MinCrashes {
-			d.poisoned[part] = verdict{companions: d.companions(part), until: d.suspectedUntil(engines)}
-		}
+// isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
+func (d *Detector) isPoisoned(now time.Time, part string) bool {
+	engines := d.unexplained(now, part)
+	if len(engines) < d.config.MinCrashes {
+		return false
 	}
+	until := d.suspectedUntil(engines)
+	return until.IsZero() || !now.After(until)
 }
 
-// knownCrashes returns the crashes that this instance saw and those that are reported, and keeps when each became known.
-func (d *Detector) knownCrashes(now time.Time) (known nameSets) {
-	known = make(nameSets)
-	for _, crash := range d.crashes {
-		known.add(crash.Engine, crash.Parts...)
-	}
-	for _, report := range d.reports {
-		for _, crash := range report.Crashes {
-			known.add(crash.Engine, crash.Parts...)
-		}
+// unexplained returns the engines that crashed under a suspected part and whose crashes have no known cause.
+func (d *Detector) unexplained(now time.Time, part string) (engines map[string]bool) {
+	suspected := d.index.suspected[part]
+	if d.config.IsExplained == nil || len(suspected) < d.config.MinCrashes {
+		return suspected
 	}
-	for engine := range known {
-		if _, ok := d.learnedAt[engine]; !ok {
-			d.learnedAt[engine] = now
+	engines = make(map[string]bool, len(suspected))
+	for engine := range suspected {
+		if !d.config.IsExplained(now, engine) {
+			engines[engine] = true
 		}
 	}
-	gone := func(engine string) bool { return known[engine] == nil }
-	maps.DeleteFunc(d.learnedAt, func(engine string, _ time.Time) bool { return gone(engine) })
-	maps.DeleteFunc(d.cleared, func(engine string, _ map[string]bool) bool { return gone(engine) })
-	maps.DeleteFunc(d.told, func(engine string, _ map[string]bool) bool { return gone(engine) })
-	return known
+	return engines
 }
 
 // suspectedUntil returns when a part is no longer blocked under which the engines crashed, or zero if it stays blocked.
@@ -287,28 +346,9 @@
 		return until
 	}
 	for engine := range engines {
-		if end := d.learnedAt[engine].Add(suspicionTTL); end.After(until) {
+		if end := d.index.learnedAt[engine].Add(suspicionTTL); end.After(until) {
 			until = end
 		}
 	}
 	return until
 }
-
-// companions returns the other parts under which all the engines crashed that crashed under the part.
-func (d *Detector) companions(part string) (others []string) {
-	for other, engines := range d.suspected {
-		if other != part && containsAll(engines, d.suspected[part]) {
-			others = append(others, other)
-		}
-	}
-	return others
-}
-
-func containsAll(set, subset map[string]bool) bool {
-	for key := range subset {
-		if !set[key] {
-			return false
-		}
-	}
-	return true
-}
