Headroom: a workspace with its usual share is not large

Cause: a workspace counted as large from 1.5 times an equal share of the held memory on. When all workspaces send more at once, the one that always sends the most was limited to about the share of a small one. It was refused at a fill of 0.49 with a limit of 0.35.

A workspace is large only if, besides, the ratio of its memory to that of the others is more than 1.5 times as large as usual. Before anything is learned the old rule holds, and a burst of one workspace alone is limited as before.

--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -127,7 +127,7 @@
 		return nil, &noChainError{shortage: engines.chooser.Shortage(now, request)}
 	}
 	engines.chooser.Started(now, chain, request)
-	engines.limiter.Started(class, request.KVTokens())
+	engines.limiter.Started(now, class, request.KVTokens())
 	return chain, nil
 }
 
--- a/rail/headroom/doc.go
+++ b/rail/headroom/doc.go
@@ -5,5 +5,5 @@
 // urgent than the refused one. Unless the refused request's workspace is large, it also increases a reserve against the
 // requests of large workspaces that are not more urgent than the refused one. Reserves decay. The limit of a request is
 // MaxFill less the largest reserve against it. A workspace is large if it holds more than largeFactor times an equal
-// share of the memory that all workspaces hold.
+// share of the memory that all workspaces hold, and more than its usual share, which is learned while nothing is refused.
 package headroom
--- a/rail/headroom/headroom.go
+++ b/rail/headroom/headroom.go
@@ -18,7 +18,7 @@
 }
 
 // largeFactor determines large workspaces: those that hold more than largeFactor times an equal share of the memory
-// that all workspaces hold.
+// that all workspaces hold, and whose ratio to the others is more than largeFactor times as large as usual.
 const largeFactor = 1.5
 
 // Class is the workspace and the urgency of a request.
@@ -47,15 +47,19 @@
 	total             float64
 	againstLarge      map[int]reserve // by the urgency of the refused requests, against large workspaces
 	againstLessUrgent map[int]reserve // by the urgency of the refused requests, against less urgent ones
+	usual             *usualShares
 }
 
 // New returns a Limiter without held memory and reserves.
 func New(config Config) *Limiter {
-	return &Limiter{config: config, held: make(map[string]float64), againstLarge: make(map[int]reserve), againstLessUrgent: make(map[int]reserve)}
+	return &Limiter{
+		config: config, held: make(map[string]float64), againstLarge: make(map[int]reserve), againstLessUrgent: make(map[int]reserve), usual: newUsualShares(),
+	}
 }
 
 // Started records the memory that a request holds, in tokens.
-func (l *Limiter) Started(class Class, tokens float64) {
+func (l *Limiter) Started(now time.Time, class Class, tokens float64) {
+	l.usual.started(now, class.Workspace, tokens)
 	l.held[class.Workspace] += tokens
 	l.total += tokens
 }
@@ -70,6 +74,7 @@
 
 // Refused records that a request was refused for lack of memory, which increases the reserves.
 func (l *Limiter) Refused(now time.Time, class Class) {
+	l.usual.refused()
 	l.againstLessUrgent[class.Urgency] = l.afterRefusal(now, l.againstLessUrgent[class.Urgency])
 	if !l.isLarge(class.Workspace) {
 		l.againstLarge[class.Urgency] = l.afterRefusal(now, l.againstLarge[class.Urgency])
@@ -99,8 +104,10 @@
 }
 
 // isLarge reports whether the workspace holds more than largeFactor times its equal share of the memory that all workspaces
-// hold.
+// hold, and more than usual in relation to the others. A workspace that always sends most requests is not large in a burst
+// of all workspaces.
 func (l *Limiter) isLarge(workspace string) bool {
 	held := l.held[workspace]
-	return len(l.held) > 1 && held*float64(len(l.held)) > largeFactor*l.total
+	overEqual := len(l.held) > 1 && held*float64(len(l.held)) > largeFactor*l.total
+	return overEqual && l.usual.exceeded(workspace, held, l.total-held, largeFactor)
 }
--- a/rail/headroom/headroom_test.go
+++ b/rail/headroom/headroom_test.go
@@ -20,26 +20,49 @@
 // servedRatios maps "workspace/urgency" to the fraction of the requests that were served.
 type servedRatios map[string]float64
 
-// simulate sends requests for a minute, in proportion to the weights of their classes. The load is the memory that the
-// requests need as a multiple of the memory there is. With useLimiter, the limits are those of a Limiter; without, all
-// requests have the same limit.
-func simulate(load float64, weights map[Class]int, useLimiter bool) servedRatios {
-	const size, duration = 100, 2 * time.Second
-	random := rand.New(rand.NewPCG(1, 2))
-	limiter := New(testConfig)
-	var classes []Class
+// minute is a minute of requests.
+type minute struct {
+	load    float64       // the memory that the requests need as a multiple of the memory there is
+	weights map[Class]int // the requests are in proportion to the weights of their classes
+}
+
+// classes returns each class as often as its weight.
+func (m minute) classes() (classes []Class) {
 	for _, workspace := range []string{"large", "small0", "small1", "small2", "small3"} {
 		for urgency := range 3 {
 			class := Class{Workspace: workspace, Urgency: urgency}
-			for range weights[class] {
+			for range m.weights[class] {
 				classes = append(classes, class)
 			}
 		}
 	}
+	return classes
+}
+
+// simulate sends requests for a minute. With useLimiter, the limits are those of a Limiter; without, all requests have the same
+// limit.
+func simulate(load float64, weights map[Class]int, useLimiter bool) servedRatios {
+	var limiter *Limiter
+	if useLimiter {
+		limiter = New(testConfig)
+	}
+	return simulateMinute(limiter, start, minute{load: load, weights: weights})
+}
+
+// simulateMinute sends the requests of a minute. The limits are those of the limiter; without one, all requests have the same
+// limit.
+func simulateMinute(limiter *Limiter, begin time.Time, m minute) servedRatios {
+	const size, duration = 100, 2 * time.Second
+	useLimiter := limiter != nil
+	if !useLimiter {
+		limiter = New(testConfig)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	classes := m.classes()
 	var running []request
 	sent, served := make(map[string]float64), make(servedRatios)
-	interval := time.Duration(float64(duration) / (size * load))
-	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(interval) {
+	interval := time.Duration(float64(duration) / (size * m.load))
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(interval) {
 		remaining := running[:0]
 		for _, req := range running {
 			if now.Before(req.ends) {
@@ -60,10 +83,13 @@
 			limiter.Refused(now, class)
 			continue
 		}
-		limiter.Started(class, 1)
+		limiter.Started(now, class, 1)
 		running = append(running, request{class: class, ends: now.Add(duration)})
 		served[name]++
 	}
+	for _, req := range running {
+		limiter.Ended(req.class, 1)
+	}
 	for name := range served {
 		served[name] /= sent[name]
 	}
@@ -93,6 +119,40 @@
 	}
 }
 
+// TestLargeWorkspaceInABurstOfAll guards against refusing nearly all requests of the workspace that always sends the most when all
+// workspaces send more, and against refusing those of small ones when it alone does.
+func TestLargeWorkspaceInABurstOfAll(t *testing.T) {
+	weightsOf := func(large int) map[Class]int {
+		weights := map[Class]int{{Workspace: "large", Urgency: 1}: large}
+		for i := range 4 {
+			weights[Class{Workspace: fmt.Sprintf("small%d", i), Urgency: 1}] = 4
+		}
+		return weights
+	}
+	tests := []struct {
+		name                     string
+		burst                    minute
+		lowestLarge, lowestSmall float64
+	}{
+		{"all workspaces", minute{load: 2, weights: weightsOf(16)}, 0.35, 0.35},
+		{"the large one alone", minute{load: 2, weights: weightsOf(84)}, 0.3, 0.9},
+	}
+	for _, test := range tests {
+		limiter := New(testConfig)
+		simulateMinute(limiter, start, minute{load: 0.5, weights: weightsOf(16)})
+		got := simulateMinute(limiter, start.Add(time.Minute), test.burst)
+		if got["large/1"] < test.lowestLarge {
+			t.Errorf("%s: got %.2f of the large workspace's requests served, want at least %.2f", test.name, got["large/1"], test.lowestLarge)
+		}
+		for i := range 4 {
+			name := fmt.Sprintf("small%d/1", i)
+			if got[name] < test.lowestSmall {
+				t.Errorf("%s: got %.2f of the requests of %s served, want at least %.2f", test.name, got[name], name, test.lowestSmall)
+			}
+		}
+	}
+}
+
 // TestUrgentRequestsUnderOverload guards against refusing urgent requests, and against refusing nearly all others. Two
 // of three requests are not urgent, and the requests need twice the memory.
 func TestUrgentRequestsUnderOverload(t *testing.T) {
@@ -112,8 +172,8 @@
 func TestReserveOnlyAfterRefusal(t *testing.T) {
 	limiter := New(testConfig)
 	large, small := Class{Workspace: "large", Urgency: 2}, Class{Workspace: "small"}
-	limiter.Started(large, 100)
-	limiter.Started(small, 1)
+	limiter.Started(start, large, 100)
+	limiter.Started(start, small, 1)
 	if got := limiter.FillLimit(start, large); got != testConfig.MaxFill {
 		t.Errorf("got limit %v, want %v before a refusal", got, testConfig.MaxFill)
 	}
@@ -148,7 +208,7 @@
 	limiter := New(testConfig)
 	for i := range 1000 {
 		class := Class{Workspace: fmt.Sprint(i)}
-		limiter.Started(class, 10)
+		limiter.Started(start, class, 10)
 		limiter.Ended(class, 10)
 	}
 	if len(limiter.held) != 0 || limiter.total != 0 {
