Poison: instances tell each other of a crash at once

Cause: the crash of an engine reached the other instances through the store only: the own report (at most each 200 ms), a write, a watch and the relay by the zone's reader. Meanwhile the next requests with the poisoned part crashed further engines. Five of the six engines with the first layers were gone within 0.8 s.

Change: an instance announces what it saw of a crash 10 ms later by a datagram, on the socket of the usage reports, to 16 other instances at most, so that the cost in a large fleet does not grow with the square of its size. The store's report follows and stays the lasting record. Heard crashes count like reported ones: once for each engine, cleared by the same answers, five minutes at most, 256 at most, and never as own ones.

Tests: TestCrashesAreAnnounced (with Announce off all three instances send the part), TestHeardCrashesCount, TestHeardCrashesAreBounded, TestAnnounce, FuzzReceiveAnnouncement, TestInvalidAnnouncementIsIgnored.

--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -179,13 +179,14 @@
 	})
 }
 
-func provideQuarantine(cfg settings.Gateway, cat *catalog.Catalog, store *platform.Store, engines *platform.Engines, log *logrus.Entry, registry metrics.Registry) *quarantine.Keeper {
+func provideQuarantine(cfg settings.Gateway, cat *catalog.Catalog, store *platform.Store, engines *platform.Engines, usages *peerUsage, log *logrus.Entry, registry metrics.Registry) *quarantine.Keeper {
 	return quarantine.New(quarantine.Config{
-		Name: cfg.Name, Snapshot: cat.Snapshot, FetchState: engines.FetchState, Grant: store.Grant, Commit: store.Commit, Metrics: registry, Log: log,
+		Name: cfg.Name, Snapshot: cat.Snapshot, FetchState: engines.FetchState, Grant: store.Grant, Commit: store.Commit, Announce: usages.Announce,
+		Metrics: registry, Log: log,
 	})
 }
 
-// peerUsage gives the Forwarder access to the Exchange, which is created later because it needs the Forwarder itself.
+// peerUsage gives the Forwarder and the quarantine access to the Exchange, which is created later because it needs them itself.
 type peerUsage struct{ exchange *usage.Exchange }
 
 // PeerUsage returns a function that estimates the usage of an engine or link by the other instances.
@@ -193,11 +194,14 @@
 	return p.exchange.PeerUsage(now)
 }
 
+// Announce sends the content to other instances.
+func (p *peerUsage) Announce(content []byte) { p.exchange.Announce(content) }
+
 func providePeerUsage() *peerUsage { return &peerUsage{} }
 
-func provideExchange(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, usages *peerUsage, log *logrus.Entry) *usage.Exchange {
+func provideExchange(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, quarantineKeeper *quarantine.Keeper, usages *peerUsage, log *logrus.Entry) *usage.Exchange {
 	usages.exchange = usage.New(usage.Config{
-		Name: cfg.Name, Zone: cfg.Zone, Listen: cfg.Listen.Peer, Usage: forwarder.Usage, Log: log,
+		Name: cfg.Name, Zone: cfg.Zone, Listen: cfg.Listen.Peer, Usage: forwarder.Usage, Announced: quarantineKeeper.Announced, Log: log,
 		Peers: func() (peers []usage.Peer) {
 			for _, instance := range cat.Snapshot().Instances {
 				if instance.PeerAddress != cfg.Listen.Peer {
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -30,6 +30,9 @@
 	Grant func(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	// Commit commits a transaction and returns the era of the store, zero if unknown.
 	Commit func(ctx context.Context, transaction store.Transaction) (era uint64, err error)
+	// Announce sends what this instance saw of a crash to other instances at once, without any promise that it arrives; nil
+	// means that they learn of it from the store only.
+	Announce func(content []byte)
 	// Metrics counts crashes and blocked requests.
 	Metrics metrics.Registry
 	// Log is the logger.
@@ -38,8 +41,9 @@
 
 // Keeper decides which requests must not be sent to engines; its methods may be called concurrently.
 type Keeper struct {
-	config  Config
-	changed chan struct{} // receives an element when the own report may have changed
+	config    Config
+	changed   chan struct{} // receives an element when the own report may have changed
+	announcer *announcer
 
 	mu       sync.Mutex
 	finder   *poison.Finder
@@ -49,7 +53,10 @@
 
 // New returns a Keeper, which shares what it sees while Serve runs.
 func New(config Config) *Keeper {
-	return &Keeper{config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe)}
+	return &Keeper{
+		config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe),
+		announcer: newAnnouncer(),
+	}
 }
 
 // Blocked returns a poisoned part because of which a request with the shared parts must not be sent, and false if there is none.
@@ -94,6 +101,7 @@
 	k.mu.Unlock()
 	fields := logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts, "began": began}
 	k.config.Log.WithFields(fields).Info("an engine crashed before a request was answered")
+	k.announcer.add(engine)
 	select {
 	case k.changed <- struct{}{}:
 	default:
@@ -111,8 +119,9 @@
 	k.finder.SetEvidence(time.Now(), evidence)
 }
 
-// Serve writes the own report to the store when it changes, until the context ends.
+// Serve announces crashes to other instances, and writes the own report to the store when it changes, until the context ends.
 func (k *Keeper) Serve(ctx context.Context) error {
+	go k.announceCrashes(ctx)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	var p publisher
--- a/comfreyrail/internal/gateway/usage/doc.go
+++ b/comfreyrail/internal/gateway/usage/doc.go
@@ -3,4 +3,7 @@
 //
 // Each instance sends to a few others at a time, so that its cost does not grow with the number of instances. Received
 // reports are scaled up to all instances that the store lists. A lost datagram only makes an estimate older.
+//
+// Instances may also announce something to each other at once. An announcement goes to a limited number of instances and may
+// be lost.
 package usage
--- a/comfreyrail/internal/gateway/usage/usage.go
+++ b/comfreyrail/internal/gateway/usage/usage.go
@@ -57,6 +57,8 @@
 	// Usage returns this instance's usage of engines and of links between availability zones, by ID; it may leave out unused
 	// ones.
 	Usage func() map[string]pipeline.Usage
+	// Announced receives what another instance announced; nil if nothing is announced.
+	Announced func(from string, content []byte)
 	// Log is the logger.
 	Log *logrus.Entry
 }
@@ -67,6 +69,7 @@
 
 	mu      sync.Mutex
 	reports map[string]report
+	socket  *net.UDPConn // nil until Serve has opened it
 }
 
 // report is the newest report of another instance.
@@ -93,6 +96,7 @@
 		return err
 	}
 	defer context.AfterFunc(ctx, func() { _ = socket.Close() })()
+	e.setSocket(socket)
 	go e.sendLoop(ctx, socket)
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -100,6 +104,9 @@
 		if err != nil {
 			return err
 		}
+		if e.receiveAnnouncement(buffer[:n]) {
+			continue
+		}
 		if err = e.receive(time.Now(), buffer[:n]); err != nil {
 			e.config.Log.WithError(err).Debug("datagram ignored")
 		}
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -42,6 +42,7 @@
 	config    Config
 	survived  map[string]time.Time // when an engine last survived a prompt with the part
 	crashes   []seenCrash
+	heard     []heardCrash
 	learnedAt map[string]time.Time // when each crash became known, by engine
 	known     nameSets             // parts by engine, of all crashes
 	cleared   nameSets             // parts by engine, which answers seen here clear of its crash
@@ -258,12 +259,16 @@
 	}
 }
 
-// knownCrashes returns the crashes that this instance saw and those that are reported, and keeps when each became known.
+// knownCrashes returns the crashes that this instance saw, heard of, and those that are reported, and keeps when each became known.
 func (d *Detector) knownCrashes(now time.Time) (known nameSets) {
+	d.forgetHeard(now)
 	known = make(nameSets)
 	for _, crash := range d.crashes {
 		known.add(crash.Engine, crash.Parts...)
 	}
+	for _, crash := range d.heard {
+		known.add(crash.Engine, crash.Parts...)
+	}
 	for _, report := range d.reports {
 		for _, crash := range report.Crashes {
 			known.add(crash.Engine, crash.Parts...)
--- a/rail/poison/doc.go
+++ b/rail/poison/doc.go
@@ -3,5 +3,5 @@
 // An engine that crashes takes all its requests with it, so a single crash tells little. Several engines that crashed while
 // requests with one part were waiting for the begin of their answers tell that the part is poisoned, unless an answer to a prompt
 // with it began at about that time or later. So do more engines that crashed before answers were whole, unless one was whole. No
-// instance sees enough crashes by itself in time, so instances share what they saw as reports.
+// instance sees enough crashes by itself in time, so instances share what they saw as reports, and tell each other of a crash at once.
 package poison
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -43,6 +43,23 @@
 	f.answers.SetReports(now, answers)
 }
 
+// Heard records crashes of which another instance tells at once.
+func (f *Finder) Heard(now time.Time, from string, evidence Evidence) {
+	f.begins.Heard(now, from, evidence.Crashes)
+	f.answers.Heard(now, from, evidence.Answers.Crashes)
+}
+
+// CrashOf returns what this instance saw of the crash of an engine.
+func (f *Finder) CrashOf(engine string) (evidence Evidence) {
+	if crash, ok := f.begins.SeenCrash(engine); ok {
+		evidence.Crashes = []Crash{crash}
+	}
+	if crash, ok := f.answers.SeenCrash(engine); ok {
+		evidence.Answers.Crashes = []Crash{crash}
+	}
+	return evidence
+}
+
 // Evidence returns what this instance has to tell the others.
 func (f *Finder) Evidence(now time.Time) Evidence {
 	return Evidence{Report: f.begins.Report(now), Answers: f.answers.Report(now)}
--- /dev/null
+++ b/rail/poison/heard_test.go
@@ -0,0 +1,77 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// heardOf returns the crash of an engine of which another instance tells.
+func heardOf(engine int, parts ...string) []Crash {
+	return []Crash{{Engine: fmt.Sprintf("engine%d", engine), Parts: parts}}
+}
+
+// Guards against crashes that count only once the store has passed on their reports, by when further engines have crashed, and
+// against crashes of which an instance only heard being reported as its own or counting twice.
+func TestHeardCrashesCount(t *testing.T) {
+	tests := []struct {
+		name    string
+		observe func(d *Detector)
+		want    bool
+	}{
+		{"one heard, one seen", func(d *Detector) {
+			d.Heard(start, "b", heardOf(1, "poisoned"))
+			crash(d, 0, 2, "poisoned")
+		}, true},
+		{"both heard", func(d *Detector) {
+			d.Heard(start, "b", heardOf(1, "poisoned"))
+			d.Heard(start, "c", heardOf(2, "poisoned"))
+		}, true},
+		{"one heard of two instances, and reported", func(d *Detector) {
+			d.Heard(start, "b", heardOf(1, "poisoned"))
+			d.Heard(start, "c", heardOf(1, "poisoned"))
+			d.SetReports(start, map[string]Report{"b": {Crashes: heardOf(1, "poisoned")}})
+		}, false},
+		{"an answer began shortly before", func(d *Detector) {
+			d.Survived(start.Add(-time.Second), []string{"poisoned"})
+			d.Heard(start, "b", heardOf(1, "poisoned"))
+			d.Heard(start, "b", heardOf(2, "poisoned"))
+		}, false},
+		{"an answer begins later", func(d *Detector) {
+			d.Heard(start, "b", heardOf(1, "poisoned"))
+			d.Heard(start, "b", heardOf(2, "poisoned"))
+			d.Survived(start.Add(time.Second), []string{"poisoned"})
+		}, false},
+		{"from itself", func(d *Detector) {
+			d.Heard(start, "a", heardOf(1, "poisoned"))
+			d.Heard(start, "a", heardOf(2, "poisoned"))
+		}, false},
+		{"too long ago", func(d *Detector) {
+			d.Heard(start.Add(-2*ReportTTL), "b", heardOf(1, "poisoned"))
+			d.Heard(start, "b", heardOf(2, "poisoned"))
+		}, false},
+	}
+	for _, test := range tests {
+		d := newDetector("a")
+		test.observe(d)
+		if _, got := d.Blocked(start.Add(time.Second), []string{"poisoned"}); got != test.want {
+			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.want)
+		}
+	}
+	d := newDetector("a")
+	d.Heard(start, "b", heardOf(1, "poisoned"))
+	if got := d.Report(start); len(got.Crashes) != 0 {
+		t.Errorf("got report %v, want none of what was only heard", got)
+	}
+}
+
+// Guards against memory that grows with each crash that other instances tell of.
+func TestHeardCrashesAreBounded(t *testing.T) {
+	d := newDetector("a")
+	for i := range 2 * maxHeard {
+		d.Heard(start, "b", heardOf(i, "part"))
+	}
+	if got := len(d.heard); got != maxHeard {
+		t.Errorf("got %d crashes kept, want %d", got, maxHeard)
+	}
+}
