Poison: withdraw waiting requests whose part turns out to be poisoned

Cause: the verdict on a part kept new requests from the engines, but those that waited there for the begin of their answers stayed, and crashed theirs when its turn came.

Change: the keeper of the quarantine knows the requests that wait for the headers of a response. At each change of what is known it withdraws those that are blocked now: their connection ends, and the caller gets 502 "quarantined", since they may have run. The engine is neither suspected nor counted as crashed.

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -35,6 +35,7 @@
 	suspected   bool                    // whether the server at fault for its silence has been marked as suspected
 	replaceFrom time.Time               // end of the backoff after a successor has failed, zero if none has
 	cancel      context.CancelCauseFunc // releases the context of a successor, nil for other attempts
+	release     context.CancelCauseFunc // releases the context of a request that can be withdrawn, nil for others
 	prefetched  []byte                  // bytes of a successor's body that have been read but not relayed
 }
 
@@ -119,8 +120,11 @@
 	a.progressAt = time.Now()
 	request.ReadTimeout = scale(j.route.LatencyTarget, headerCheckFactor)
 	request.OnReadTimeout = func() time.Duration { return f.checkStall(ctx, j, a, headerTimeout(j)) }
-	a.response, err = f.config.Upstream.Send(ctx, request)
+	var blocked *blockedError
+	a.response, blocked, err = f.sendWithdrawable(ctx, j, a, request)
 	switch {
+	case blocked != nil:
+		return blocked
 	case err == nil:
 		f.cancelSuccession(j)
 		return f.checkResponse(ctx, j, a)
@@ -201,6 +205,9 @@
 	if a.cancel != nil {
 		a.cancel(err)
 	}
+	if a.release != nil {
+		a.release(err)
+	}
 	if a.service.Engine != nil {
 		f.selector.endChain(a)
 	} else {
--- a/comfreyrail/internal/gateway/forward/config.go
+++ b/comfreyrail/internal/gateway/forward/config.go
@@ -50,6 +50,9 @@
 	// PromptBlocked returns the part because of which a request with the shared parts must not be sent to engines, and false if
 	// there is none.
 	PromptBlocked func(parts []string) (part string, ok bool)
+	// PromptWaiting records that a request with the shared parts waits for the begin of an answer, until done is called. If the
+	// request must no longer be at an engine because of one of the parts, withdraw is called, which must not wait.
+	PromptWaiting func(parts []string, withdraw func(part string)) (done func())
 	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
 	PromptBegan func(parts []string)
 	// PromptAnswered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -129,6 +129,7 @@
 	memory    *limit.Budget // for responses
 	requests  *limit.Budget // for request bodies
 	forwarder *Forwarder
+	keeper    *quarantine.Keeper
 }
 
 // Memory of a gateway in bytes, that of an instance with 160 MB.
@@ -237,10 +238,10 @@
 		},
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
 		FetchState:    options.state,
-		PromptBlocked: keeper.Blocked, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
+		PromptBlocked: keeper.Blocked, PromptWaiting: keeper.Waiting, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
 		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil },
 	})
-	g.forwarder = f
+	g.forwarder, g.keeper = f, keeper
 	proxy := httptest.NewServer(f)
 	t.Cleanup(proxy.Close)
 	g.url = proxy.URL
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 )
 
 // blockedRetryAfter is the delay before a retry of a blocked request. It may be blocked only until other instances have reported what
@@ -38,6 +40,28 @@
 	return &errorResponse{status: http.StatusServiceUnavailable, code: "quarantined", retryAfter: blockedRetryAfter, blockedPart: cause.part}
 }
 
+// sendWithdrawable sends a request to the first engine of an attempt, or to a plain server. If it becomes known meanwhile that engines
+// crash under the request, which has not been answered yet, it is withdrawn from the engine, and blocked tells why.
+func (f *Forwarder) sendWithdrawable(ctx context.Context, j *job, a *streamAttempt, request upstream.Request) (response *upstream.Response, blocked *blockedError, err error) {
+	parts := j.request.SharedParts
+	if a.service.Engine == nil || len(parts) == 0 {
+		response, err = f.config.Upstream.Send(ctx, request)
+		return response, nil, err
+	}
+	ctx, a.release = context.WithCancelCause(ctx)
+	done := f.config.PromptWaiting(parts, func(part string) { a.release(&blockedError{part: part}) })
+	response, err = f.config.Upstream.Send(ctx, request)
+	done()
+	if !errors.As(context.Cause(ctx), &blocked) {
+		return response, nil, err
+	}
+	if response != nil {
+		response.Discard()
+	}
+	j.mayHaveRun = true
+	return nil, blocked, nil
+}
+
 // maxCrashDelay is how long after the begin of an answer an engine may crash because of the request.
 const maxCrashDelay = 3 * time.Second
 
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -57,6 +58,13 @@
 
 // sendPrompt sends a request with the parts of a prompt and reports whether the answer had an event and was complete.
 func (g *gateway) sendPrompt(t *testing.T, id string, parts ...string) bool {
+	t.Helper()
+	_, body, complete := g.sendParts(t, id, parts...)
+	return complete && strings.Contains(body, "data: text")
+}
+
+// sendParts sends a request with the parts of a prompt and returns the response, its body and whether that was complete.
+func (g *gateway) sendParts(t *testing.T, id string, parts ...string) (response *http.Response, body string, complete bool) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.url+"/stream/", strings.NewReader("question"))
 	if err != nil {
@@ -64,13 +72,13 @@
 	}
 	request.Header.Set("Id", id)
 	request.Header.Set("Prefix", strings.Join(parts, ","))
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	response, err = (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
 	if err != nil {
-		return false
+		return &http.Response{}, "", false
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	return err == nil && strings.Contains(string(content), "data: text")
+	return response, string(content), err == nil
 }
 
 // Guards against a stream that ends with its connection, before any event, being passed on as complete: an engine that crashes
@@ -222,3 +230,42 @@
 		t.Errorf("got %d probes, want none", got)
 	}
 }
+
+// Guards against a request that goes on waiting at an engine, and crashes it, after engines elsewhere have crashed under the same part.
+func TestPoisonedRequestIsWithdrawnFromItsEngine(t *testing.T) {
+	arrived, left := make(chan struct{}), make(chan struct{})
+	engine := newServer(t, "engine", func(conn net.Conn, request *http.Request, n int) {
+		if n == 1 {
+			close(arrived)
+			_, _ = conn.Read(make([]byte, 1))
+			close(left)
+			return
+		}
+		writeStreamHeader(conn, request)
+		writeEvent(conn, 1, "text")
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	})
+	engine.card = "card"
+	g := newGateway(t, useEngines, engine)
+	status := make(chan int, 1)
+	go func() {
+		response, _, _ := g.sendParts(t, "r1", sharedPart, poisonedPart, "last")
+		status <- response.StatusCode
+	}()
+	<-arrived
+	for i := range poison.MinCrashes {
+		gone := backend.Server{ID: fmt.Sprint("gone", i), Address: "127.0.0.1:1"}
+		g.keeper.ConnectionEnded(context.Background(), gone, []string{sharedPart, poisonedPart}, false)
+	}
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		t.Error("got the request left at its engine, want it withdrawn")
+	}
+	if got, want := <-status, http.StatusBadGateway; got != want {
+		t.Errorf("got status %d, want %d: the request may have run", got, want)
+	}
+	if !g.sendPrompt(t, "r2", sharedPart, "last") {
+		t.Error("got a sound request refused, want it served by the engine from which the other was withdrawn")
+	}
+}
--- a/comfreyrail/internal/gateway/quarantine/announcer.go
+++ b/comfreyrail/internal/gateway/quarantine/announcer.go
@@ -100,4 +100,5 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.finder.Heard(time.Now(), from, evidence)
+	k.withdrawBlocked()
 }
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -49,13 +49,14 @@
 	finder   *poison.Finder
 	evidence map[string]poison.Evidence // of the snapshot that the finder knows
 	probes   map[string]*crashProbe     // by engine
+	waiting  map[*waitingRequest]bool   // requests that wait for the begin of an answer
 }
 
 // New returns a Keeper, which shares what it sees while Serve runs.
 func New(config Config) *Keeper {
 	return &Keeper{
 		config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe),
-		announcer: newAnnouncer(),
+		waiting: make(map[*waitingRequest]bool), announcer: newAnnouncer(),
 	}
 }
 
@@ -98,6 +99,7 @@
 	k.mu.Lock()
 	k.readEvidence()
 	k.finder.Crashed(time.Now(), engine, parts, began)
+	k.withdrawBlocked()
 	k.mu.Unlock()
 	fields := logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts, "began": began}
 	k.config.Log.WithFields(fields).Info("an engine crashed before a request was answered")
@@ -117,6 +119,7 @@
 	}
 	k.evidence = evidence
 	k.finder.SetEvidence(time.Now(), evidence)
+	k.withdrawBlocked()
 }
 
 // Serve announces crashes to other instances, and writes the own report to the store when it changes, until the context ends.
