Refusals for lack of memory tell callers when there is likely room

Cause: a caller that got no room was told to come back after 0.3 to 0.6 s, however many had been refused.

Change: the limiter counts the requests that start and those that are refused, with a decay of 5 s. The wait is the time in which as many start as were refused lately, 6 s at most; Retry-After is drawn from its second half, is at most 0.3 of the time left until the deadline, and never below 0.3 to 0.6 s.

--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -44,10 +44,20 @@
 	var reason *noChainError
 	if errors.As(cause, &reason) {
 		response.shortage = &reason.shortage
+		response.retryAfter = j.noRoomRetryAfter(reason.wait)
 	}
 	return response
 }
 
+// maxRetryFraction is the largest part of the time until its deadline that a request is told to wait for room.
+const maxRetryFraction = 0.3
+
+// noRoomRetryAfter returns the delay before a retry for lack of memory, by the wait of all those refused lately.
+func (j *job) noRoomRetryAfter(wait time.Duration) time.Duration {
+	longest := scale(time.Until(j.deadline), maxRetryFraction)
+	return max(min(jitter(wait/2, rand.Float64()), longest), jitter(retryAfter, rand.Float64()))
+}
+
 // jitter returns a duration between base and twice base for a fraction between 0 and 1, so that callers refused at the same
 // time do not retry at the same time.
 func jitter(base time.Duration, fraction float64) time.Duration {
--- a/comfreyrail/internal/gateway/forward/outcome_test.go
+++ b/comfreyrail/internal/gateway/forward/outcome_test.go
@@ -4,6 +4,7 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 )
 
 // Guards against callers that are refused at the same time retrying at the same time: the Retry-After delays of a hundred
@@ -23,3 +24,24 @@
 		t.Errorf("got %d different delays, want at least %d", got, want)
 	}
 }
+
+// Guards against refused callers who are told to come back while there is still no room, or too late to be served at all.
+func TestRetryAfterFollowsWaitForRoom(t *testing.T) {
+	tests := []struct {
+		name            string
+		wait, left      time.Duration
+		lowest, highest time.Duration
+	}{
+		{"no wait known", 0, 20 * time.Second, retryAfter, 2 * retryAfter},
+		{"a wait", 4 * time.Second, 20 * time.Second, 2 * time.Second, 4 * time.Second},
+		{"a deadline before its end", 4 * time.Second, 5 * time.Second, time.Second, 1500 * time.Millisecond},
+		{"a near deadline", 4 * time.Second, 100 * time.Millisecond, retryAfter, 2 * retryAfter},
+	}
+	for _, test := range tests {
+		j := &job{deadline: time.Now().Add(test.left)}
+		got := j.noRoomResponse(&noChainError{wait: test.wait}).retryAfter
+		if got < test.lowest || got > test.highest {
+			t.Errorf("%s: got Retry-After %v, want %v to %v", test.name, got, test.lowest, test.highest)
+		}
+	}
+}
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -124,7 +124,7 @@
 			return nil, &waitError{wait: wait}
 		}
 		engines.limiter.Refused(now, class)
-		return nil, &noChainError{shortage: engines.chooser.Shortage(now, request)}
+		return nil, &noChainError{shortage: engines.chooser.Shortage(now, request), wait: engines.limiter.Wait(now)}
 	}
 	engines.chooser.Started(now, chain, request)
 	engines.limiter.Started(now, class, request.KVTokens())
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -49,7 +49,10 @@
 const errNoChain = errors.ConstError("no chain or server is available")
 
 // noChainError is an errNoChain with the reason why there is no chain of engines.
-type noChainError struct{ shortage pipeline.Shortage }
+type noChainError struct {
+	shortage pipeline.Shortage
+	wait     time.Duration // how long the request should wait for memory
+}
 
 // Error returns the text of errNoChain.
 func (e *noChainError) Error() string { return string(errNoChain) }
--- a/rail/headroom/doc.go
+++ b/rail/headroom/doc.go
@@ -6,4 +6,7 @@
 // requests of large workspaces that are not more urgent than the refused one. Reserves decay. The limit of a request is
 // MaxFill less the largest reserve against it. A workspace is large if it holds more than largeFactor times an equal
 // share of the memory that all workspaces hold, and more than its usual share, which is learned while nothing is refused.
+//
+// A Limiter also says how long refused requests should wait: as long as it would take to serve all those refused lately, in
+// proportion to those that started.
 package headroom
--- a/rail/headroom/headroom.go
+++ b/rail/headroom/headroom.go
@@ -48,6 +48,7 @@
 	againstLarge      map[int]reserve // by the urgency of the refused requests, against large workspaces
 	againstLessUrgent map[int]reserve // by the urgency of the refused requests, against less urgent ones
 	usual             *usualShares
+	backlog           backlog
 }
 
 // New returns a Limiter without held memory and reserves.
@@ -60,6 +61,8 @@
 // Started records the memory that a request holds, in tokens.
 func (l *Limiter) Started(now time.Time, class Class, tokens float64) {
 	l.usual.started(now, class.Workspace, tokens)
+	l.backlog.decay(now)
+	l.backlog.started++
 	l.held[class.Workspace] += tokens
 	l.total += tokens
 }
@@ -75,12 +78,18 @@
 // Refused records that a request was refused for lack of memory, which increases the reserves.
 func (l *Limiter) Refused(now time.Time, class Class) {
 	l.usual.refused()
+	l.backlog.decay(now)
+	l.backlog.refused++
 	l.againstLessUrgent[class.Urgency] = l.afterRefusal(now, l.againstLessUrgent[class.Urgency])
 	if !l.isLarge(class.Workspace) {
 		l.againstLarge[class.Urgency] = l.afterRefusal(now, l.againstLarge[class.Urgency])
 	}
 }
 
+// Wait returns how long a refused request should wait before it is sent again, so that those that were refused lately don't all come
+// back at a time when there is no room for them. It is zero if none was.
+func (l *Limiter) Wait(now time.Time) time.Duration { return l.backlog.wait(now) }
+
 // afterRefusal returns the reserve after another refusal.
 func (l *Limiter) afterRefusal(now time.Time, r reserve) reserve {
 	return reserve{size: min(r.remaining(now, l.config.DecayTime)+l.config.ReserveStep, l.config.MaxReserve), updatedAt: now}
