An engine that refuses connections is dead, not only suspected

Cause: a refused connection, also that of the probe which confirms a crash, only made an engine suspected. The choice of a chain prefers others to suspected engines, but takes them where the others have no room.

Change: such an engine counts as dead for a second, as after a failed probe, and is probed until it responds. Where no other engine has room, the caller is refused for lack of room, with the wait for that.

Test: TestEngineThatRefusesConnectionsGetsNoMoreRequests; without the change both requests get "stream-failed" (the second one was sent to the same engine again).

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -150,8 +151,11 @@
 		a.faultyAddress = a.chain[0].Server.Address
 	}
 	f.recordFailedStreamAttempt(ctx, j, a, a.faultyAddress, cause)
-	if maybeSent {
+	switch {
+	case maybeSent:
 		f.checkCrash(ctx, j, a, cause)
+	case errors.Is(cause, syscall.ECONNREFUSED):
+		f.selector.probeFailed(a.chain[0].Server)
 	}
 }
 
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -100,10 +100,14 @@
 }
 
 // firstEngineCrashed reports whether the first engine of an attempt whose connection has ended has crashed, and records that it may have
-// crashed because of the parts. An engine that wants no requests is not probed, and counts as alive.
+// crashed because of the parts, and that it is dead. An engine that wants no requests is not probed, and counts as alive.
 func (f *Forwarder) firstEngineCrashed(ctx context.Context, a *streamAttempt, parts []string) bool {
 	first := a.chain[0].Server
-	return !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, !a.beganAt.IsZero())
+	crashed := !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, !a.beganAt.IsZero())
+	if crashed {
+		f.selector.probeFailed(first)
+	}
+	return crashed
 }
 
 // errCrashed is the error of a response of unknown length whose engine has crashed when its connection ends.
--- a/comfreyrail/internal/gateway/forward/refusal_test.go
+++ b/comfreyrail/internal/gateway/forward/refusal_test.go
@@ -109,3 +109,18 @@
 		}
 	}
 }
+
+// Guards against requests that are sent to an engine which refuses connections, because the others have no room: they use up their
+// attempts and the retry budget there.
+func TestEngineThatRefusesConnectionsGetsNoMoreRequests(t *testing.T) {
+	engine := newServer(t, "engine", nil)
+	engine.card = "card"
+	_ = engine.listener.Close()
+	g := newGateway(t, useEngines, engine)
+	for i := range 2 {
+		response, got, _ := g.sendParts(t, fmt.Sprint("r", i), "last")
+		if want := "no-room\n"; got != want || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("request %d: got status %d, %q, want %d, %q", i, response.StatusCode, got, http.StatusServiceUnavailable, want)
+		}
+	}
+}
