--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -45,6 +45,7 @@
 	config   Config
 	survived map[string]time.Time // when an engine last survived a prompt with the part
 	crashes  []seenCrash
+	heard    []heardCrash
 	index    crashIndex
 	told     nameSets             // parts by engine, which were reported as cleared of its crash
 	reports  map[string]Report    // by instance, also of a previous incarnation of this one
@@ -207,6 +208,7 @@
 // Report returns what this instance has to tell the others, which includes what its previous incarnation told. The number of live
 // instances, this one included, decides how long it waits for others to clear a part.
 func (d *Detector) Report(now time.Time, instances int) (report Report) {
+	d.forgetHeard(now)
 	d.crashes = slices.DeleteFunc(d.crashes, func(c seenCrash) bool {
 		expired := now.Sub(c.at) > ReportTTL
 		if expired {
--- a/rail/poison/doc.go
+++ b/rail/poison/doc.go
@@ -4,5 +4,5 @@
 // requests with one part were waiting for the begin of their answers tell that the part is poisoned, unless an answer to a prompt
 // with it began at about that time or later. So do more engines that crashed before answers were whole, unless one was whole. No
 // instance sees enough crashes by itself in time, so instances share what they saw as reports, within limits that hold for all of them
-// together.
+// together, and tell each other of a crash at once.
 package poison
