Use the stages of an attempt that opened after the timeout

When the time to open the stages of an attempt had passed, the session probed them and started another attempt in any case, also if every stage answered that it had opened this one, and it ignored responses that came while it probed. A passed deadline says nothing about what has arrived or happened. Each such attempt was taken from the attempt budget of its pool.

The run starts now once all stages have responded, or once the probe shows that all of them have the attempt open. If one doesn't answer or has no such attempt, the recovery decides as before.

On the code before, TestStagesThatOpenedLateAreUsed got no run of the first attempt in four of its six cases. 1,000 histories of the property tests of the package pass.

This doesn't mend TestSimultaneousFaults. There, all three instances find all engines silent in the same tenth of a second, since one process of the test plays all engines and is held up; every stream then starts again, and the attempt budget is exhausted.

--- a/rail/stream/session.go
+++ b/rail/stream/session.go
@@ -69,6 +69,8 @@
 	mayHaveRunBefore bool
 	// opened reports for each stage of the current attempt whether it has been opened.
 	opened []bool
+	// runStarted reports whether the run of the current attempt has been started.
+	runStarted bool
 	// runEnded reports whether frames of the current attempt are no longer accepted.
 	runEnded bool
 	// probe is the current or the last probe.
@@ -173,7 +175,7 @@
 	}
 	s.phase, s.phaseDeadline = opening, now.Add(s.config.OpenTimeout)
 	s.opened = make([]bool, len(s.nextStep.Chain.Stages))
-	s.runEnded = false
+	s.runStarted, s.runEnded = false, false
 	s.emit(OpenStages{
 		Attempt: attempt, Chain: s.nextStep.Chain, Imports: s.nextStep.Imports, NewConnections: attempt > 1,
 		Strategy: s.nextStep.Strategy, Reason: s.failure.Reason,
@@ -181,8 +183,8 @@
 }
 
 func (e StageOpened) handle(s *Session, now time.Time) {
-	attempt, chosen := s.answer.CurrentAttempt()
-	if s.phase != opening || e.Attempt != attempt {
+	attempt, _ := s.answer.CurrentAttempt()
+	if s.runStarted || (s.phase != opening && s.phase != probing) || e.Attempt != attempt {
 		return
 	}
 	s.opened[e.Index] = true
@@ -191,7 +193,13 @@
 			return
 		}
 	}
-	s.phase = running
+	s.startRun(now)
+}
+
+// startRun starts the run of the current attempt, whose stages are open.
+func (s *Session) startRun(now time.Time) {
+	attempt, chosen := s.answer.CurrentAttempt()
+	s.phase, s.runStarted = running, true
 	s.detector.Restart(now)
 	s.mayHaveRunBefore, s.mayHaveRun = s.mayHaveRun, true
 	last := chosen.Stages[len(chosen.Stages)-1]
@@ -297,10 +305,6 @@
 	if s.phase == probing {
 		return
 	}
-	if s.phase == opening {
-		// No run was started, so the attempt cannot continue after the probe.
-		s.runEnded = true
-	}
 	_, chosen := s.answer.CurrentAttempt()
 	s.phase, s.phaseDeadline = probing, now.Add(s.config.ProbeTimeout)
 	s.probe = probeState{
@@ -352,6 +356,10 @@
 	last := len(s.probe.responses) - 1
 	result.Undelivered = result.Undelivered || s.probe.responses[last].Progress.Forwarded > len(s.answer.Tokens())
 	result.Progressed, s.probe.progressSum = progressSum != s.probe.progressSum, progressSum
+	if !s.runStarted {
+		s.finishOpening(now, result, stages)
+		return
+	}
 	if !s.runEnded && s.detector.HandleProbe(now, result) == stall.Wait {
 		s.phase = running
 		return
@@ -360,6 +368,16 @@
 	s.startRecovery(now, stages, s.failure.Reason)
 }
 
+// finishOpening starts the run if the probe shows that every stage has opened the attempt, and the recovery otherwise.
+func (s *Session) finishOpening(now time.Time, result stall.ProbeResult, stages []StageStatus) {
+	if !result.Unresponsive && !result.AttemptLost {
+		s.startRun(now)
+		return
+	}
+	s.runEnded = true
+	s.startRecovery(now, stages, s.failure.Reason)
+}
+
 // startRecovery starts the step that follows a failed attempt.
 func (s *Session) startRecovery(now time.Time, stages []StageStatus, reason string) {
 	_, chosen := s.answer.CurrentAttempt()
