Test of several instances under a poisoned part

TestPoisonedPromptCrashesFewEnginesOfAllInstances guards the announcements as a whole: three gateways without a store share engines, and each gets requests with the part in turn.

--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -177,6 +177,8 @@
 	budget func(*BudgetConfig)
 	state  func(context.Context, backend.Server) (backend.State, error) // the state that engines report
 	ended  func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
+	// announce makes what the gateway saw of crashes known to others; the store is down.
+	announce func(content []byte)
 }
 
 // newGateway returns a gateway with a route of each kind to the servers. The function modify, if not nil, changes the
@@ -224,7 +226,7 @@
 	}
 	c := newCatalog(t, g, config, servers)
 	registry := metrics.NewRegistry()
-	keeper := quarantine.New(quarantine.Config{Name: "self", Snapshot: c.Snapshot, FetchState: dial, Metrics: registry, Log: discardLog()})
+	keeper := newKeeper(t, c, registry, options.announce)
 	if options.ended == nil {
 		options.ended = keeper.ConnectionEnded
 	}
@@ -248,6 +250,21 @@
 	return g
 }
 
+// newKeeper returns a Keeper, which runs if it announces crashes.
+func newKeeper(t *testing.T, c *catalog.Catalog, registry metrics.Registry, announce func(content []byte)) *quarantine.Keeper {
+	t.Helper()
+	keeper := quarantine.New(quarantine.Config{
+		Name: "self", Snapshot: c.Snapshot, FetchState: dial, Announce: announce, Metrics: registry, Log: discardLog(),
+		Grant: func(context.Context, time.Duration) (store.Lease, error) { return store.Lease{}, store.ErrUnavailable },
+	})
+	if announce != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go func() { _ = keeper.Serve(ctx) }()
+	}
+	return keeper
+}
+
 // dial returns no state, and the error of opening a connection to the server.
 func dial(ctx context.Context, server backend.Server) (backend.State, error) {
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", server.Address)
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -154,6 +154,45 @@
 	}
 }
 
+// Guards against a poisoned part that crashes engines at each instance anew, until the store has passed on what the first one saw.
+func TestPoisonedPromptCrashesFewEnginesOfAllInstances(t *testing.T) {
+	const instances, requests = 3, 9
+	var crashes atomic.Int32
+	engines := crashingEngines(t, 2*instances+1, &crashes, writeStreamHeader)
+	gateways := make([]*gateway, instances)
+	for i := range gateways {
+		announce := func(content []byte) {
+			for other, g := range gateways {
+				if other != i {
+					g.keeper.Announced(fmt.Sprint("instance", i), content)
+				}
+			}
+		}
+		gateways[i] = newGatewayWith(t, gatewayOptions{config: useEngines, announce: announce}, engines...)
+	}
+	allBlock := func() bool {
+		for _, g := range gateways {
+			if _, ok := g.keeper.Blocked([]string{sharedPart, poisonedPart}); !ok {
+				return false
+			}
+		}
+		return true
+	}
+	for i := range requests {
+		g := gateways[i%instances]
+		g.sendPrompt(t, fmt.Sprintf("poisoned%d", i), sharedPart, poisonedPart, fmt.Sprintf("aa%d:100", i))
+		for deadline := time.Now().Add(time.Second); !allBlock() && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		if id := fmt.Sprintf("sound%d", i); !g.sendPrompt(t, id, sharedPart, fmt.Sprintf("bb%d:100", i)) {
+			t.Errorf("got %s refused or failed, want every sound request served", id)
+		}
+	}
+	if got, want := int(crashes.Load()), poison.MinCrashes; got != want {
+		t.Errorf("got %d engines crashed, want %d", got, want)
+	}
+}
+
 // Guards against a stream without a length whose engine crashed between two events being passed on as complete, and against one whose
 // engine lives on being broken off.
 func TestUnframedStreamOfCrashedEngineIsContinued(t *testing.T) {
