Answer at its deadline a request whose body doesn't arrive

Cause: nothing limited the time of reading a body. A request whose body, or a part of it, did not arrive got neither a response nor a refusal before its caller left, and a refusal that needs no body (unknown route or key) was held back, since net/http reads the rest of the body before it sends the headers.

Change: reads of the body end at the request's deadline, after a look at what is waiting; the request gets status 503 with Retry-After, as it has not run. Until the route is known the caller's own timeout applies. net/http cancels the request's context after such a read, so the caller doesn't count as having left.

TestMissingBodyIsAnsweredAtDeadline failed before in its four cases: no response within 5 s. It passes, five runs of five, with TestBodyDeadlineEndsWithBody, which passes on the code before as well and guards the wait for the server's response.

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -54,7 +55,8 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{startedAt: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, request: f.config.ReadRequest(r.Header)}
 	defer j.releaseBody()
-	err := f.accept(j, r)
+	limitBodyRead(w, r, j.startedAt.Add(shorterTimeout(0, lessDelivery(j.request.Timeout))))
+	err := f.accept(j, w, r)
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 		defer cancel()
@@ -75,7 +77,7 @@
 
 // accept reads a request and sets its route, workspace, urgency and deadline. The error is an *errorResponse unless
 // reading the body failed.
-func (f *Forwarder) accept(j *job, r *http.Request) (err error) {
+func (f *Forwarder) accept(j *job, w http.ResponseWriter, r *http.Request) (err error) {
 	snapshot := f.config.Catalog.Snapshot()
 	if snapshot.Index == nil {
 		return &errorResponse{status: http.StatusServiceUnavailable, code: "no-configuration", retryAfter: f.unconfiguredRetryAfter()}
@@ -94,6 +96,7 @@
 	if !f.acceptsBeforeAbort(j) {
 		return stoppingResponse()
 	}
+	limitBodyRead(w, r, j.deadline)
 	return f.readBody(j, r, snapshot.Index.Config.Limits)
 }
 
@@ -126,8 +129,18 @@
 	return nil
 }
 
-// readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit, and one
-// for which no memory is left.
+// limitBodyRead makes reads of the body fail after the deadline. Without it, a body whose end doesn't arrive would delay the response,
+// also that to a request whose body isn't read.
+func limitBodyRead(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if r.Body == http.NoBody {
+		return // net/http already waits for the next request, without a deadline
+	}
+	// Without support of deadlines there is no connection to wait for.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+}
+
+// readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit, one for
+// which no memory is left, and one that doesn't arrive before the deadline.
 func (f *Forwarder) readBody(j *job, r *http.Request, limits route.Limits) (err error) {
 	maxBytes := limits.MaxBodyBytes
 	if maxBytes <= 0 {
@@ -139,6 +152,9 @@
 	j.body = limit.NewBuffer(f.config.RequestMemory, int(maxBytes)+1)
 	ended, err := j.body.Fill(r.Body)
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.bodyLate = true
+		return j.timeoutResponse()
 	case err != nil:
 		return errors.Annotate(err, "read body")
 	case int64(len(j.body.Bytes())) > maxBytes:
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -14,6 +14,7 @@
 type job struct {
 	request         call.Request
 	route           *route.Route
+	bodyLate        bool // the body didn't arrive before the deadline, for which net/http cancels the context
 	service         string
 	workspace       string
 	urgency         int       // 0 is the most urgent
@@ -60,14 +61,19 @@
 // setDeadline sets the deadline to the shorter of the route's timeout and the caller's, or to defaultTimeout if there is neither. The
 // caller's timeout runs on its own side, so that the response must be sent some time before it ends.
 func (j *job) setDeadline() {
-	timeout, caller := j.route.Timeout, lessDelivery(j.request.Timeout)
-	if caller > 0 && (timeout <= 0 || caller < timeout) {
-		timeout = caller
-	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	j.deadline = j.startedAt.Add(shorterTimeout(j.route.Timeout, lessDelivery(j.request.Timeout)))
+}
+
+// shorterTimeout returns the shorter of two timeouts, of which those that aren't positive don't count, or defaultTimeout.
+func shorterTimeout(a, b time.Duration) time.Duration {
+	switch {
+	case a > 0 && b > 0:
+		return min(a, b)
+	case a > 0 || b > 0:
+		return max(a, b)
+	default:
+		return defaultTimeout
 	}
-	j.deadline = j.startedAt.Add(timeout)
 }
 
 // releaseBody returns the memory of the body.
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -74,7 +74,7 @@
 		f.recordTime("requests.first", j.timeToFirstData)
 		f.recordTime("requests.whole", time.Since(j.startedAt))
 		entry.Info(event.RequestDone)
-	case r.Context().Err() != nil:
+	case r.Context().Err() != nil && !j.bodyLate:
 		metrics.GetOrRegisterCounter("requests.left", f.config.Metrics).Inc(1)
 		entry.WithError(err).Info(event.CallerDisconnected)
 		panic(http.ErrAbortHandler)
