--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -67,6 +68,9 @@
 	// reappearTimeout is how long after an outage of the store a server that isn't draining stays listed although its entry was
 	// removed during the outage or since.
 	reappearTimeout = 2500 * time.Millisecond
+	// maxContentLag is the maximum time before the end of such a time limit as of which the content must be confirmed, so that what it
+	// lacks has not been written again in time.
+	maxContentLag = 500 * time.Millisecond
 )
 
 // Config configures a Catalog.
@@ -99,6 +103,8 @@
 	Random func() float64
 	// Elapsed returns the reading of a monotonic clock that includes the time that the machine is suspended.
 	Elapsed func() time.Duration
+	// Clock is the clock of the timeouts of calls; nil means an ordinary one.
+	Clock *runclock.Clock
 	// Log is the logger.
 	Log *logrus.Entry
 }
--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,6 +36,7 @@
 	suspected   bool                    // whether the server at fault for its silence has been marked as suspected
 	replaceFrom time.Time               // end of the backoff after a successor has failed, zero if none has
 	cancel      context.CancelCauseFunc // releases the context of a successor, nil for other attempts
+	release     context.CancelCauseFunc // releases the context of a request that can be withdrawn, nil for others
 	prefetched  []byte                  // bytes of a successor's body that have been read but not relayed
 }
 
@@ -116,11 +118,14 @@
 		stages = callStages(a.chain)
 	}
 	request := f.upstreamRequest(j, first, stages, lastID)
-	a.progressAt = time.Now()
-	request.ReadTimeout = scale(j.route.LatencyTarget, headerCheckFactor)
+	a.progressAt = f.config.Clock.Now()
+	request.ReadTimeout = firstCheck(j, a)
 	request.OnReadTimeout = func() time.Duration { return f.checkStall(ctx, j, a, headerTimeout(j)) }
-	a.response, err = f.config.Upstream.Send(ctx, request)
+	var blocked *blockedError
+	a.response, blocked, err = f.sendWithdrawable(ctx, j, a, request)
 	switch {
+	case blocked != nil:
+		return blocked
 	case err == nil:
 		f.cancelSuccession(j)
 		return f.checkResponse(ctx, j, a)
@@ -146,8 +151,11 @@
 		a.faultyAddress = a.chain[0].Server.Address
 	}
 	f.recordFailedStreamAttempt(ctx, j, a, a.faultyAddress, cause)
-	if maybeSent {
+	switch {
+	case maybeSent:
 		f.checkCrash(ctx, j, a, cause)
+	case errors.Is(cause, syscall.ECONNREFUSED):
+		f.selector.probeFailed(a.chain[0].Server)
 	}
 }
 
@@ -201,6 +209,9 @@
 	if a.cancel != nil {
 		a.cancel(err)
 	}
+	if a.release != nil {
+		a.release(err)
+	}
 	if a.service.Engine != nil {
 		f.selector.endChain(a)
 	} else {
--- a/comfreyrail/internal/gateway/forward/config.go
+++ b/comfreyrail/internal/gateway/forward/config.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/notices"
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/runclock"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -50,6 +51,9 @@
 	// PromptBlocked returns the part because of which a request with the shared parts must not be sent to engines, and false if
 	// there is none.
 	PromptBlocked func(parts []string) (part string, ok bool)
+	// PromptWaiting records that a request with the shared parts waits for the begin of an answer, until done is called. If the
+	// request must no longer be at an engine because of one of the parts, withdraw is called, which must not wait.
+	PromptWaiting func(parts []string, withdraw func(part string)) (done func())
 	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
 	PromptBegan func(parts []string)
 	// PromptAnswered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long
@@ -58,6 +62,8 @@
 	// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and
 	// whether the answer had begun; it returns whether the engine has crashed.
 	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
+	// Clock measures for how long others are silent; nil means an ordinary clock.
+	Clock *runclock.Clock
 	// Notices knows which backend servers are leaving or want no requests for a while; nil means a new one.
 	Notices *notices.Keeper
 	// RequestMemory bounds the memory of large request bodies; nil means no bound.
--- a/comfreyrail/internal/gateway/forward/liveness.go
+++ b/comfreyrail/internal/gateway/forward/liveness.go
@@ -62,7 +62,7 @@
 	ctx = context.WithoutCancel(ctx) // other requests wait for the result too
 	go func() {
 		defer close(result.done)
-		ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+		ctx, cancel := p.config.Clock.WithTimeout(ctx, livenessTimeout)
 		defer cancel()
 		result.state, result.err = p.config.FetchState(ctx, server)
 	}()
--- a/rail/stop/stop.go
+++ b/rail/stop/stop.go
@@ -8,12 +8,15 @@
 	"github.com/comfreyrail/comfreyrail/rail/invariant"
 )
 
+// closeTime is the time before Config.Timeout from which idle connections are ended at once, so that callers learn of it before the exit.
+const closeTime = 500 * time.Millisecond
+
 // Config configures a Machine.
 type Config struct {
 	// BalancerLag is the maximum time for which the load balancer still opens connections to an instance that is not
 	// ready.
 	BalancerLag time.Duration
-	// IdleTimeout is the time after which an idle connection is ended during the shutdown.
+	// IdleTimeout is the time after which an idle connection is ended during the shutdown; shortly before the Timeout it is zero.
 	IdleTimeout time.Duration
 	// Timeout is the time from the start of the shutdown after which the requests in progress are aborted.
 	Timeout time.Duration
@@ -27,7 +30,7 @@
 const (
 	// SetUnready reports to the load balancer and the peers that the instance is not ready.
 	SetUnready ActionKind = iota
-	// EndConnection ends an idle connection with a response that reports that no request ran.
+	// EndConnection ends an idle connection, once Machine.End allows it, with a response that reports that no request ran.
 	EndConnection
 	// CloseListener accepts the connections that wait at the listener and then closes it.
 	CloseListener
@@ -71,7 +74,9 @@
 	idle phase = iota
 	// busy is the phase of a connection on which a request is arriving or in progress.
 	busy
-	// ended is the phase of a connection that EndConnection has ended.
+	// ending is the phase of an idle connection for which Step has returned EndConnection.
+	ending
+	// ended is the phase of a connection that has been ended, from which no request is read any more.
 	ended
 )
 
@@ -84,6 +89,8 @@
 	openedLate bool
 	// request is the ID of the request in progress; it is empty while the request is being read.
 	request string
+	// decided reports whether Decide has been called for the request in progress.
+	decided bool
 }
 
 // Machine is the state machine of the graceful shutdown of one instance; it is not safe for concurrent use.
@@ -136,9 +143,20 @@
 	if c == nil || c.phase == ended {
 		return false
 	}
-	if c.phase == idle {
-		c.phase, c.since, c.request = busy, now, ""
+	if c.phase != busy {
+		c.phase, c.since, c.request, c.decided = busy, now, "", false
+	}
+	return true
+}
+
+// End records that a connection is ended, unless a request on it has been decided on, and reports whether it is. Before the call, the
+// code that calls Machine must have found that no bytes are waiting on the connection; no request is read from it afterwards.
+func (m *Machine) End(id uint64) bool {
+	c := m.connections[id]
+	if c == nil || c.phase == ended || c.phase == busy && c.decided {
+		return false
 	}
+	c.phase = ended
 	return true
 }
 
@@ -149,7 +167,7 @@
 	if m.config.Checker.Check(arrived, "stop.begin", "request %s on a connection that is ended, closed or idle", request) != nil {
 		return Decision{Refuse: true, Close: true}
 	}
-	c.request = request
+	c.request, c.decided = request, true
 	return Decision{Refuse: c.openedLate, Close: m.Stopping()}
 }
 
@@ -195,12 +213,13 @@
 	}
 	if m.forced || now.Sub(m.stopRequestedAt) >= m.config.Timeout {
 		m.exited = true
+		actions = append(actions, m.endIdle(now, 0)...)
 		return append(actions, Action{Kind: ReleaseLease}, Action{Kind: Exit, Aborted: m.Requests()})
 	}
 	if !m.balancerLagOver(now) {
 		return actions
 	}
-	actions = append(actions, m.endIdle(now)...)
+	actions = append(actions, m.endIdle(now, m.idleTimeout(now))...)
 	if !m.listenerClosing && now.Sub(m.stopRequestedAt) >= m.config.BalancerLag+m.config.IdleTimeout {
 		m.listenerClosing = true
 		actions = append(actions, Action{Kind: CloseListener})
@@ -212,12 +231,20 @@
 	return actions
 }
 
-// endIdle returns actions that end the connections that have been idle for IdleTimeout.
-func (m *Machine) endIdle(now time.Time) []Action {
+// idleTimeout returns the time after which an idle connection is ended: IdleTimeout, or zero from closeTime before the timeout.
+func (m *Machine) idleTimeout(now time.Time) time.Duration {
+	if now.Sub(m.stopRequestedAt) >= m.config.Timeout-closeTime {
+		return 0
+	}
+	return m.config.IdleTimeout
+}
+
+// endIdle returns actions that end the connections that have been idle for the timeout.
+func (m *Machine) endIdle(now time.Time, timeout time.Duration) []Action {
 	var actions []Action
 	for id, c := range m.connections {
-		if c.phase == idle && now.Sub(c.since) >= m.config.IdleTimeout {
-			c.phase = ended
+		if c.phase == idle && now.Sub(c.since) >= timeout {
+			c.phase = ending
 			actions = append(actions, Action{Kind: EndConnection, Connection: id})
 		}
 	}
--- a/soak/internal/soak/inject.go
+++ b/soak/internal/soak/inject.go
@@ -59,7 +59,7 @@
 
 // randomDuration returns a duration of at least low and less than high.
 func (h *harness) randomDuration(low, high time.Duration) time.Duration {
-	return low + time.Duration(h.random.Int64N(int64(high-low)))
+	return between(h.random, low, high)
 }
 
 func (h *harness) killInstance() string {
--- a/soak/internal/soak/soak.go
+++ b/soak/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,8 +38,13 @@
 	recoveryTime = 4 * time.Second
 	// entryInterval is the time between two writes of a backend server's entry to the store.
 	entryInterval = 400 * time.Millisecond
-	// requestInterval is the time between the end of a request and the next one of the same caller.
+	// requestInterval is the time between the end of a request and the next one of the same caller, except every longPauseEvery-th time
+	// on average.
 	requestInterval = 15 * time.Millisecond
+	// longPauseEvery is the mean number of pauses of a caller to one that is up to maxPause long, about as long as an idle timeout.
+	longPauseEvery = 4
+	// maxPause is the maximum time between two requests of a caller.
+	maxPause = 200 * time.Millisecond
 	// callerCount is the number of concurrent callers.
 	callerCount = 6
 	// plainServerCount and engineServerCount are the numbers of plain backend servers and of engines.
@@ -84,13 +90,15 @@
 	callers       callers
 	startedAt     time.Time
 	injected      []string
+	heldUp        []string             // the hold-ups and the changes of timeouts
 	revoked       map[string]time.Time // time of revocation by API key
 	said          []string             // what the backend servers said of themselves
 	interruptions []interruption       // of instances and servers, in the order of their starts
 
-	mu      sync.Mutex // guards version, keys and the additions to interruptions
-	version int
-	keys    []fakeplatform.APIKey
+	mu       sync.Mutex // guards version, keys, timeouts and the additions to interruptions
+	version  int
+	keys     []fakeplatform.APIKey
+	timeouts fakeplatform.Timeouts
 }
 
 // Run runs instances under load with injected faults, and returns an error if they violate a guarantee or serve no request.
@@ -98,7 +106,7 @@
 	defer errors.DeferredAnnotatef(&err, "seed %d", config.Seed)
 	h := &harness{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 0)), store: fakeplatform.NewStore(),
-		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(),
+		cluster: fakeplatform.NewCluster(), revoked: make(map[string]time.Time), startedAt: time.Now(), timeouts: fakeplatform.DefaultTimeouts,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -107,10 +115,11 @@
 		return report, err
 	}
 	h.runLoad(ctx)
-	report = Report{Seed: config.Seed, InjectedFaults: append(h.injected, h.said...), Runs: len(h.cluster.Runs()), Reroutes: h.cluster.Reroutes()}
+	report = Report{Seed: config.Seed, InjectedFaults: slices.Concat(h.injected, h.said, h.heldUp), Runs: len(h.cluster.Runs()), Reroutes: h.cluster.Reroutes()}
 	report.Violations, report.Served = h.callers.verify(h.cluster.Runs(), h.revoked)
 	report.Violations = append(report.Violations, h.cluster.Violations()...)
 	report.Violations = append(report.Violations, verifyNotices(h.callers.requests, h.cluster.Arrivals(), h.interruptions)...)
+	report.Violations = append(report.Violations, verifyAnswered(h.callers.requests, h.exits())...)
 	report.Requests = len(h.callers.requests)
 	if report.Served == 0 {
 		report.Violations = append(report.Violations, "no request was served")
@@ -215,7 +224,7 @@
 	defer h.mu.Unlock()
 	change()
 	h.version++
-	h.store.PutConfig(h.version, h.keys)
+	h.store.PutConfig(h.version, h.keys, h.timeouts)
 }
 
 // runLoad runs the callers through a warm-up, the configured duration with faults and a recovery time. Between the last two it
@@ -224,11 +233,13 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	for i := range callerCount {
-		group.Go(func() { h.runCaller(callersCtx, rand.New(rand.NewPCG(h.config.Seed, uint64(i+1)))) })
+		random, pauses := rand.New(rand.NewPCG(h.config.Seed, uint64(i+1))), rand.New(rand.NewPCG(h.config.Seed, uint64(pauseRandomStream+i)))
+		group.Go(func() { h.runCaller(callersCtx, random, pauses) })
 	}
 	time.Sleep(warmUpTime)
 	deadline := time.Now().Add(h.config.Duration)
 	group.Go(func() { h.injectNotices(ctx, deadline) })
+	group.Go(func() { h.injectHoldUps(ctx, deadline) })
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		h.inject()
 		time.Sleep(time.Duration(h.random.IntN(600)) * time.Millisecond)
@@ -239,9 +250,9 @@
 	group.Wait()
 }
 
-// runCaller sends requests to random instances over kept-alive connections until ctx is done. It does not cancel the request in
-// progress.
-func (h *harness) runCaller(ctx context.Context, random *rand.Rand) {
+// runCaller sends requests to random instances over kept-alive connections, with random pauses, until ctx is done. It does not cancel
+// the request in progress.
+func (h *harness) runCaller(ctx context.Context, random, pauses *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	kinds := []string{"once", "safe", "stream"}
 	keys := []fakeplatform.APIKey{}
@@ -249,7 +260,11 @@
 	for ctx.Err() == nil {
 		target := h.instances[random.IntN(len(h.instances))]
 		h.callers.send(context.WithoutCancel(ctx), client, target, kinds[random.IntN(len(kinds))], keys[random.IntN(len(keys))])
-		time.Sleep(requestInterval)
+		if pauses.IntN(longPauseEvery) == 0 {
+			time.Sleep(time.Duration(pauses.Int64N(int64(maxPause))))
+		} else {
+			time.Sleep(requestInterval)
+		}
 	}
 }
 
