--- a/comfreyrail/internal/gateway/catalog/crash_report_test.go
+++ b/comfreyrail/internal/gateway/catalog/crash_report_test.go
@@ -1,9 +1,12 @@
 package catalog
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -27,3 +30,19 @@
 		t.Errorf("got %+v after the removal and %+v before, want none and a map that does not change", now, got)
 	}
 }
+
+// Guards against crash reports that fill the links between instances without any figure that shows it.
+func TestFetchedBytesAreCounted(t *testing.T) {
+	fake := &fakeStore{now: time.Minute}
+	c := newCatalog(fake, Instance{Name: "a"})
+	refreshOnce(t, c, fake)
+	fake.peerChanges = Changes{Revision: 20, Items: []store.Item{item(CrashReportPrefix+"x", `{"crashes":[]}`, 18), item("other", "four", 19)}}
+	if _, err := c.fetchFrom(context.Background(), Instance{Name: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]int64{fetchedBytes: 18, fetchedReportBytes: 14} {
+		if got := metrics.GetOrRegisterCounter(name, c.config.Metrics).Count(); got != want {
+			t.Errorf("%s: got %d bytes, want %d", name, got, want)
+		}
+	}
+}
