--- a/comfreyrail/internal/gateway/catalog/catalog.go
+++ b/comfreyrail/internal/gateway/catalog/catalog.go
@@ -137,24 +137,25 @@
 
 	// The fields below are used only by the goroutine that runs Serve.
 
-	era           uint64 // of the store, zero if unknown
-	noticedEra    uint64 // of the last watch that found the store restored, whose content may not have been read yet
-	revision      uint64
-	source        source // where the changes that are being applied come from
-	index         *route.Index
-	servers       map[string]backend.Server
-	expiring      map[string]time.Duration // when to remove a server whose entry was removed in or after an outage, by ID
-	malformed     map[string]bool          // keys of malformed items that were logged
-	restored      restored
-	instances     map[string]Instance
-	placer        store.Item
-	crashReports  map[string]poison.Evidence // replaced, not changed
-	unpublished   bool                       // whether the state has changed since the last snapshot
-	upToDate      bool                       // whether a refresh succeeded and none failed since, not counting errors of mustReadAll and errStoreSkipped
-	hadOutage     bool                       // whether a refresh failed after an earlier one had succeeded
-	upToDateSince time.Duration
-	storeFailedAt time.Duration            // when the last read of the store failed, zero if it succeeded
-	cooldowns     map[string]time.Duration // time by instance name until which it is not used as a reader
+	era              uint64 // of the store, zero if unknown
+	noticedEra       uint64 // of the last watch that found the store restored, whose content may not have been read yet
+	revision         uint64
+	source           source // where the changes that are being applied come from
+	index            *route.Index
+	servers          map[string]backend.Server
+	expiring         map[string]time.Duration // when to remove a server whose entry was removed in or after an outage, by ID
+	malformed        map[string]bool          // keys of malformed items that were logged
+	restored         restored
+	instances        map[string]Instance
+	placer           store.Item
+	crashReports     map[string]poison.Evidence
+	reportsPublished bool // whether a snapshot holds crashReports, which must be copied before a change then
+	unpublished      bool // whether the state has changed since the last snapshot
+	upToDate         bool // whether a refresh succeeded and none failed since, not counting errors of mustReadAll and errStoreSkipped
+	hadOutage        bool // whether a refresh failed after an earlier one had succeeded
+	upToDateSince    time.Duration
+	storeFailedAt    time.Duration            // when the last read of the store failed, zero if it succeeded
+	cooldowns        map[string]time.Duration // time by instance name until which it is not used as a reader
 }
 
 // New returns an empty Catalog.
@@ -272,4 +273,5 @@
 		snapshot.Servers[server.Service] = append(snapshot.Servers[server.Service], server)
 	}
 	c.published.Store(snapshot)
+	c.reportsPublished = true
 }
--- a/comfreyrail/internal/gateway/catalog/crash_report_test.go
+++ b/comfreyrail/internal/gateway/catalog/crash_report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"testing"
 	"time"
 
@@ -46,3 +47,23 @@
 		}
 	}
 }
+
+// Guards against a copy of all crash reports for each one that has changed, which costs an instance of a large fleet much of its
+// processor time while engines crash, and against a snapshot whose reports change.
+func TestCrashReportsAreCopiedOnce(t *testing.T) {
+	c := newCatalog(&fakeStore{now: time.Minute}, Instance{Name: "a"})
+	var maps []uintptr
+	for i, key := range []string{"x", "y", "x"} {
+		c.apply(item(CrashReportPrefix+key, `{"crashes":[]}`, uint64(i+1)))
+		maps = append(maps, reflect.ValueOf(c.crashReports).Pointer())
+	}
+	if maps[1] != maps[0] || maps[2] != maps[0] {
+		t.Errorf("got maps %v for three changes, want one", maps)
+	}
+	c.publish()
+	before := c.Snapshot().CrashReports
+	c.apply(item(CrashReportPrefix+"z", `{"crashes":[]}`, 4))
+	if len(before) != 2 || len(c.crashReports) != 3 {
+		t.Errorf("got %d reports in the snapshot and %d now, want 2 and 3", len(before), len(c.crashReports))
+	}
+}
--- a/comfreyrail/internal/gateway/catalog/state.go
+++ b/comfreyrail/internal/gateway/catalog/state.go
@@ -107,11 +107,7 @@
 
 // applyCrashReport adds, replaces or removes the crash report of an instance; a malformed one counts as removed.
 func (c *Catalog) applyCrashReport(item store.Item) {
-	reports, name := maps.Clone(c.crashReports), strings.TrimPrefix(item.Key, CrashReportPrefix)
-	if reports == nil {
-		reports = make(map[string]poison.Evidence)
-	}
-	c.crashReports = reports
+	reports, name := c.changeableReports(), strings.TrimPrefix(item.Key, CrashReportPrefix)
 	known, ok := reports[name]
 	delete(reports, name)
 	if item.Deleted {
@@ -130,6 +126,17 @@
 	reports[name] = report
 }
 
+// changeableReports returns the crash reports in a map that no snapshot holds.
+func (c *Catalog) changeableReports() map[string]poison.Evidence {
+	if c.crashReports == nil {
+		c.crashReports = make(map[string]poison.Evidence)
+	}
+	if c.reportsPublished {
+		c.crashReports, c.reportsPublished = maps.Clone(c.crashReports), false
+	}
+	return c.crashReports
+}
+
 // applyConfig puts a configuration in force if its version is greater than that of the one in force. A removed or
 // malformed configuration changes nothing.
 func (c *Catalog) applyConfig(item store.Item) {
