--- a/rail/holdup/holdup.go
+++ b/rail/holdup/holdup.go
@@ -15,7 +15,6 @@
 	observed   bool
 	observedAt time.Duration
 	heldUp     time.Duration // total time of all hold-ups
-	endedAt    time.Duration // when the last hold-up ended
 	holdUps    int
 }
 
@@ -24,7 +23,6 @@
 func (m *Meter) Running(now time.Duration) time.Duration {
 	if gap := now - m.observedAt; m.observed && gap > maxGap {
 		m.heldUp += gap - Interval
-		m.endedAt = now
 		m.holdUps++
 	}
 	m.observed, m.observedAt = true, max(now, m.observedAt)
