Take engines for dead of whose crash another instance tells

Cause: an instance that heard of a crash blocked the part, but went on sending sound requests to the engine until its own attempt was refused a connection. With two engines crashed a request could use up both its attempts there.

Change: an announcement marks the engines that it names as dead, as a failed probe does: no requests until they respond to a probe, or for a second.

--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
 )
 
 // blockedRetryAfter is the delay before a retry of a blocked request. It may be blocked only until other instances have reported what
@@ -141,6 +142,23 @@
 	return f.firstEngineCrashed(ctx, a, parts)
 }
 
+// EnginesCrashed records that engines have crashed, as another instance found. They get no requests until they respond to a probe, or
+// for a short time.
+func (f *Forwarder) EnginesCrashed(servers []backend.Server) {
+	snapshot := f.config.Catalog.Snapshot()
+	if snapshot.Index == nil {
+		return
+	}
+	for i := range snapshot.Index.Config.Services {
+		service := &snapshot.Index.Config.Services[i]
+		for _, server := range servers {
+			if server.Service == service.Name && service.Engine != nil {
+				f.selector.engineCrashed(service, snapshot, server)
+			}
+		}
+	}
+}
+
 // isConnectionEnd reports whether an error means that the other side ended the connection.
 func isConnectionEnd(err error) bool {
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errEmptyStream} {
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -164,7 +164,7 @@
 		announce := func(content []byte) {
 			for other, g := range gateways {
 				if other != i {
-					g.keeper.Announced(fmt.Sprint("instance", i), content)
+					g.forwarder.EnginesCrashed(g.keeper.Announced(fmt.Sprint("instance", i), content))
 				}
 			}
 		}
--- a/comfreyrail/internal/gateway/forward/selector.go
+++ b/comfreyrail/internal/gateway/forward/selector.go
@@ -210,6 +210,13 @@
 	}
 }
 
+// engineCrashed records that an engine of the service has crashed, also before the first request for the service.
+func (s *selector) engineCrashed(service *route.Service, snapshot *catalog.Snapshot, server backend.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refreshedEngines(service, snapshot).chooser.ProbeFailed(s.config.Clock.Now(), server.ID)
+}
+
 // planReroute returns the chain of the attempt with the layers of the replaced engines moved to other engines. It returns false if
 // there is no such chain.
 func (s *selector) planReroute(a *streamAttempt, plan reroutePlan) (chain pipeline.Chain, ok bool) {
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -203,7 +203,8 @@
 
 func provideExchange(cfg settings.Gateway, cat *catalog.Catalog, forwarder *forward.Forwarder, quarantineKeeper *quarantine.Keeper, usages *peerUsage, log *logrus.Entry) *usage.Exchange {
 	usages.exchange = usage.New(usage.Config{
-		Name: cfg.Name, Zone: cfg.Zone, Listen: cfg.Listen.Peer, Usage: forwarder.Usage, Announced: quarantineKeeper.Announced, Log: log,
+		Name: cfg.Name, Zone: cfg.Zone, Listen: cfg.Listen.Peer, Usage: forwarder.Usage, Log: log,
+		Announced: func(from string, content []byte) { forwarder.EnginesCrashed(quarantineKeeper.Announced(from, content)) },
 		Peers: func() (peers []usage.Peer) {
 			for _, instance := range cat.Snapshot().Instances {
 				if instance.PeerAddress != cfg.Listen.Peer {
--- a/comfreyrail/internal/gateway/quarantine/announcer.go
+++ b/comfreyrail/internal/gateway/quarantine/announcer.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
+	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
@@ -89,16 +90,30 @@
 	return nil
 }
 
-// Announced records what another instance announced. It ignores content that is not valid.
-func (k *Keeper) Announced(from string, content []byte) {
+// Announced records what another instance announced, and returns the engines that have crashed by that. It ignores content that is
+// not valid.
+func (k *Keeper) Announced(from string, content []byte) (crashed []backend.Server) {
 	evidence, err := poison.DecodeEvidence(content)
 	if err != nil {
 		k.config.Log.WithError(err).Debug("announcement ignored")
-		return
+		return nil
 	}
 	metrics.GetOrRegisterCounter("quarantine.heard", k.config.Metrics).Inc(1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.finder.Heard(time.Now(), from, evidence)
 	k.withdrawBlocked()
+	return k.listed(evidence.Engines())
+}
+
+// listed returns the servers of the newest snapshot that are the given incarnations.
+func (k *Keeper) listed(incarnations map[string]bool) (servers []backend.Server) {
+	for _, service := range k.config.Snapshot().Servers {
+		for _, server := range service {
+			if incarnations[incarnation(server)] {
+				servers = append(servers, server)
+			}
+		}
+	}
+	return servers
 }
--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/juju/errors"
 )
@@ -58,6 +59,15 @@
 // IsEmpty reports whether there is nothing to tell.
 func (e Evidence) IsEmpty() bool { return e.isEmpty() && e.Answers.isEmpty() }
 
+// Engines returns the engines that crashed.
+func (e Evidence) Engines() (engines map[string]bool) {
+	engines = make(map[string]bool)
+	for _, crash := range slices.Concat(e.Crashes, e.Answers.Crashes) {
+		engines[crash.Engine] = true
+	}
+	return engines
+}
+
 // Encode returns the evidence as it is stored.
 func (e Evidence) Encode() (value []byte, err error) {
 	defer errors.DeferredAnnotatef(&err, "encode crash report")
