Wait for the end of the connection in its test, not for 250 ms

TestRequestOnEndingConnectionIsAnswered sent its second request 250 ms after the stop and expected 408, taking the connection to be ended by then. It failed once in a run of several packages at a load average of 35, and once in 75 runs beside six busy processes: "got status 404, want 408". The request had arrived before the end and was served, which is correct.

The test now waits until that response has arrived, at most for the timeout of the stop, sends the request, and expects the same as before.

--- a/comfreyrail/internal/gateway/process/caller_server_test.go
+++ b/comfreyrail/internal/gateway/process/caller_server_test.go
@@ -106,8 +106,11 @@
 		t.Fatalf("got status %d before the stop, want %d", got, want)
 	}
 	server.server.Stop()
-	ended := testBalancerLag + testIdleTimeout + 100*time.Millisecond
-	time.Sleep(ended)
+	// The response that ends the connection arrives without a request.
+	_ = conn.SetReadDeadline(time.Now().Add(testStopTimeout))
+	if _, err := reader.Peek(1); err != nil {
+		t.Fatalf("the connection is not ended: %v", err)
+	}
 	send()
 	response := read()
 	if got, want := response.StatusCode, http.StatusRequestTimeout; got != want {
