--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -18,7 +18,8 @@
 type Report struct {
 	// Crashes lists the crashes, oldest first, with the parts of the prompts under which the engines may have crashed.
 	Crashes []Crash `json:"crashes"`
-	// Cleared lists crashes with the parts that did not cause them, since other engines have survived them.
+	// Cleared lists crashes with the parts that did not cause them, nor those that became known before, since other engines have
+	// survived them.
 	Cleared []Crash `json:"cleared"`
 }
 
