--- a/rail/holdup/holdup.go
+++ b/rail/holdup/holdup.go
@@ -35,8 +35,8 @@
 // Timeout is a timeout that does not count hold-ups.
 type Timeout struct {
 	endsAt  time.Duration // of the running time
-	holdUps int           // number of hold-ups before the first one that prolongs the timeout
-	graced  bool
+	holdUps int           // number of hold-ups before the start
+	graced  bool          // whether it has been prolonged by grace
 }
 
 // Start starts a timeout of the duration d.
