Look at sockets in one place

Package graceful had a read of its own of what waits after a deadline; it uses package lastlook now, which also asks whether anything waits. Of two tests of the listener's backlog, written at the same time, the one stays that has three connections waiting and wants the listener closed after them; the other had one.

--- a/comfreyrail/internal/gateway/upstream/late_test.go
+++ b/comfreyrail/internal/gateway/upstream/late_test.go
@@ -11,26 +11,17 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/lastlook"
 )
 
 // waitForBytes waits until bytes have arrived at the socket of a connection.
 func waitForBytes(t *testing.T, conn net.Conn) {
 	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		arrived := 0
-		_ = raw.Control(func(fd uintptr) {
-			arrived, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		})
-		if arrived > 0 {
-			return
+	for end := time.Now().Add(5 * time.Second); !lastlook.Ready(conn.(*net.TCPConn)); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no bytes have arrived")
 		}
 	}
-	t.Fatal("no bytes have arrived")
 }
 
 // sendForBody sends a request to a server that writes the head of a response, and the body once the returned function is called.
--- a/comfreyrail/internal/traffic/graceful/conn.go
+++ b/comfreyrail/internal/traffic/graceful/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/lastlook"
 )
 
 // Timeouts of closing connections and the listener.
@@ -98,7 +100,7 @@
 //
 // The runtime reports a deadline that has passed without a look at the socket.
 func (c *conn) readLate(p []byte) (n int, err error) {
-	n, err = readWaiting(c.TCPConn, p)
+	n, err = lastlook.Read(c.TCPConn, p)
 	if n > 0 {
 		c.server.count("connections.late")
 	}
@@ -260,7 +262,7 @@
 		if !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if !readable(l.TCPListener) {
+		if !lastlook.Ready(l.TCPListener) {
 			return nil, net.ErrClosed
 		}
 		_ = l.SetDeadline(time.Now().Add(backlogTime))
--- a/comfreyrail/internal/traffic/graceful/late_test.go
+++ b/comfreyrail/internal/traffic/graceful/late_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/lastlook"
 	"github.com/comfreyrail/comfreyrail/rail/stop"
 )
 
@@ -57,7 +57,7 @@
 	if _, err := io.WriteString(caller, text); err != nil {
 		t.Fatal(err)
 	}
-	for deadline := time.Now().Add(10 * time.Second); !readable(c.TCPConn); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(10 * time.Second); !lastlook.Ready(c.TCPConn); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the bytes do not arrive")
 		}
@@ -210,26 +210,3 @@
 	}
 	_ = response.Body.Close()
 }
-
-// Guards against connections that are reset because the listener closes by the clock while they wait in its backlog.
-func TestListenerAcceptsBacklogAfterDeadline(t *testing.T) {
-	netListener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = netListener.Close() }()
-	l := &listener{TCPListener: netListener.(*net.TCPListener), server: newServer()}
-	caller, err := net.Dial("tcp", netListener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = caller.Close() }()
-	l.drainBacklog()
-	time.Sleep(2 * backlogTime)
-	if _, err = l.Accept(); err != nil {
-		t.Errorf("got error %v, want the connection that was waiting", err)
-	}
-	if _, err = l.Accept(); !errors.Is(err, net.ErrClosed) {
-		t.Errorf("got error %v, want %v", err, net.ErrClosed)
-	}
-}
