Answer idle connections before the process exits

Cause: since the reader confirms the end of an idle connection, the ends that come with the exit of a stop (at its timeout, or at a second signal) were only asked for: the process exited without waiting for the readers, and a request that one of them found could begin and be aborted without being listed.

Change: at the exit the machine ends these connections itself (Action.Ended); nothing is read from them any more, and the response is sent before the step that exits goes on.

TestIdleConnectionsAreEndedBeforeExit confirms each end as the server does; what it expects is unchanged.

--- a/comfreyrail/internal/traffic/graceful/conn.go
+++ b/comfreyrail/internal/traffic/graceful/conn.go
@@ -199,7 +199,12 @@
 	if !c.server.endConn(c, reason) {
 		return
 	}
-	c.server.count("connections.ended." + string(reason))
+	c.sendEnd(response)
+}
+
+// sendEnd sends the response that ends the connection, and the end of the stream after it.
+func (c *conn) sendEnd(response []byte) {
+	c.server.count("connections.ended." + string(c.reason))
 	_ = c.SetWriteDeadline(time.Now().Add(closeResponseTimeout))
 	_, _ = c.Write(response)
 	_ = c.CloseWrite()
--- a/comfreyrail/internal/traffic/graceful/late_test.go
+++ b/comfreyrail/internal/traffic/graceful/late_test.go
@@ -211,6 +211,26 @@
 	_ = response.Body.Close()
 }
 
+// Guards against an exit of the process that closes idle connections without a response because nothing reads from them any more.
+func TestExitAnswersIdleConnections(t *testing.T) {
+	server := newServer()
+	_, caller := pair(t, server)
+	server.Stop()
+	server.Stop()
+	if ended := server.step(t.Context(), new(listener)); !ended {
+		t.Fatal("got no exit after the second call of Stop")
+	}
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatalf("got %v, want a response", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if got, want := response.StatusCode, http.StatusRequestTimeout; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
+
 // Guards against connections that are reset because the listener closes by the clock while they wait in its backlog.
 func TestListenerAcceptsBacklogAfterDeadline(t *testing.T) {
 	netListener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/comfreyrail/internal/traffic/graceful/server.go
+++ b/comfreyrail/internal/traffic/graceful/server.go
@@ -195,7 +195,7 @@
 			s.config.Log.Info("stopping: not ready; responses carry the header Connection: close")
 			s.config.SetUnready(ctx)
 		case stop.EndConnection:
-			// dueActions has started to end the connection.
+			s.endConnection(action)
 		case stop.CloseListener:
 			s.config.Log.Info("stopping: closing the listener")
 			accepting.drainBacklog()
@@ -220,19 +220,33 @@
 	close(s.stopped)
 }
 
-// dueActions returns the actions that are due, and starts to end the connections of those with the kind EndConnection.
+// dueActions returns the actions that are due, and starts the ends of connections that need a last look at what is waiting.
 func (s *Server) dueActions() []stop.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	actions := s.machine.Step(time.Now())
 	for _, action := range actions {
-		if c := s.conns[action.Connection]; action.Kind == stop.EndConnection && c != nil {
+		if c := s.conns[action.Connection]; action.Kind == stop.EndConnection && !action.Ended && c != nil {
 			c.startEnd()
 		}
 	}
 	return actions
 }
 
+// endConnection sends the response that ends a connection on which nothing is read any more because the process exits.
+func (s *Server) endConnection(action stop.Action) {
+	s.mu.Lock()
+	c := s.conns[action.Connection]
+	if !action.Ended || c == nil {
+		s.mu.Unlock()
+		return
+	}
+	c.reason = endStopping
+	c.ended.Store(true)
+	s.mu.Unlock()
+	c.sendEnd(s.config.CloseResponse)
+}
+
 // addConn registers a new connection.
 func (s *Server) addConn(accepted *net.TCPConn) *conn {
 	s.mu.Lock()
--- a/rail/stop/prove_test.go
+++ b/rail/stop/prove_test.go
@@ -115,6 +115,10 @@
 func (s *simulation) perform(action Action) {
 	switch action.Kind {
 	case EndConnection:
+		if action.Ended {
+			s.respondEnd(action.Connection)
+			return
+		}
 		s.after(s.between(0, maxDelay), func() { s.end(action.Connection) })
 	case CloseListener:
 		s.listenerClosing = true
@@ -131,6 +135,11 @@
 		s.tally.Count("arrived first")
 		return
 	}
+	s.respondEnd(connection)
+}
+
+// respondEnd sends the response that ends a connection, on which no request is read any more.
+func (s *simulation) respondEnd(connection uint64) {
 	s.tally.Count("ended")
 	s.ended[connection] = true
 	s.respond(connection, func() { s.endArrived(connection) })
--- a/rail/stop/stop.go
+++ b/rail/stop/stop.go
@@ -46,6 +46,8 @@
 	Kind ActionKind
 	// Connection is the connection to end if Kind is EndConnection.
 	Connection uint64
+	// Ended reports whether Connection is ended without a call of Machine.End, because the process exits.
+	Ended bool
 	// Aborted lists the requests that are aborted if Kind is Exit.
 	Aborted []Request
 }
@@ -213,7 +215,7 @@
 	}
 	if m.forced || now.Sub(m.stopRequestedAt) >= m.config.Timeout {
 		m.exited = true
-		actions = append(actions, m.endIdle(now, 0)...)
+		actions = append(actions, m.endAll()...)
 		return append(actions, Action{Kind: ReleaseLease}, Action{Kind: Exit, Aborted: m.Requests()})
 	}
 	if !m.balancerLagOver(now) {
@@ -239,6 +241,19 @@
 	return m.config.IdleTimeout
 }
 
+// endAll ends all connections on which no request is in progress and returns the actions for it.
+func (m *Machine) endAll() []Action {
+	var actions []Action
+	for id, c := range m.connections {
+		if c.phase == idle || c.phase == ending {
+			c.phase = ended
+			actions = append(actions, Action{Kind: EndConnection, Connection: id, Ended: true})
+		}
+	}
+	slices.SortFunc(actions, func(a, b Action) int { return cmp.Compare(a.Connection, b.Connection) })
+	return actions
+}
+
 // endIdle returns actions that end the connections that have been idle for the timeout.
 func (m *Machine) endIdle(now time.Time, timeout time.Duration) []Action {
 	var actions []Action
--- a/rail/stop/stop_test.go
+++ b/rail/stop/stop_test.go
@@ -39,6 +39,7 @@
 					exited = exited || action.Kind == Exit
 					if action.Kind == EndConnection && !exited {
 						ended = at
+						m.End(connection)
 					}
 				}
 			}
