Announce no streams that a crash cut after they had begun

What is told through the store of answers that were not whole waits for the cause of the crash, but an announcement told it at once. In a large fleet an instance hears many whose sound streams died, and rarely the one that saw the cause: three such crashes blocked a sound part, and waiting requests with it were withdrawn.

Change: an announcement holds the parts of prompts whose answers had not begun.

TestStreamsCutByCrashesAreNotAnnounced failed before (the sound part blocked).

--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -51,14 +51,12 @@
 	f.answers.Heard(now, from, evidence.Answers.Crashes)
 }
 
-// CrashOf returns what this instance saw of the crash of an engine.
+// CrashOf returns what this instance has to announce of the crash of an engine: the parts of the prompts whose answers had not begun.
+// Answers that had begun say little at once, as most of them had another part; they are left to Evidence.
 func (f *Finder) CrashOf(engine string) (evidence Evidence) {
 	if crash, ok := f.begins.SeenCrash(engine); ok {
 		evidence.Crashes = []Crash{crash}
 	}
-	if crash, ok := f.answers.SeenCrash(engine); ok {
-		evidence.Answers.Crashes = []Crash{crash}
-	}
 	return evidence
 }
 
--- a/rail/poison/heard_test.go
+++ b/rail/poison/heard_test.go
@@ -75,3 +75,26 @@
 		t.Errorf("got %d crashes kept, want %d", got, maxHeard)
 	}
 }
+
+// Guards against a sound part being blocked in a large fleet because instances announce the streams that a crash cut before the one that
+// saw its cause is heard.
+func TestStreamsCutByCrashesAreNotAnnounced(t *testing.T) {
+	const instances = 195
+	listener, cause := NewFinder("listener"), NewFinder("cause")
+	for i := range 3 {
+		engine, name := fmt.Sprint("engine", i), fmt.Sprint("other", i)
+		other, now := NewFinder(name), start.Add(time.Duration(i)*100*time.Millisecond)
+		cause.Crashed(now, engine, []string{"poisoned"}, false)
+		other.Crashed(now, engine, []string{"sound"}, true)
+		if got := other.Evidence(now, instances); !got.IsEmpty() {
+			t.Errorf("got report %v, want none before the cause is known", got)
+		}
+		listener.Heard(now, name, other.CrashOf(engine))
+	}
+	if _, ok := listener.Blocked(start.Add(time.Second), []string{"sound"}); ok {
+		t.Error("got the sound part blocked, want it free")
+	}
+	if got := cause.CrashOf("engine0"); len(got.Crashes) != 1 {
+		t.Errorf("got %v, want the crash announced with the part whose answer had not begun", got)
+	}
+}
