Record a pipelined request before its connection's end is called off

Found by the review, by reading and a scratch test that calls the steps in the old order: a request that is read together with the one before called off the end of its connection first and was recorded as begun after that. A step of the stop in between started the end again, which then stayed for the whole request: its deadline had passed, net/http's background read failed, and the forwarder took the caller for gone.

The two calls change places. TestStopWhilePipelinedRequestBegins guards that the end is called off; the window between the calls has no seam, so that it passes on the code before as well.

--- a/comfreyrail/internal/traffic/graceful/late_test.go
+++ b/comfreyrail/internal/traffic/graceful/late_test.go
@@ -230,3 +230,23 @@
 		t.Errorf("got status %d, want %d", got, want)
 	}
 }
+
+// Guards against a pipelined request whose connection keeps a passed deadline, so that its caller counts as gone: the shutdown had started to
+// end the connection while the request, read together with the one before, began.
+func TestStopWhilePipelinedRequestBegins(t *testing.T) {
+	server := newServer()
+	c, _ := pair(t, server)
+	server.startRead(c.id)
+	server.startRequest(c.id, "first")
+	server.setIdle(c)
+	server.Stop()
+	time.Sleep(5 * time.Millisecond) // past the balancer's lag and the idle timeout of newServer
+	server.dueActions()              // starts to end the connection
+	server.handleConnState(c, http.StateActive)
+	server.dueActions()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		t.Error("got a request on a connection that is being ended, want the end called off")
+	}
+}
--- a/comfreyrail/internal/traffic/graceful/server.go
+++ b/comfreyrail/internal/traffic/graceful/server.go
@@ -309,9 +309,10 @@
 	}
 	switch state {
 	case http.StateActive:
-		// The request may have arrived in the same read as the previous one.
-		c.startRequest()
+		// The request may have arrived in the same read as the previous one. Once startRead returns, the shutdown no longer starts to end
+		// the connection.
 		s.startRead(c.id)
+		c.startRequest()
 	case http.StateIdle:
 		s.setIdle(c)
 	default:
