Withdraw a request that begins to wait after the verdict on its part

Found by the review: a request that had been checked just before its part became known as poisoned began to wait after the waiting ones had been withdrawn, and stayed until the next change. Longer if the process is held up in between.

Change: a request that begins to wait is checked again. TestRequestThatBeginsToWaitAfterVerdictIsWithdrawn failed before.

--- a/comfreyrail/internal/gateway/quarantine/waiting.go
+++ b/comfreyrail/internal/gateway/quarantine/waiting.go
@@ -19,6 +19,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.waiting[request] = true
+	k.withdrawIfBlocked(time.Now(), request) // it may have become blocked since it was checked
 	return func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -30,12 +31,17 @@
 func (k *Keeper) withdrawBlocked() {
 	now := time.Now()
 	for request := range k.waiting {
-		part, ok := k.finder.Blocked(now, request.parts)
-		if !ok {
-			continue
-		}
-		delete(k.waiting, request)
-		metrics.GetOrRegisterCounter("quarantine.withdrawn", k.config.Metrics).Inc(1)
-		request.withdraw(part)
+		k.withdrawIfBlocked(now, request)
+	}
+}
+
+// withdrawIfBlocked withdraws a waiting request if it is blocked. The caller must hold the mutex.
+func (k *Keeper) withdrawIfBlocked(now time.Time, request *waitingRequest) {
+	part, ok := k.finder.Blocked(now, request.parts)
+	if !ok {
+		return
 	}
+	delete(k.waiting, request)
+	metrics.GetOrRegisterCounter("quarantine.withdrawn", k.config.Metrics).Inc(1)
+	request.withdraw(part)
 }
--- a/comfreyrail/internal/gateway/quarantine/waiting_test.go
+++ b/comfreyrail/internal/gateway/quarantine/waiting_test.go
@@ -38,3 +38,17 @@
 		t.Error("got a sound request withdrawn, want it to go on")
 	}
 }
+
+// Guards against a request that stays at an engine because its part became known as poisoned after it had been checked and before it
+// began to wait.
+func TestRequestThatBeginsToWaitAfterVerdictIsWithdrawn(t *testing.T) {
+	k := newKeeper(t, new(shared), "a", syscall.ECONNREFUSED)
+	for _, engine := range []string{"one", "two"} {
+		k.ConnectionEnded(context.Background(), backend.Server{ID: engine}, []string{"poisoned"}, false)
+	}
+	withdrawn := false
+	k.Waiting([]string{"poisoned"}, func(string) { withdrawn = true })
+	if !withdrawn {
+		t.Error("got a request that waits at its engine, want it withdrawn")
+	}
+}
