Take announcements from live instances only

Reports through the store need write access to it.

Change: an announcement counts if it comes from the address of a live instance, from whose socket instances send. An instance that is not listed yet is heard through the store. Addresses of datagrams can be forged within a network that allows that; between instances there is no proof of identity.

TestAnnouncementOfStrangerIsIgnored is new, as the check is (before, every sender was heard).

--- a/comfreyrail/internal/gateway/usage/announcement.go
+++ b/comfreyrail/internal/gateway/usage/announcement.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/netip"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -53,14 +55,20 @@
 	}
 }
 
-// receiveAnnouncement reports whether a datagram is an announcement, and passes on that of another instance.
-func (e *Exchange) receiveAnnouncement(datagram []byte) bool {
+// receiveAnnouncement reports whether a datagram is an announcement, and passes on that of another live instance.
+func (e *Exchange) receiveAnnouncement(datagram []byte, sender netip.AddrPort) bool {
 	var a announcement
 	if err := cbor.Unmarshal(datagram, &a); err != nil || a.Name == "" {
 		return false
 	}
-	if e.config.Announced != nil && a.Name != e.config.Name {
+	if e.config.Announced != nil && a.Name != e.config.Name && e.isPeer(sender) {
 		e.config.Announced(a.Name, a.Content)
 	}
 	return true
 }
+
+// isPeer reports whether an address is that of a live instance.
+func (e *Exchange) isPeer(address netip.AddrPort) bool {
+	text := netip.AddrPortFrom(address.Addr().Unmap(), address.Port()).String()
+	return slices.ContainsFunc(e.config.Peers(), func(peer Peer) bool { return peer.Address == text })
+}
--- a/comfreyrail/internal/gateway/usage/announcement_test.go
+++ b/comfreyrail/internal/gateway/usage/announcement_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
@@ -64,6 +66,27 @@
 	a.Announce(make([]byte, maxAnnouncement+1))
 }
 
+// Guards against an announcement of a process that is no instance, which could have any part blocked.
+func TestAnnouncementOfStrangerIsIgnored(t *testing.T) {
+	var heard []string
+	e := New(Config{
+		Name: "me", Peers: func() []Peer { return []Peer{{Address: "10.0.0.2:7340"}} },
+		Announced: func(from string, _ []byte) { heard = append(heard, from) },
+	})
+	datagram, err := cbor.Marshal(announcement{Name: "peer", Content: []byte("news")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, sender := range []string{"10.0.0.3:7340", "10.0.0.2:7341", "10.0.0.2:7340", "[::ffff:10.0.0.2]:7340"} {
+		if !e.receiveAnnouncement(datagram, netip.MustParseAddrPort(sender)) {
+			t.Errorf("%s: got no announcement", sender)
+		}
+	}
+	if got, want := len(heard), 2; got != want {
+		t.Errorf("got %d announcements passed on, want those %d of the instance", got, want)
+	}
+}
+
 // Guards against a report being taken for an announcement, and against a panic on a malformed datagram.
 func FuzzReceiveAnnouncement(f *testing.F) {
 	report, err := encode(message{Name: "peer", Zone: "a", SameZoneRecipients: 5, OtherZoneRecipients: 3}, nil)
@@ -74,7 +97,7 @@
 	f.Add([]byte{0x82, 0x61, 'b', 0x41, 0x01})
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		e := New(Config{Name: "me"})
-		if e.receiveAnnouncement(datagram) && e.receive(start, datagram) == nil {
+		if e.receiveAnnouncement(datagram, netip.AddrPort{}) && e.receive(start, datagram) == nil {
 			t.Error("got a datagram that is an announcement and a report, want one of them")
 		}
 	})
--- a/comfreyrail/internal/gateway/usage/usage.go
+++ b/comfreyrail/internal/gateway/usage/usage.go
@@ -100,11 +100,11 @@
 	go e.sendLoop(ctx, socket)
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := socket.ReadFromUDPAddrPort(buffer)
+		n, sender, err := socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return err
 		}
-		if e.receiveAnnouncement(buffer[:n]) {
+		if e.receiveAnnouncement(buffer[:n], sender) {
 			continue
 		}
 		if err = e.receive(time.Now(), buffer[:n]); err != nil {
