--- a/comfreyrail/internal/gateway/placer/holdup_test.go
+++ b/comfreyrail/internal/gateway/placer/holdup_test.go
@@ -50,8 +50,9 @@
 	defer cancel()
 	command := exec.CommandContext(ctx, os.Args[0]) //nolint:gosec // the test program itself
 	command.Env = append(os.Environ(), storeEnv+"="+listener.Addr().String())
-	responded := make(chan error, 1)
+	started, responded := make(chan struct{}), make(chan error, 1)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-started
 		responded <- command.Process.Signal(syscall.SIGSTOP)
 		w.WriteHeader(http.StatusOK)
 	})}
@@ -64,6 +65,7 @@
 	if err = command.Start(); err != nil {
 		t.Fatal(err)
 	}
+	close(started)
 	defer func() { _ = command.Wait() }()
 	if err = <-responded; err != nil {
 		t.Fatal(err)
