Soak: half of the seeds without hold-ups

Found by the review: a hold-up of an instance excuses arrivals at servers whose notices it may have missed, for two seconds at least, and the hold-ups of each run left a check of notices with few windows that count.

--- a/soak/internal/soak/holdup.go
+++ b/soak/internal/soak/holdup.go
@@ -32,12 +32,13 @@
 	pauseRandomStream  = 3000
 )
 
-// injectHoldUps holds instances up and changes timeouts until the deadline.
+// injectHoldUps holds instances up and changes timeouts until the deadline. It holds none up in runs with an even seed, since a hold-up
+// excuses what an instance may have missed of servers' notices.
 func (h *harness) injectHoldUps(ctx context.Context, deadline time.Time) {
 	random := rand.New(rand.NewPCG(h.config.Seed, holdUpRandomStream))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		inject := h.holdUpInstances
-		if random.IntN(2) == 0 {
+		if random.IntN(2) == 0 || h.config.Seed%2 == 0 {
 			inject = h.changeTimeouts
 		}
 		at := time.Since(h.startedAt).Round(time.Millisecond)
