Answer callers whose request waited before it was read

Cause: the time kept for the response, 30 ms, is counted from the start of the handling. The caller's clock starts earlier, by the network and by the time that the bytes wait for the processor: requests reached their engines 37 to 58 ms after they had been sent, where 4 to 9 ms are usual.

Change: up to 100 ms are kept, a tenth of the timeout at most as before.

--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -48,8 +48,9 @@
 
 // Limits of the part of a caller's timeout that is kept for the response to reach it.
 const (
-	// maxDeliveryTime is the longest time that is kept.
-	maxDeliveryTime = 30 * time.Millisecond
+	// maxDeliveryTime is the longest time that is kept. It includes the time from the caller's clock to the start of the handling,
+	// in which the request crosses the network and waits for the processor.
+	maxDeliveryTime = 100 * time.Millisecond
 	// deliveryDivisor is the inverse of the largest part of a timeout that is kept.
 	deliveryDivisor = 10
 )
