Let a stream that has begun use its caller's whole time

Cause: the time that is kept for a response to reach its caller before it leaves was taken off every request's time, also after the response had begun, when there is nothing else to send.

Change: a request has a deadline for the begin of its response and an end. The context of the attempts ends at the end; until the response begins, it is canceled at the deadline, or when the caller of a stream is about to leave without an event. Engines are given the time until the end. A response that is ready is sent, also late.

--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -58,8 +58,10 @@
 	limitBodyRead(w, r, j.startedAt.Add(shorterTimeout(0, lessDelivery(j.request.Timeout))))
 	err := f.accept(j, w, r)
 	if err == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
+		ctx, cancel := context.WithDeadline(r.Context(), j.end)
 		defer cancel()
+		ctx, endLimit := j.limitBegin(ctx)
+		defer endLimit()
 		if j.route.Kind == route.Stream {
 			err = f.serveStream(ctx, w, j)
 		} else {
@@ -196,8 +198,12 @@
 // upstreamRequest returns the request to send to one server. Its headers contain the remaining time until the deadline.
 func (f *Forwarder) upstreamRequest(j *job, server backend.Server, stages []call.Stage, lastEventID string) upstream.Request {
 	header := j.header.Clone()
+	until := j.deadline
+	if j.route.Kind == route.Stream {
+		until = j.end // a stream that has begun goes on
+	}
 	f.config.WriteBackendRequest(header, call.BackendRequest{
-		Timeout: time.Until(j.deadline), Workspace: j.workspace, ServerID: server.ID, Urgency: j.urgency, Stages: stages, LastEventID: lastEventID,
+		Timeout: time.Until(until), Workspace: j.workspace, ServerID: server.ID, Urgency: j.urgency, Stages: stages, LastEventID: lastEventID,
 	})
 	snapshot := f.config.Catalog.Snapshot()
 	service, ok := snapshot.Index.Service(j.service)
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -17,8 +17,10 @@
 	bodyLate        bool // the body didn't arrive before the deadline, for which net/http cancels the context
 	service         string
 	workspace       string
-	urgency         int       // 0 is the most urgent
-	deadline        time.Time // end of the route's or the caller's timeout, whichever is first
+	urgency         int          // 0 is the most urgent
+	deadline        time.Time    // when a response must begin, so that it reaches the caller in time
+	end             time.Time    // end of the route's or the caller's timeout, whichever is first
+	begin           func() error // called before a response begins, which its error prevents
 	method          string
 	target          string
 	host            string
@@ -60,9 +62,10 @@
 	return timeout - min(maxDeliveryTime, timeout/deliveryDivisor)
 }
 
-// setDeadline sets the deadline to the shorter of the route's timeout and the caller's, or to defaultTimeout if there is neither. The
-// caller's timeout runs on its own side, so that the response must be sent some time before it ends.
+// setDeadline sets the end to that of the shorter of the route's timeout and the caller's, or of defaultTimeout if there is neither. The
+// caller's timeout runs on its own side, so that the deadline of the response is some time before it ends.
 func (j *job) setDeadline() {
+	j.end = j.startedAt.Add(shorterTimeout(j.route.Timeout, j.request.Timeout))
 	j.deadline = j.startedAt.Add(shorterTimeout(j.route.Timeout, lessDelivery(j.request.Timeout)))
 }
 
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -28,7 +28,7 @@
 			return j.timeoutResponse()
 		}
 		if err == nil && held.succeeded() {
-			return held.deliver(ctx, w)
+			return j.deliver(ctx, w, held)
 		}
 		if err == nil && held.meta.NotRun {
 			held.discard()
@@ -42,7 +42,7 @@
 	}
 	switch {
 	case failure != nil:
-		return failure.deliver(ctx, w)
+		return j.deliver(ctx, w, failure)
 	case ctx.Err() != nil:
 		return j.timeoutResponse()
 	}
@@ -118,7 +118,7 @@
 
 // recordFailedPlainAttempt logs a failed attempt and marks the server as suspected, unless the caller disconnected.
 func (f *Forwarder) recordFailedPlainAttempt(ctx context.Context, j *job, server backend.Server, err error) {
-	if !errors.Is(ctx.Err(), context.Canceled) {
+	if !canceled(ctx) {
 		f.selector.suspectPlain(server.ID)
 	}
 	attempt := event.FailedAttempt{Request: j.request.ID, Server: server.ID, MayHaveRun: j.mayHaveRun, Elapsed: time.Since(j.startedAt)}
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -202,7 +202,7 @@
 // because the attempt is a successor that is not needed.
 func canceled(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(cause, errSuccessorLate) && !errors.Is(cause, errNoEvent)
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(cause, errSuccessorLate) && !errors.Is(cause, errNotBegun)
 }
 
 // stallQueryTimeout is the timeout of fetching the first engine's state after a failure.
--- a/comfreyrail/internal/gateway/forward/stop.go
+++ b/comfreyrail/internal/gateway/forward/stop.go
@@ -42,7 +42,7 @@
 }
 
 // PlanStop sets the times of a stop: requests that are still in progress at abortAt are aborted, and from refuseFrom on
-// requests whose deadline passes later are refused. Before refuseFrom the load balancer may still send new callers here, so that a
+// requests whose timeout ends later are refused. Before refuseFrom the load balancer may still send new callers here, so that a
 // refused caller could be sent to this instance again.
 func (f *Forwarder) PlanStop(refuseFrom, abortAt time.Time) {
 	f.stopPlan.Store(&stopPlan{refuseFrom: refuseFrom, abortAt: abortAt})
@@ -52,9 +52,9 @@
 const responseMargin = 100 * time.Millisecond
 
 // acceptsBeforeAbort reports whether to accept a request. It does so if no stop is planned, if the load balancer may still send
-// callers here, or if the request's deadline passes before requests are aborted. Nothing else bounds the time of a request, whose server
+// callers here, or if the request's timeout ends before requests are aborted. Nothing else bounds the time of a request, whose server
 // may be slow or fall silent, and its caller loses less by being sent to another instance than by being aborted.
 func (f *Forwarder) acceptsBeforeAbort(j *job) bool {
 	plan := f.stopPlan.Load()
-	return plan == nil || time.Now().Before(plan.refuseFrom) || j.deadline.Add(responseMargin).Before(plan.abortAt)
+	return plan == nil || time.Now().Before(plan.refuseFrom) || j.end.Add(responseMargin).Before(plan.abortAt)
 }
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -73,8 +73,7 @@
 func (f *Forwarder) serveStream(ctx context.Context, w http.ResponseWriter, j *job) error {
 	j.out = newEventWriter(w, j.request.LastEventID, f.config.ResponseMemory)
 	defer j.out.close()
-	ctx, cancel := j.limitBegin(ctx)
-	defer cancel()
+	j.out.begin = j.begin
 	defer f.cancelSuccession(j)
 	for {
 		a, err := f.nextAttempt(ctx, j)
@@ -94,30 +93,6 @@
 	}
 }
 
-// errNoEvent is the error of a stream of which no event has arrived when its caller is about to disconnect.
-const errNoEvent = errors.ConstError("no event has arrived before the caller disconnects")
-
-// limitBegin returns a context that ends when the caller is about to disconnect because the response has not begun, so that it can still
-// get an error response.
-func (j *job) limitBegin(ctx context.Context) (limited context.Context, cancel func()) {
-	if j.route.AbandonTime <= 0 {
-		return ctx, func() {}
-	}
-	limited, cancelCause := context.WithCancelCause(ctx)
-	left := time.Until(j.startedAt.Add(lessDelivery(j.route.AbandonTime)))
-	timer := time.AfterFunc(left, func() { cancelCause(errNoEvent) })
-	j.out.begin = func() error {
-		if !timer.Stop() {
-			return errNoEvent
-		}
-		return nil
-	}
-	return limited, func() {
-		timer.Stop()
-		cancelCause(nil)
-	}
-}
-
 // prepareRetry returns nil once the next attempt may follow a failed one, and otherwise the final error of the stream.
 func (f *Forwarder) prepareRetry(ctx context.Context, j *job, cause error) error {
 	f.endSuccession(j)
@@ -130,7 +105,7 @@
 			return j.timeoutResponse()
 		}
 		return cause
-	case j.out.headerSent && waitsPast(cause, j.deadline):
+	case j.out.headerSent && waitsPast(cause, j.end):
 		j.retryDenied = retryDeniedByWait
 		return cause
 	// Memory of engines becomes free again, but a plain server that failed the request is not tried again.
@@ -198,11 +173,7 @@
 	if err != nil {
 		return j.failureResponse("stream-failed")
 	}
-	if j.out.beginResponse() != nil {
-		held.discard()
-		return j.timeoutResponse()
-	}
-	return held.deliver(ctx, w)
+	return j.deliver(ctx, w, held)
 }
 
 // relay writes the events of an attempt to the caller until the stream is complete. It returns an error if the attempt
