Start one successor of a silent stream at a time

Callers of streams whose first engine is silent: the request can go to more servers than the route allows, and one that nothing ends goes on at an engine after the caller's response has ended. The memory that is reserved for it on the engines is never returned, so that later callers are refused for lack of room.

Cause: one check of a silent attempt can call replace twice, because its time is up and because its first engine is known to be dead. The second call replaced the succession of the first, which then had nobody to end it, use it or count its attempts.

Change: replace starts no successor while one is being started.

Evidence: TestSilentEngineGetsOneSuccessorAtATime failed in three of three runs before (two successors at once in 3, 4 and 4 of 4 cases; a request or its memory left behind in 2, 1 and 3 of 4) and passes in three of three.

--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -46,14 +46,14 @@
 	err     error          // why the successor failed, nil if it has begun to respond
 }
 
-// replace marks the server at fault for a silent attempt as suspected, the first time, and starts a successor of the attempt if the
-// route allows another one and the backoff has passed. The address is that of the engine at fault, empty if unknown.
+// replace marks the server at fault for a silent attempt as suspected, the first time, and starts a successor of the attempt if none is
+// being started, the route allows another one and the backoff has passed. The address is that of the engine at fault, empty if unknown.
 func (f *Forwarder) replace(ctx context.Context, j *job, a *streamAttempt, address string) {
 	if !a.suspected {
 		a.suspected = true
 		a.faultyAddress = f.suspect(ctx, j, a, address)
 	}
-	if j.mayHaveSuccessor() && !time.Now().Before(a.replaceFrom) {
+	if j.succession == nil && j.mayHaveSuccessor() && !time.Now().Before(a.replaceFrom) {
 		f.startSuccessor(ctx, j, a)
 	}
 }
