Pass on small events without the memory budget

Callers of streams: a stream of small events from a sound engine is broken off in the middle while the responses of other servers have taken all memory for responses, for instance heads or bodies without end.

Cause: events that arrive together with the beginning of the next one were buffered as one block of up to 4 KB beyond that beginning, for which the shared budget was asked, and a buffer that grows in steps asked for more than it needed. Each refusal counted as a failed attempt of a sound engine, and the stream was aborted after the last.

Change: what arrives is buffered in parts that leave the buffer within its free memory, and a buffer does not ask the budget for room within that.

--- a/comfreyrail/internal/gateway/forward/events.go
+++ b/comfreyrail/internal/gateway/forward/events.go
@@ -130,8 +130,20 @@
 
 // write buffers bytes of the stream, and writes and flushes the complete events. It returns errEventTooLarge if an event
 // is larger than limit.EventBytes, and another error if no memory is left for it, if it does not continue a resumed stream or if
-// writing to the caller fails.
+// writing to the caller fails. An event within limit.FreeBytes needs no memory of the budget, whatever arrives together with it.
 func (e *eventWriter) write(b []byte) (err error) {
+	for len(b) > 0 && err == nil {
+		n := len(b)
+		if free := limit.FreeBytes - len(e.pending.Bytes()); free > 0 {
+			n = min(n, free)
+		}
+		err = e.writePart(b[:n])
+		b = b[n:]
+	}
+	return err
+}
+
+func (e *eventWriter) writePart(b []byte) (err error) {
 	searchFrom := max(len(e.pending.Bytes())-1, 0) // a line feed there may begin the end of the event
 	if _, err = e.pending.Write(b); err != nil {
 		return errors.Annotate(err, "buffer event")
--- a/rail/limit/buffer.go
+++ b/rail/limit/buffer.go
@@ -76,7 +76,8 @@
 	b.content, b.taken = nil, 0
 }
 
-// grow makes room for size bytes, and more if it can. It reports whether there is room.
+// grow makes room for size bytes, and more if it can; it does not ask the budget for room within FreeBytes. It reports whether there is
+// room.
 func (b *Buffer) grow(size int) bool {
 	if size <= cap(b.content) {
 		return true
@@ -85,6 +86,9 @@
 		return false
 	}
 	capacity := min(max(2*cap(b.content), size, initialBytes), b.max)
+	if size <= FreeBytes {
+		capacity = min(capacity, FreeBytes)
+	}
 	if needed := capacity - FreeBytes - b.taken; needed > 0 {
 		if !b.budget.Take(needed) {
 			return false
--- a/rail/limit/limit_test.go
+++ b/rail/limit/limit_test.go
@@ -69,6 +69,18 @@
 
 func (endless) Read(b []byte) (n int, err error) { return len(b), nil }
 
+// Guards against a small response or event that fails because others have taken all memory: a buffer that grows in steps.
+func TestBufferWithinFreeBytesNeedsNoBudget(t *testing.T) {
+	for _, first := range []int{1, initialBytes, FreeBytes / 2, FreeBytes/2 + 1, FreeBytes - 1} {
+		b := NewBuffer(NewBudget(0), 1<<20)
+		for _, size := range []int{first, FreeBytes - first} {
+			if _, err := b.Write(make([]byte, size)); err != nil {
+				t.Errorf("%d bytes first: got %v, want %d bytes without the budget", first, err, FreeBytes)
+			}
+		}
+	}
+}
+
 // Whatever fits must come out as it went in, in pieces of any size, and a reader's error must not look like its end.
 func TestBufferKeepsContent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
