Answer requests whose handler panics in gateway mode

Callers: a request that had been read whole would end with a closed connection, neither answered nor refused, and neither the counters nor the log at its usual level would show why. Router mode answers such a request. The fault is that one could not have been told from other closed connections.

Cause: only net/http recovered from the panic; it closes the connection and writes a line that the gateway logs for debugging.

Change: the server for callers logs an error with the stack, counts requests.panicked and lets the gateway respond with status 502, which promises nothing; once the response has begun, it is aborted as before.

Evidence: with the recovery taken out, TestPanickedRequestIsAnswered fails ("got status 0, unexpected EOF, want 502", 0 panics counted).

--- a/comfreyrail/internal/gateway/forward/stop.go
+++ b/comfreyrail/internal/gateway/forward/stop.go
@@ -14,6 +14,11 @@
 	writeErrorResponse(w, stoppingResponse())
 }
 
+// RespondPanicked responds to a request whose handler panicked, so that it may have been run.
+func (f *Forwarder) RespondPanicked(w http.ResponseWriter, _ *http.Request) {
+	writeErrorResponse(w, &errorResponse{status: http.StatusBadGateway, code: "internal"})
+}
+
 func stoppingResponse() *errorResponse {
 	return &errorResponse{status: http.StatusServiceUnavailable, code: "stopping", retryAfter: retryElsewhereAfter}
 }
--- a/comfreyrail/internal/gateway/process/caller_server.go
+++ b/comfreyrail/internal/gateway/process/caller_server.go
@@ -49,6 +49,7 @@
 		IdleTimeout:   func() time.Duration { return callerIdleTimeout(configLimits(cat.Snapshot().Index)) },
 		Handler:       forwarder,
 		Refuse:        forwarder.RefuseStopping,
+		Panicked:      forwarder.RespondPanicked,
 		CloseResponse: forward.CloseResponse(), TimeoutResponse: forward.TimeoutResponse(),
 		RequestID: forwarder.RequestID,
 		Stop: stop.Config{
--- a/comfreyrail/internal/traffic/graceful/handler.go
+++ b/comfreyrail/internal/traffic/graceful/handler.go
@@ -34,9 +34,15 @@
 		return
 	}
 	c.serving.Store(true)
+	rw := &responseWriter{ResponseWriter: w, server: s}
+	defer func() {
+		if reason := recover(); reason != nil {
+			s.respondPanicked(rw, r, reason)
+		}
+	}()
 	id := s.config.RequestID(r)
 	decision := s.startRequest(c.id, id)
-	rw := &responseWriter{ResponseWriter: w, server: s, closeConn: decision.Close}
+	rw.closeConn = decision.Close
 	r = r.WithContext(context.WithValue(r.Context(), requestKey, id))
 	if decision.Refuse {
 		s.config.Refuse(rw, r)
--- a/comfreyrail/internal/traffic/graceful/server.go
+++ b/comfreyrail/internal/traffic/graceful/server.go
@@ -33,6 +33,8 @@
 	Handler http.Handler
 	// Refuse responds to a request that must not run because the instance is stopping.
 	Refuse http.HandlerFunc
+	// Panicked responds to a request whose handler panicked before the response began; nil closes the connection.
+	Panicked http.HandlerFunc
 	// CloseResponse is the complete HTTP response with which the graceful shutdown ends an idle connection.
 	CloseResponse []byte
 	// TimeoutResponse is the complete HTTP response that ends a connection on which no whole request arrived in time.
@@ -48,7 +50,8 @@
 	RequestID func(r *http.Request) string
 	// Metrics holds counters of the ends of connections; nil selects a new registry.
 	Metrics metrics.Registry
-	// Log receives lines about the graceful shutdown, with an error for each request that was aborted.
+	// Log receives lines about the graceful shutdown, with an error for each request that was aborted, and an error for each panic
+	// of a handler.
 	Log *logrus.Entry
 }
 
--- a/comfreyrail/internal/traffic/graceful/server_test.go
+++ b/comfreyrail/internal/traffic/graceful/server_test.go
@@ -66,6 +66,7 @@
 	i.Server = New(Config{
 		Listen: i.address, NewHTTPServer: func() *http.Server { return &http.Server{ReadHeaderTimeout: time.Second} }, Handler: handler,
 		Refuse:        func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "notrun", http.StatusServiceUnavailable) },
+		Panicked:      func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "panicked", http.StatusBadGateway) },
 		CloseResponse: []byte(testCloseResponse), SetUnready: func(context.Context) { i.ready.Store(false) },
 		Stop: config, Log: logrus.NewEntry(log),
 	})
