Let a panic fail the successor that it hits, not the process

Callers: a panic at the start of another attempt at a stream would end the gateway with all of its requests. None has been seen.

Cause: a successor of a silent attempt is started in a goroutine of its own, from whose panic nothing recovered.

Change: the panic is the failure of the successor, logged as an error with its stack and counted as requests.panicked. The silent attempt goes on.

Evidence: with the recovery taken out, TestPanicOfSuccessorKeepsStream ends the test process with "panic: broken"; with it the caller gets the whole stream of the silent server.

--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"runtime/debug"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -71,6 +74,7 @@
 	j.succession = s
 	go func() {
 		defer close(s.done)
+		defer f.recoverSuccession(s)
 		s.attempt, s.err = f.beginSuccessor(ctx, &s.job, position)
 		if inTime := timer.Stop(); s.err == nil && !inTime {
 			f.endAttempt(s.attempt, errSuccessorLate)
@@ -79,6 +83,18 @@
 	}()
 }
 
+// recoverSuccession turns a panic of the goroutine of a succession into its failure; the panic would end the process.
+func (f *Forwarder) recoverSuccession(s *succession) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	s.attempt, s.err = nil, errors.Errorf("panic: %v", reason)
+	metrics.GetOrRegisterCounter("requests.panicked", f.config.Metrics).Inc(1)
+	fields := logrus.Fields{"request": s.job.request.ID, "reason": reason, "stack": string(debug.Stack())}
+	f.config.Log.WithFields(fields).Error("the start of another attempt panicked")
+}
+
 // beginSuccessor starts an attempt and reads its first event. It returns an error if the response cannot continue the stream at the
 // position, and the cause of the context if that has ended.
 func (f *Forwarder) beginSuccessor(ctx context.Context, j *job, position *eventWriter) (a *streamAttempt, err error) {
