Answer callers that leave while an engine is probed

Callers of streams whose engine is silent, or has ended the connection, got neither an answer nor a refusal: they leave when their timeout ends, or when no event has arrived for two seconds, and the response that is due 30 ms before that came 20 to 90 ms after it.

Cause: the request waited for the probe of an engine, up to 80 ms for one that is silent and 150 ms after the end of a connection, whatever happened to the request meanwhile. Probes last that long just when engines do not respond. The class is a wait that does not end with the time of the caller.

Change: both waits end with the context of the request. What the probe of a crash finds is still recorded, since others need it.

--- a/comfreyrail/internal/gateway/forward/liveness.go
+++ b/comfreyrail/internal/gateway/forward/liveness.go
@@ -30,6 +30,16 @@
 	err       error
 }
 
+// wait waits for the end of the probe. It returns false if the context ends before: the request must then be answered at once.
+func (r *probeResult) wait(ctx context.Context) (ended bool) {
+	select {
+	case <-r.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // livenessProber checks whether engines respond. Concurrent requests share the result of a probe.
 type livenessProber struct {
 	config Config
@@ -90,7 +100,7 @@
 
 // findFaultyStage probes those engines of a stalled attempt through which no request has made progress for minSilence. It
 // returns the stage at fault: the one that the first engine is waiting for with this request, or else the first whose
-// probe failed. It returns false if there is none, or if all of several probes failed.
+// probe failed. It returns false if there is none, if all of several probes failed, or if the context ends before the probes.
 func (f *Forwarder) findFaultyStage(ctx context.Context, j *job, a *streamAttempt, minSilence time.Duration) (stage int, ok bool) {
 	results := make([]*probeResult, len(a.chain))
 	for _, i := range f.selector.silentStages(a, minSilence) {
@@ -102,7 +112,9 @@
 		if result == nil {
 			continue
 		}
-		<-result.done
+		if !result.wait(ctx) {
+			return 0, false
+		}
 		if result.err == nil {
 			responded++
 		} else {
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -92,19 +92,28 @@
 }
 
 // checkCrash records the end of the connection to the first engine of a failed attempt that was not answered, in which case the
-// engine may have crashed under the request. No other engine of a chain crashes with it.
+// engine may have crashed under the request. No other engine of a chain crashes with it. If the context ends before the probe of the
+// engine, checkCrash returns at once, and what the probe finds is recorded later.
 func (f *Forwarder) checkCrash(ctx context.Context, j *job, a *streamAttempt, err error) {
 	if a.service.Engine == nil || a.answered || len(j.request.SharedParts) == 0 || ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
-	f.firstEngineCrashed(ctx, a, j.request.SharedParts)
+	first, began, parts := a.chain[0].Server, !a.beganAt.IsZero(), j.request.SharedParts
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		f.engineCrashed(context.WithoutCancel(ctx), first, parts, began)
+	}()
+	select {
+	case <-recorded:
+	case <-ctx.Done():
+	}
 }
 
-// firstEngineCrashed reports whether the first engine of an attempt whose connection has ended has crashed, and records that it may have
+// engineCrashed reports whether the first engine of an attempt whose connection has ended has crashed, and records that it may have
 // crashed because of the parts, and that it is dead. An engine that wants no requests is not probed, and counts as alive.
-func (f *Forwarder) firstEngineCrashed(ctx context.Context, a *streamAttempt, parts []string) bool {
-	first := a.chain[0].Server
-	crashed := !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, !a.beganAt.IsZero())
+func (f *Forwarder) engineCrashed(ctx context.Context, first backend.Server, parts []string, began bool) bool {
+	crashed := !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, began)
 	if crashed {
 		f.selector.probeFailed(first)
 	}
@@ -139,7 +148,7 @@
 	if a.answered {
 		parts = nil
 	}
-	return f.firstEngineCrashed(ctx, a, parts)
+	return f.engineCrashed(ctx, a.chain[0].Server, parts, !a.beganAt.IsZero())
 }
 
 // EnginesCrashed records that engines have crashed, as another instance found. They get no requests until they respond to a probe, or
