Log why no other attempt followed a failed stream

Only counters told the reasons, for all requests together.

The lines "broken off" and "refused: ..." now have the field "denied" with the reason that is counted in requests.again.denied.REASON, and two more that aren't counted: "ended" (the deadline or the caller) and "wait" (engines want no requests before the deadline).

No decision changes.

--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -36,6 +36,7 @@
 	lastDataAt      time.Time     // time of the last arrival of data
 	events          int
 	chainText       string // engines of the last attempt with their layers, for logs
+	retryDenied     string // why no other attempt at the stream followed the last one, empty if that did not fail
 
 	// The fields below are used by streams only.
 
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -119,7 +119,7 @@
 	age, _ := f.config.Catalog.Age()
 	end := event.RequestEnd{
 		Request: j.request.ID, Workspace: j.workspace, Server: j.lastServer, Elapsed: time.Since(j.startedAt), Attempts: j.attempts, ConfigAge: age,
-		FirstEvent: j.timeToFirstData, MaxGap: j.maxGap, Events: j.events, Chain: j.chainText,
+		FirstEvent: j.timeToFirstData, MaxGap: j.maxGap, Events: j.events, Chain: j.chainText, RetryDenied: j.retryDenied,
 	}
 	if index := f.config.Catalog.Snapshot().Index; index != nil {
 		end.ConfigVersion = index.Config.Version
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -45,6 +45,14 @@
 // retryDeniedPrefix is the prefix of the names of the counters of attempts that were not made, by the reason.
 const retryDeniedPrefix = "requests.again.denied."
 
+// Reasons of attempts that were not made which are logged only.
+const (
+	// retryDeniedByEnd is the reason if the deadline has passed or the caller has disconnected.
+	retryDeniedByEnd = "ended"
+	// retryDeniedByWait is the reason if engines want no requests before the deadline.
+	retryDeniedByWait = "wait"
+)
+
 // errNoChain is the error if no chain with enough free memory covers every layer, or no plain server accepts requests.
 const errNoChain = errors.ConstError("no chain or server is available")
 
@@ -116,9 +124,14 @@
 	switch {
 	case j.successor != nil:
 		return nil
-	case ctx.Err() != nil && !j.out.headerSent:
-		return j.timeoutResponse()
-	case ctx.Err() != nil, j.out.headerSent && waitsPast(cause, j.deadline):
+	case ctx.Err() != nil:
+		j.retryDenied = retryDeniedByEnd
+		if !j.out.headerSent {
+			return j.timeoutResponse()
+		}
+		return cause
+	case j.out.headerSent && waitsPast(cause, j.deadline):
+		j.retryDenied = retryDeniedByWait
 		return cause
 	// Memory of engines becomes free again, but a plain server that failed the request is not tried again.
 	case errors.Is(cause, errNoChain) && j.out.headerSent && len(j.avoid) == 0:
@@ -151,7 +164,7 @@
 func (j *job) resumable() bool { return j.route.Resumable && !j.positionUnknown }
 
 // takeRetry reports whether another attempt at the stream may follow a failed one, and if so counts it against the retry budget.
-// Otherwise it increments the counter of the reason why not.
+// Otherwise it records the reason why not, and increments its counter.
 func (f *Forwarder) takeRetry(j *job, cause error) bool {
 	var blocked *blockedError
 	var reason string
@@ -169,6 +182,7 @@
 	default:
 		return true
 	}
+	j.retryDenied = reason
 	metrics.GetOrRegisterCounter(retryDeniedPrefix+reason, f.config.Metrics).Inc(1)
 	return false
 }
--- a/rail/event/event.go
+++ b/rail/event/event.go
@@ -52,6 +52,7 @@
 	fieldSilentEngine  = "silent"
 	fieldFaultyAddress = "fault"
 	fieldAttempts      = "sent"
+	fieldRetryDenied   = "denied"
 	fieldConfigAge     = "config_age_ms"
 	fieldFirstEvent    = "first_ms"
 	fieldMaxGap        = "gap_ms"
@@ -77,6 +78,8 @@
 	Elapsed time.Duration
 	// Attempts is the number of times that the request was sent to a backend server.
 	Attempts int
+	// RetryDenied is the reason why no other attempt at the stream followed the last one, empty if that did not fail.
+	RetryDenied string
 	// ConfigVersion is the version of the configuration, zero if none is known.
 	ConfigVersion uint64
 	// ConfigAge is the time since the store confirmed the configuration.
@@ -91,6 +94,9 @@
 // Fields returns the fields of the line.
 func (e RequestEnd) Fields() Fields {
 	fields := Fields{fieldRequest: e.Request, "ms": e.Elapsed.Milliseconds(), fieldAttempts: e.Attempts, fieldConfigAge: e.ConfigAge.Milliseconds()}
+	if e.RetryDenied != "" {
+		fields[fieldRetryDenied] = e.RetryDenied
+	}
 	if e.ConfigVersion > 0 {
 		fields["config"] = e.ConfigVersion
 	}
