Count no attempts that reached no server

What callers saw: streams that ended without an answer or a refusal.

Cause: an attempt counts before the connection is opened. One whose connection was refused or timed out reached no server, yet used up the route's attempts and the retry budget. A silent stream whose first successor had met an unreachable engine never got another; plain requests were refused though other servers were free. The class is what was not done, counted as done.

Change: an attempt whose request was certainly not sent counts neither against the route's attempts, up to two for each request, nor against the retry budget, which limits what arrives.

TestRefundedRetriesAreAllowedAgain is new with Refund.

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// recordSendError records that an attempt has failed without a response, and reports whether its request may have been sent, and thus run.
+// A retry that was not sent doesn't count against the retry budget.
+func (f *Forwarder) recordSendError(j *job, err error) (maybeSent bool) {
+	var failure *upstream.Error
+	if !errors.As(err, &failure) || failure.MayHaveBeenSent {
+		j.mayHaveRun = true
+		return true
+	}
+	j.unsent++
+	if j.attempts > 1 {
+		f.config.Retries.Refund(j.service)
+	}
+	return false
+}
+
 // headerTimeout returns the time without the headers of a response after which another attempt is tried.
 func headerTimeout(j *job) time.Duration {
 	return max(scale(j.route.LatencyTarget, headerTimeoutFactor), minStallTimeout)
@@ -144,9 +159,7 @@
 
 // recordSendFailure records a failed attempt without a response, after which the request may have been run unless it was not sent.
 func (f *Forwarder) recordSendFailure(ctx context.Context, j *job, a *streamAttempt, cause error) {
-	var failure *upstream.Error
-	maybeSent := !errors.As(cause, &failure) || failure.MayHaveBeenSent
-	j.mayHaveRun = j.mayHaveRun || maybeSent
+	maybeSent := f.recordSendError(j, cause)
 	if !maybeSent {
 		a.faultyAddress = a.chain[0].Server.Address
 	}
--- a/comfreyrail/internal/gateway/forward/budget.go
+++ b/comfreyrail/internal/gateway/forward/budget.go
@@ -52,3 +52,11 @@
 	now := time.Now()
 	return b.budget(service, now).Allow(now, b.config.Instances())
 }
+
+// Refund takes back a retry that Allow has counted, because its request was certainly not sent.
+func (b *Budgets) Refund(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.budget(service, now).Refund(now)
+}
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -26,6 +26,7 @@
 	body            *limit.Buffer // the whole body once it has been read
 	startedAt       time.Time
 	attempts        int
+	unsent          int            // attempts whose request was certainly not sent
 	avoid           []string       // IDs of plain servers that the request must not be sent to again
 	excluded        event.Excluded // servers that the last choice excluded because of what they said of themselves
 	mayHaveRun      bool           // whether a backend server may have run the request
@@ -46,6 +47,15 @@
 	isSuccessor bool           // whether this is the copy of a job with which a successor is started
 }
 
+// maxUnsentAttempts is the maximum number of unsent attempts that don't count against the route's limit. It bounds the time
+// that a request spends on servers that cannot be reached.
+const maxUnsentAttempts = 2
+
+// hasAttemptsLeft reports whether the route allows another attempt. An attempt whose request was certainly not sent has reached no server.
+func (j *job) hasAttemptsLeft() bool {
+	return j.attempts-min(j.unsent, maxUnsentAttempts) < j.route.MaxAttempts
+}
+
 // Limits of the part of a caller's timeout that is kept for the response to reach it.
 const (
 	// maxDeliveryTime is the longest time that is kept.
--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -7,7 +7,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/route"
@@ -18,7 +17,7 @@
 func (f *Forwarder) servePlain(ctx context.Context, w http.ResponseWriter, j *job) error {
 	var failure *heldResponse
 	defer func() { failure.discard() }()
-	for j.attempts < j.route.MaxAttempts && ctx.Err() == nil {
+	for j.hasAttemptsLeft() && ctx.Err() == nil {
 		server, ok := f.nextPlainServer(j)
 		if !ok {
 			break
@@ -80,8 +79,7 @@
 	}()
 	response, err := f.config.Upstream.Send(ctx, f.upstreamRequest(j, server, nil, ""))
 	if err != nil {
-		var failure *upstream.Error
-		j.mayHaveRun = j.mayHaveRun || !errors.As(err, &failure) || failure.MayHaveBeenSent
+		f.recordSendError(j, err)
 		return nil, err
 	}
 	meta := f.config.ReadResponse(response.Status, response.Header)
--- a/comfreyrail/internal/gateway/forward/stall.go
+++ b/comfreyrail/internal/gateway/forward/stall.go
@@ -88,7 +88,7 @@
 // mayHaveSuccessor reports whether the route allows a successor of an attempt whose request may have been run. A successor that is
 // being started gets none. The retry budget is not checked.
 func (j *job) mayHaveSuccessor() bool {
-	return !j.isSuccessor && j.attempts < j.route.MaxAttempts && j.resumable()
+	return !j.isSuccessor && j.hasAttemptsLeft() && j.resumable()
 }
 
 // maxReroutes is the maximum number of reroutes tried in one attempt at a stream.
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -173,7 +173,7 @@
 		reason = "no-chain"
 	case errors.As(cause, &blocked):
 		reason = "blocked"
-	case j.attempts >= j.route.MaxAttempts:
+	case !j.hasAttemptsLeft():
 		reason = "attempts"
 	case j.mayHaveRun && !j.resumable():
 		reason = "once"
--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -159,7 +159,7 @@
 
 // mergeSuccession takes over what a succession that is done has changed for all later attempts.
 func (j *job) mergeSuccession(s *succession) {
-	j.attempts = s.job.attempts
+	j.attempts, j.unsent = s.job.attempts, s.job.unsent
 	j.mayHaveRun = j.mayHaveRun || s.job.mayHaveRun
 	if s.silent.service.Engine == nil {
 		j.avoid = s.job.avoid
--- a/rail/retry/window.go
+++ b/rail/retry/window.go
@@ -64,3 +64,9 @@
 	w.retries++
 	return true
 }
+
+// Refund takes back a retry that was allowed shortly before and then not sent. It does nothing if the current period has no retries.
+func (w *WindowBudget) Refund(now time.Time) {
+	w.advance(now)
+	w.retries = max(w.retries-1, 0)
+}
--- a/rail/retry/window_test.go
+++ b/rail/retry/window_test.go
@@ -33,3 +33,22 @@
 		}
 	}
 }
+
+// TestRefundedRetriesAreAllowedAgain guards against a budget that is used up by retries that were not sent.
+func TestRefundedRetriesAreAllowedAgain(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	w := NewWindowBudget(now, WindowBudgetConfig{Burst: 2, Period: 10 * time.Second})
+	for i := range 5 {
+		if !w.Allow(now, 1) {
+			t.Fatalf("got no retry %d after the ones before were refunded, want one", i)
+		}
+		w.Refund(now)
+	}
+	if !w.Allow(now, 1) || w.Allow(now, 1) {
+		t.Error("want one retry that isn't refunded, and no other")
+	}
+	w.Refund(now.Add(time.Minute))
+	if !w.Allow(now.Add(time.Minute), 1) || w.Allow(now.Add(time.Minute), 1) {
+		t.Error("want one retry after a refund of a period that has ended, and no other")
+	}
+}
