Answer a repeat at its deadline while the claim's owner is silent

Callers of router mode that send a request again with its idempotency key got no response before their timeout: the answer came up to three seconds after the deadline of the route.

Cause: the query to the instance that holds the claim was awaited with its own timeout only, so that the end of the request's context did not end the wait. It is the same class as the wait for probes of engines in gateway mode; a request that is forwarded to its minter already waits in the right way.

Change: the request stops to wait at the end of its context, and the query goes on.

--- a/comfreyrail/internal/traffic/claims/run.go
+++ b/comfreyrail/internal/traffic/claims/run.go
@@ -165,24 +165,38 @@
 			return recorded
 		}
 		status, err := c.queryOwner(ctx, owner, query)
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			c.config.Log.WithError(err).Warn("cannot query the owner of a claim")
 			return recorded
 		}
-		if status.State != claim.Running {
+		if err == nil && status.State != claim.Running {
 			return status
 		}
 	}
 	return claim.Status{State: claim.Running}
 }
 
-// queryOwner sends the query to the owner.
+// queryOwner sends the query to the owner and waits for the response or the end of the context.
 //
 // The query goes on if the caller disconnects, because canceling it would close the connection to the owner.
 func (c *Claims) queryOwner(ctx context.Context, owner member.Member, query StatusQuery) (status claim.Status, err error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), queryTimeout)
-	defer cancel()
-	return c.config.QueryOwner(ctx, owner, query)
+	type result struct {
+		status claim.Status
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), queryTimeout)
+		defer cancel()
+		status, err := c.config.QueryOwner(callCtx, owner, query)
+		done <- result{status, err}
+	}()
+	select {
+	case got := <-done:
+		return got.status, got.err
+	case <-ctx.Done():
+		return claim.Status{}, ctx.Err()
+	}
 }
 
 // member returns the member with the incarnation; ok is false if there is none.
