Let the test of the probe wait end after its caller has left again

TestCallerIsAnsweredDespiteProbe began its probe 60 ms before the caller leaves, which was after the 30 ms that were kept for the response when it was written.

The caller now leaves after 400 ms: the probe begins 20 ms before the response is due and ends after the caller has left. The bound is as before, the caller's time.

--- a/comfreyrail/internal/gateway/forward/probe_deadline_test.go
+++ b/comfreyrail/internal/gateway/forward/probe_deadline_test.go
@@ -15,7 +15,8 @@
 // Guards against a request that gets neither a response nor a refusal because its caller leaves while a probe of its silent engine is
 // awaited: the probe begins shortly before the response is due and lasts longer.
 func TestCallerIsAnsweredDespiteProbe(t *testing.T) {
-	const callerTime = 600 * time.Millisecond // longer than a probe, and its end is not within 30 ms of the next one
+	// A probe that begins shortly before the response is due ends after the caller has left.
+	const callerTime = 400 * time.Millisecond
 	silent := func(conn net.Conn, _ *http.Request, _ int) { _, _ = conn.Read(make([]byte, 1)) }
 	endsLate := func(conn net.Conn, _ *http.Request, _ int) {
 		time.Sleep(callerTime - 60*time.Millisecond)
@@ -37,9 +38,9 @@
 		check   time.Duration // silence after which the engine is probed
 		state   func(context.Context, backend.Server) (backend.State, error)
 	}{
-		{"caller's timeout", silent, "600", 0, callerTime - 60*time.Millisecond, hanging},
+		{"caller's timeout", silent, "400", 0, callerTime - 60*time.Millisecond, hanging},
 		{"caller of a stream leaves", silent, "", callerTime, callerTime - 60*time.Millisecond, hanging},
-		{"caller's timeout, engine ends the connection", endsLate, "600", 0, time.Minute, nil},
+		{"caller's timeout, engine ends the connection", endsLate, "400", 0, time.Minute, nil},
 		{"caller of a stream leaves, engine ends the connection", endsLate, "", callerTime, time.Minute, nil},
 	}
 	for _, test := range tests {
