End the attempts once a response must not begin

Cause: the begin of the response fails as soon as the timer of its limit has fired, the context of the attempts ends only when the goroutine of that timer has run.

Change: the begin that fails ends the context.

--- a/comfreyrail/internal/gateway/forward/begin.go
+++ b/comfreyrail/internal/gateway/forward/begin.go
@@ -20,6 +20,7 @@
 	timer := time.AfterFunc(time.Until(j.beginDeadline()), func() { cancelCause(errNotBegun) })
 	j.begin = func() error {
 		if !timer.Stop() {
+			cancelCause(errNotBegun)
 			return errNotBegun
 		}
 		return nil
