Return the memory that a panicked attempt has reserved

Callers could be refused for lack of room: a panic that is now answered left the memory reserved on the engines of its chain (found by review; no panic was seen in any play).

Change: an attempt ends whatever ends its function.

TestPanicReturnsReservedMemory failed before in both cases and passes.

--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -44,20 +44,33 @@
 // errNoChain if there is no chain or server, a *blockedError if the request must not be sent to engines, and errNoBudget if the
 // retry budget does not allow a successor.
 func (f *Forwarder) startAttempt(ctx context.Context, j *job, lastID string) (a *streamAttempt, err error) {
-	a, err = f.chooseAttempt(j)
+	chosen, err := f.chooseAttempt(j)
 	if err != nil {
 		return nil, err
 	}
-	if err = f.countAttempt(j, a.service.Name); err == nil {
-		err = f.sendRequest(ctx, j, a, lastID)
-	}
-	if err != nil {
-		f.endAttempt(a, err)
+	err = errPanicked
+	defer func() {
+		if err != nil {
+			f.endAttempt(chosen, err)
+		}
+	}()
+	if err = f.countAndSend(ctx, j, chosen, lastID); err != nil {
 		return nil, err
 	}
-	return a, nil
+	return chosen, nil
 }
 
+// countAndSend counts an attempt, sends its request and waits for the headers of the response.
+func (f *Forwarder) countAndSend(ctx context.Context, j *job, a *streamAttempt, lastID string) (err error) {
+	if err = f.countAttempt(j, a.service.Name); err != nil {
+		return err
+	}
+	return f.sendRequest(ctx, j, a, lastID)
+}
+
+// errPanicked is the error of an attempt that a panic ends.
+const errPanicked = errors.ConstError("the attempt panicked")
+
 // chooseAttempt returns an attempt with a chain or a plain server, which it counts in the load. It returns the errors of
 // startAttempt except errNoBudget.
 func (f *Forwarder) chooseAttempt(j *job) (a *streamAttempt, err error) {
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -81,8 +81,7 @@
 			return f.relayErrorResponse(ctx, w, j, a)
 		}
 		if err == nil {
-			err = f.relay(ctx, j, a)
-			f.endAttempt(a, err)
+			err = f.relayAndEnd(ctx, j, a)
 		}
 		if err == nil {
 			return nil
@@ -176,6 +175,14 @@
 	return j.deliver(ctx, w, held)
 }
 
+// relayAndEnd relays an attempt and ends it, also if relaying panics.
+func (f *Forwarder) relayAndEnd(ctx context.Context, j *job, a *streamAttempt) (err error) {
+	err = errPanicked
+	defer func() { f.endAttempt(a, err) }()
+	err = f.relay(ctx, j, a)
+	return err
+}
+
 // relay writes the events of an attempt to the caller until the stream is complete. It returns an error if the attempt
 // fails before that.
 func (f *Forwarder) relay(ctx context.Context, j *job, a *streamAttempt) (err error) {
