Break off a begun answer whose handler panics in router mode

Callers got an answer that looks complete and holds the text of an error in its middle (found by review; no panic was seen). An answer that ends early must not look complete.

Change: the recovery knows whether the response has begun, and then closes the connection.

--- a/comfreyrail/internal/traffic/entry/entry.go
+++ b/comfreyrail/internal/traffic/entry/entry.go
@@ -106,9 +106,12 @@
 	s.writeFailure(w, graceful.RequestID(r.Request.Context()), outcome.NotRunf(code, "%s %s: %s", r.Request.Method, r.Request.URL.Path, serviceErr.Message))
 }
 
-// handlePanic writes the failure of a request whose handler panicked; its outcome is unknown.
+// handlePanic writes the failure of a request whose handler panicked; its outcome is unknown. A response that has begun is broken off.
 func (s *CallerServer) handlePanic(reason any, w http.ResponseWriter) {
 	s.config.Log.WithField("stack", string(debug.Stack())).Errorf("a handler panicked: %v", reason)
+	if response, ok := w.(*begunWriter); ok && response.begun {
+		panic(http.ErrAbortHandler)
+	}
 	s.writeFailure(w, "", outcome.Unknownf(outcome.CodeInternal, "the request broke an instance's handler"))
 }
 
@@ -121,7 +124,7 @@
 		s.writeFailure(w, graceful.RequestID(r.Context()), outcome.NotRunf(outcome.CodeOverload, "the instance has too many requests in progress"))
 		return
 	}
-	s.container.ServeHTTP(w, r)
+	s.container.ServeHTTP(&begunWriter{ResponseWriter: w}, r)
 }
 
 // completionBody is the body of a completion request.
