--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -181,6 +181,9 @@
 	clock  *runclock.Clock
 	// announce makes what the gateway saw of crashes known to others; the store is down.
 	announce func(content []byte)
+	// store is what the catalog reads and the crash reports are written to, under the name; nil means a store of the gateway's own.
+	store *sharedStore
+	name  string
 }
 
 // newGateway returns a gateway with a route of each kind to the servers. The function modify, if not nil, changes the
@@ -226,9 +229,12 @@
 	if options.state == nil {
 		options.state = func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, nil }
 	}
-	c := newCatalog(t, g, config, servers)
+	if options.store == nil {
+		options.store = newSharedStore(servers)
+	}
+	c := newCatalog(t, g, config, options.store)
 	registry := metrics.NewRegistry()
-	keeper := newKeeper(t, c, registry, options.announce)
+	keeper := newKeeper(t, c, registry, options)
 	if options.ended == nil {
 		options.ended = keeper.ConnectionEnded
 	}
@@ -253,13 +259,17 @@
 }
 
 // newKeeper returns a Keeper, which runs if it announces crashes.
-func newKeeper(t *testing.T, c *catalog.Catalog, registry metrics.Registry, announce func(content []byte)) *quarantine.Keeper {
+func newKeeper(t *testing.T, c *catalog.Catalog, registry metrics.Registry, options gatewayOptions) *quarantine.Keeper {
 	t.Helper()
-	keeper := quarantine.New(quarantine.Config{
-		Name: "self", Snapshot: c.Snapshot, FetchState: dial, Announce: announce, Metrics: registry, Log: discardLog(),
+	config := quarantine.Config{
+		Name: "self", Snapshot: c.Snapshot, FetchState: dial, Announce: options.announce, Metrics: registry, Log: discardLog(),
 		Grant: func(context.Context, time.Duration) (store.Lease, error) { return store.Lease{}, store.ErrUnavailable },
-	})
-	if announce != nil {
+	}
+	if options.name != "" {
+		config.Name, config.Grant, config.Commit = options.name, options.store.grant, options.store.commit
+	}
+	keeper := quarantine.New(config)
+	if options.announce != nil || options.name != "" {
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go func() { _ = keeper.Serve(ctx) }()
@@ -305,27 +315,16 @@
 	}
 }
 
-// newCatalog returns a catalog that has read the configuration and the servers once from a fake store.
-func newCatalog(t *testing.T, g *gateway, config route.Config, servers []*server) *catalog.Catalog {
+// newCatalog returns a catalog that has read the configuration and the servers once from the store.
+func newCatalog(t *testing.T, g *gateway, config route.Config, from *sharedStore) *catalog.Catalog {
 	t.Helper()
-	items := []store.Item{{Key: "config", Revision: 1}}
-	for i, s := range servers {
-		value, err := json.Marshal(s.entry())
-		if err != nil {
-			t.Fatal(err)
-		}
-		items = append(items, store.Item{Key: "servers/" + s.id, Value: value, Revision: uint64(i + 2)})
-	}
 	read := make(chan struct{})
 	var once sync.Once
 	c := catalog.New(catalog.Config{
-		Range: func(context.Context, string, string) (store.Page, error) {
-			return store.Page{Items: items, Revision: 10}, nil
-		},
-		Watch: func(ctx context.Context, _ string, _ uint64, _ time.Duration) (store.Changes, error) {
+		Range: from.read,
+		Watch: func(ctx context.Context, _ string, after uint64, _ time.Duration) (store.Changes, error) {
 			once.Do(func() { close(read) })
-			<-ctx.Done()
-			return store.Changes{}, ctx.Err()
+			return from.watch(ctx, after)
 		},
 		FetchChanges: func(context.Context, string, catalog.ChangesRequest) (catalog.Changes, error) {
 			return catalog.Changes{}, store.ErrUnavailable
--- a/comfreyrail/internal/gateway/forward/liveness_test.go
+++ b/comfreyrail/internal/gateway/forward/liveness_test.go
@@ -24,7 +24,7 @@
 ) (*Forwarder, *job, *streamAttempt) {
 	t.Helper()
 	f := New(Config{
-		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, nil), Log: discardLog(),
+		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, newSharedStore(nil)), Log: discardLog(),
 		FetchState: func(_ context.Context, server backend.Server) (backend.State, error) {
 			probes.Add(1)
 			return state(server.ID)
--- a/comfreyrail/internal/gateway/forward/services_test.go
+++ b/comfreyrail/internal/gateway/forward/services_test.go
@@ -19,7 +19,7 @@
 func newTwoServices(t *testing.T, probes *atomic.Int32) (*Forwarder, [][]backend.Server) {
 	t.Helper()
 	f := New(Config{
-		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, nil), Log: discardLog(),
+		Catalog: newCatalog(t, &gateway{}, route.Config{Version: 1}, newSharedStore(nil)), Log: discardLog(),
 		PeerUsage: func(time.Time) func(string) (pipeline.Usage, bool) {
 			return func(string) (pipeline.Usage, bool) { return pipeline.Usage{}, true }
 		},
