--- a/comfreyrail/internal/gateway/forward/attempt.go
+++ b/comfreyrail/internal/gateway/forward/attempt.go
@@ -36,12 +36,12 @@
 	suspected   bool                    // whether the server at fault for its silence has been marked as suspected
 	replaceFrom time.Time               // end of the backoff after a successor has failed, zero if none has
 	cancel      context.CancelCauseFunc // releases the context of a successor, nil for other attempts
-	release     context.CancelCauseFunc // releases the context of a request that can be withdrawn, nil for others
+	release     context.CancelCauseFunc // releases the context of the request, which can be withdrawn; nil if none was sent
 	prefetched  []byte                  // bytes of a successor's body that have been read but not relayed
 }
 
 // startAttempt chooses a chain or a plain server, sends the request and waits for the headers of the response. It returns
-// errNoChain if there is no chain or server, a *blockedError if the request must not be sent to engines, and errNoBudget if the
+// errNoChain if there is no chain or server, a *blockedError if the request must not be sent, and errNoBudget if the
 // retry budget does not allow a successor.
 func (f *Forwarder) startAttempt(ctx context.Context, j *job, lastID string) (a *streamAttempt, err error) {
 	a, err = f.chooseAttempt(j)
@@ -62,6 +62,9 @@
 // startAttempt except errNoBudget.
 func (f *Forwarder) chooseAttempt(j *job) (a *streamAttempt, err error) {
 	service, servers, snapshot := f.pickService(j)
+	if err = f.checkBlocked(j, service); err != nil {
+		return nil, err
+	}
 	a = &streamAttempt{service: service, demand: j.demand(service), class: headroom.Class{Workspace: j.workspace, Urgency: j.urgency}}
 	if service.Engine == nil {
 		server, ok := f.selector.choosePlain(servers, f.excludeServers(j, servers))
@@ -72,9 +75,6 @@
 		f.selector.startedPlain(server.ID)
 		return a, nil
 	}
-	if err = f.checkBlocked(j); err != nil {
-		return nil, err
-	}
 	a.demand.Avoid = f.excludeServers(j, servers)
 	if a.chain, err = f.selector.chooseChain(service, snapshot, a.demand, a.class); err != nil {
 		return nil, err
@@ -121,10 +121,10 @@
 	a.progressAt = f.config.Clock.Now()
 	request.ReadTimeout = firstCheck(j, a)
 	request.OnReadTimeout = func() time.Duration { return f.checkStall(ctx, j, a, headerTimeout(j)) }
+	a.response, a.release, err = f.sendWithdrawable(ctx, j, a.service, request)
 	var blocked *blockedError
-	a.response, blocked, err = f.sendWithdrawable(ctx, j, a, request)
 	switch {
-	case blocked != nil:
+	case errors.As(err, &blocked):
 		return blocked
 	case err == nil:
 		f.cancelSuccession(j)
--- a/comfreyrail/internal/gateway/forward/config.go
+++ b/comfreyrail/internal/gateway/forward/config.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
 // Config holds the settings and dependencies of a Forwarder.
@@ -48,20 +49,19 @@
 	FetchState func(ctx context.Context, server backend.Server) (state backend.State, err error)
 	// Reroute instructs the first engine of a request to continue it along another chain.
 	Reroute func(ctx context.Context, first backend.Server, request string, stages []call.Stage) error
-	// PromptBlocked returns the part because of which a request with the shared parts must not be sent to engines, and false if
-	// there is none.
-	PromptBlocked func(parts []string) (part string, ok bool)
-	// PromptWaiting records that a request with the shared parts waits for the begin of an answer, until done is called. If the
-	// request must no longer be at an engine because of one of the parts, withdraw is called, which must not wait.
-	PromptWaiting func(parts []string, withdraw func(part string)) (done func())
-	// PromptBegan records that an engine has begun the answer to a request with the shared parts.
-	PromptBegan func(parts []string)
-	// PromptAnswered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long
-	// that the engine will not crash because of them.
-	PromptAnswered func(parts []string)
-	// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and
-	// whether the answer had begun; it returns whether the engine has crashed.
-	ConnectionEnded func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
+	// RequestBlocked returns why a request must not be sent to servers, and false if it may be. Requests to plain servers have no parts.
+	RequestBlocked func(request poison.Request) (cause poison.Cause, ok bool)
+	// RequestWaiting records that a request waits for the begin of an answer, until done is called. If the request must no longer be
+	// at a server, withdraw is called, which must not wait.
+	RequestWaiting func(request poison.Request, withdraw func(cause poison.Cause)) (done func())
+	// PromptBegan records that an engine has begun the answer to a request.
+	PromptBegan func(request poison.Request)
+	// RequestAnswered records that a server has answered a request, or that the answer has gone on for so long that the server will
+	// not crash because of it.
+	RequestAnswered func(request poison.Request)
+	// ConnectionEnded records that the connection to a server has ended before a request was answered, and whether the answer had
+	// begun; it returns whether the server has crashed.
+	ConnectionEnded func(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool)
 	// Clock measures for how long others are silent; nil means an ordinary clock.
 	Clock *runclock.Clock
 	// Notices knows which backend servers are leaving or want no requests for a while; nil means a new one.
--- a/comfreyrail/internal/gateway/forward/forward.go
+++ b/comfreyrail/internal/gateway/forward/forward.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
@@ -139,7 +141,7 @@
 	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 }
 
-// readBody reads the whole body and keeps the end-to-end headers. It refuses a body larger than the configured limit, one for
+// readBody reads the whole body, and keeps the digest and the end-to-end headers. It refuses a body larger than the configured limit, one for
 // which no memory is left, and one that doesn't arrive before the deadline.
 func (f *Forwarder) readBody(j *job, r *http.Request, limits route.Limits) (err error) {
 	maxBytes := limits.MaxBodyBytes
@@ -163,6 +165,7 @@
 		return &errorResponse{status: http.StatusServiceUnavailable, code: "no-memory", retryAfter: jitter(retryAfter, rand.Float64())}
 	}
 	j.header = endToEnd(r.Header)
+	j.digest = poison.Digest(j.method, j.route.Host, j.target, cmp.Or(j.workspace, j.request.APIKey), j.body.Bytes())
 	return nil
 }
 
--- a/comfreyrail/internal/gateway/forward/fragile_test.go
+++ b/comfreyrail/internal/gateway/forward/fragile_test.go
@@ -33,7 +33,10 @@
 	card  string                               // kind of accelerator if the servers are engines
 	begin func(conn net.Conn, r *http.Request) // sends what a crashing server sends before; may be nil
 
+	downTime time.Duration // from a crash until the server is back
+
 	mu       sync.Mutex
+	live     []*fragileServer
 	arrivals []time.Time // of requests with crashingBody
 	crashes  []time.Time
 	started  int // incarnations
@@ -54,7 +57,7 @@
 // newFragileServers starts servers.
 func newFragileServers(t *testing.T, s *sharedStore, count int, card string, begin func(net.Conn, *http.Request)) *fragileServers {
 	t.Helper()
-	f := &fragileServers{t: t, store: s, card: card, begin: begin}
+	f := &fragileServers{t: t, store: s, card: card, begin: begin, downTime: fragileDownTime}
 	t.Cleanup(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -81,6 +84,7 @@
 	f.t.Cleanup(func() { _ = listener.Close() })
 	f.started++
 	s := &fragileServer{fleet: f, id: fmt.Sprint("incarnation", f.started), listener: listener, conns: make(map[net.Conn]bool)}
+	f.live = append(f.live, s)
 	go s.accept()
 	entry := backend.Server{ID: s.id, Service: "app", Address: listener.Addr().String(), Slots: 8, Card: f.card}
 	if f.card != "" {
@@ -178,15 +182,41 @@
 	}
 	s.crashed = true
 	_ = s.listener.Close()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
 	s.mu.Unlock()
 	s.fleet.mu.Lock()
 	s.fleet.crashes = append(s.fleet.crashes, time.Now())
 	s.fleet.mu.Unlock()
-	time.AfterFunc(fragileDownTime, func() {
+	restart := func() {
 		s.fleet.store.unlist(s.id)
 		s.fleet.start(s.listener.Addr().String())
-	})
+	}
+	if s.fleet.downTime == 0 {
+		restart()
+	} else {
+		time.AfterFunc(s.fleet.downTime, restart)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// crashAny crashes the n-th incarnation that has started.
+func (f *fragileServers) crashAny(n int) {
+	f.mu.Lock()
+	s := f.live[n]
+	f.mu.Unlock()
+	s.crash()
+}
+
+// refusingServer returns the entry of a server that refuses connections.
+func refusingServer(t *testing.T, n int) backend.Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	return backend.Server{ID: fmt.Sprint("gone", n), Service: "app", Address: listener.Addr().String()}
 }
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -27,6 +27,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/retry"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
@@ -177,7 +178,7 @@
 	config func(*route.Config)
 	budget func(*BudgetConfig)
 	state  func(context.Context, backend.Server) (backend.State, error) // the state that engines report
-	ended  func(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool)
+	ended  func(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool)
 	clock  *runclock.Clock
 	// announce makes what the gateway saw of crashes known to others; the store is down.
 	announce func(content []byte)
@@ -247,8 +248,8 @@
 			return func(string) (pipeline.Usage, bool) { return pipeline.Usage{}, true }
 		},
 		ReadRequest: readRequest, WriteBackendRequest: writeBackendRequest, ReadResponse: readResponse,
-		FetchState:    options.state,
-		PromptBlocked: keeper.Blocked, PromptWaiting: keeper.Waiting, PromptBegan: keeper.Began, PromptAnswered: keeper.Answered, ConnectionEnded: options.ended,
+		FetchState:     options.state,
+		RequestBlocked: keeper.Blocked, RequestWaiting: keeper.Waiting, PromptBegan: keeper.Began, RequestAnswered: keeper.Answered, ConnectionEnded: options.ended,
 		Reroute: func(context.Context, backend.Server, string, []call.Stage) error { return nil }, Clock: options.clock,
 	})
 	g.forwarder, g.keeper = f, keeper
--- a/comfreyrail/internal/gateway/forward/held.go
+++ b/comfreyrail/internal/gateway/forward/held.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -22,13 +23,15 @@
 	meta     call.Response
 	response *upstream.Response
 	body     *limit.Buffer
-	complete bool   // whether body is the whole body
-	ended    func() // called once the response has been delivered or discarded
+	complete bool              // whether body is the whole body
+	ended    func()            // called once the response has been delivered or discarded
+	beganAt  time.Time         // when the headers had arrived
+	relayed  func(error) error // called with the error of the body's end if that was relayed, and returns the error to report; may be nil
 }
 
 // hold reads a response up to limit.HeldBytes, or less if no memory is left for more. If it fails, it discards the response.
 func (f *Forwarder) hold(response *upstream.Response, meta call.Response, ended func()) (held *heldResponse, err error) {
-	held = &heldResponse{meta: meta, response: response, body: limit.NewBuffer(f.config.ResponseMemory, limit.HeldBytes), ended: ended}
+	held = &heldResponse{beganAt: time.Now(), meta: meta, response: response, body: limit.NewBuffer(f.config.ResponseMemory, limit.HeldBytes), ended: ended}
 	if held.complete, err = held.body.Fill(response); err != nil {
 		held.body.Release()
 		response.Discard()
@@ -78,11 +81,8 @@
 				return err
 			}
 		}
-		if errors.Is(readErr, io.EOF) {
-			return nil
-		}
 		if readErr != nil {
-			return errors.Annotate(readErr, "relay body")
+			return errors.Annotate(h.endRelay(readErr), "relay body")
 		}
 		if err = ctx.Err(); err != nil {
 			return err
@@ -90,6 +90,17 @@
 	}
 }
 
+// endRelay returns the error of a body that has ended with the given one, nil if it is whole.
+func (h *heldResponse) endRelay(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	if h.relayed == nil {
+		return err
+	}
+	return h.relayed(err)
+}
+
 // release ends the use of the response and of its memory; the connection may be reused if the whole body was read.
 func (h *heldResponse) release(whole bool) {
 	h.body.Release()
--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -24,6 +24,7 @@
 	host            string
 	header          http.Header
 	body            *limit.Buffer // the whole body once it has been read
+	digest          string        // identifies the request with its body, whenever it is sent again
 	startedAt       time.Time
 	attempts        int
 	avoid           []string       // IDs of plain servers that the request must not be sent to again
--- a/comfreyrail/internal/gateway/forward/notice_gateway_test.go
+++ b/comfreyrail/internal/gateway/forward/notice_gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 	"github.com/comfreyrail/comfreyrail/rail/retry"
 	"github.com/comfreyrail/comfreyrail/rail/route"
 	"github.com/comfreyrail/comfreyrail/rail/store"
@@ -127,7 +128,7 @@
 		PeerUsage: func(time.Time) func(string) (pipeline.Usage, bool) {
 			return func(string) (pipeline.Usage, bool) { return pipeline.Usage{}, true }
 		},
-		PromptBlocked: func([]string) (string, bool) { return "", false },
+		RequestBlocked: func(poison.Request) (poison.Cause, bool) { return poison.Cause{}, false },
 	})
 	return g
 }
--- a/comfreyrail/internal/gateway/forward/notices.go
+++ b/comfreyrail/internal/gateway/forward/notices.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/notice"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
 // waitError is an errNoChain for which servers that want no requests for a while are the reason.
@@ -69,9 +70,9 @@
 const retryAfterRounding = 5 * time.Millisecond
 
 // withWait returns the response to a request that no server has run: the given one or, if that has status 503 for another reason than
-// a blocked part and the service can run no request for a while, one whose Retry-After contains that time.
+// being blocked and the service can run no request for a while, one whose Retry-After contains that time.
 func (f *Forwarder) withWait(j *job, response *errorResponse) *errorResponse {
-	if response.status != http.StatusServiceUnavailable || response.blockedPart != "" {
+	if response.status != http.StatusServiceUnavailable || response.blocked != (poison.Cause{}) {
 		return response
 	}
 	wait, ok := f.serviceWait(j)
--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -14,6 +14,7 @@
 
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
 // errorResponse is an error response that this instance generates itself.
@@ -23,7 +24,7 @@
 	retryAfter time.Duration
 	shortage   *pipeline.Shortage // why there was no chain of engines, nil for other reasons
 
-	blockedPart string // the part of the prompt because of which the request was blocked, empty for other reasons
+	blocked poison.Cause // why the request was blocked, empty for other reasons
 }
 
 // Error returns the status and code of the response.
@@ -94,9 +95,7 @@
 		if errResponse.shortage != nil {
 			entry = entry.WithFields(shortageFields(*errResponse.shortage, errResponse.retryAfter))
 		}
-		if errResponse.blockedPart != "" {
-			entry = entry.WithField("part", errResponse.blockedPart)
-		}
+		entry = entry.WithFields(blockedFields(errResponse.blocked))
 		entry.WithFields(response.Fields()).Info(event.ErrorResponsePrefix + errResponse.code)
 		writeErrorResponse(w, errResponse)
 	default:
@@ -106,6 +105,18 @@
 	}
 }
 
+// blockedFields returns the fields of the log line for a request that was blocked.
+func blockedFields(cause poison.Cause) logrus.Fields {
+	fields := make(logrus.Fields)
+	if cause.Part != "" {
+		fields["part"] = cause.Part
+	}
+	if cause.Digest != "" {
+		fields["digest"] = cause.Digest
+	}
+	return fields
+}
+
 // shortageFields returns the fields of the log line for a request that was refused for lack of memory: what decided it.
 func shortageFields(s pipeline.Shortage, retryAfter time.Duration) logrus.Fields {
 	return event.Shortage{
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -11,68 +11,88 @@
 
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/upstream"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
+	"github.com/comfreyrail/comfreyrail/rail/route"
 )
 
-// blockedRetryAfter is the delay before a retry of a blocked request. It may be blocked only until other instances have reported what
-// they know of its parts.
-const blockedRetryAfter = 2 * time.Second
+// Delays before a retry of a blocked request.
+const (
+	// blockedRetryAfter is the delay if a part is the cause. It may be blocked only until other instances have reported what they know
+	// of its parts.
+	blockedRetryAfter = 2 * time.Second
+	// blockedRequestRetryAfter is the delay if the whole request is, which stays blocked.
+	blockedRequestRetryAfter = 10 * time.Second
+)
 
-// blockedError means that engines have crashed under a part of the request's prompt.
-type blockedError struct{ part string }
+// blockedError means that servers have crashed under the request, or engines under a part of its prompt.
+type blockedError struct{ cause poison.Cause }
 
-// Error names the part.
+// Error names the cause.
 func (e *blockedError) Error() string {
-	return "engines have crashed under part " + e.part + " of the prompt"
+	if e.cause.Digest != "" {
+		return "servers have crashed under the request " + e.cause.Digest
+	}
+	return "engines have crashed under part " + e.cause.Part + " of the prompt"
+}
+
+// suspect returns what servers of the service may crash under: the request, and the parts of its prompt if they are engines.
+func (j *job) suspect(service *route.Service) (request poison.Request) {
+	request.Digest = j.digest
+	if service.Engine != nil {
+		request.Parts = j.request.SharedParts
+	}
+	return request
 }
 
-// checkBlocked returns a *blockedError if the request must not be sent to engines.
-func (f *Forwarder) checkBlocked(j *job) error {
-	if part, ok := f.config.PromptBlocked(j.request.SharedParts); ok {
-		return &blockedError{part: part}
+// checkBlocked returns a *blockedError if the request must not be sent to servers of the service.
+func (f *Forwarder) checkBlocked(j *job, service *route.Service) error {
+	if cause, ok := f.config.RequestBlocked(j.suspect(service)); ok {
+		return &blockedError{cause: cause}
 	}
 	return nil
 }
 
-// blockedResponse returns the response to a request that must not be sent to engines.
-func (j *job) blockedResponse(cause *blockedError) *errorResponse {
+// blockedResponse returns the response to a request that must not be sent to servers.
+func (j *job) blockedResponse(blocked *blockedError) *errorResponse {
+	response := &errorResponse{status: http.StatusBadGateway, code: "quarantined", blocked: blocked.cause}
 	if j.mayHaveRun {
-		return &errorResponse{status: http.StatusBadGateway, code: "quarantined", blockedPart: cause.part}
+		return response
 	}
-	return &errorResponse{status: http.StatusServiceUnavailable, code: "quarantined", retryAfter: blockedRetryAfter, blockedPart: cause.part}
+	response.status, response.retryAfter = http.StatusServiceUnavailable, blockedRetryAfter
+	if blocked.cause.Digest != "" {
+		response.retryAfter = blockedRequestRetryAfter
+	}
+	return response
 }
 
-// sendWithdrawable sends a request to the first engine of an attempt, or to a plain server. If it becomes known meanwhile that engines
-// crash under the request, which has not been answered yet, it is withdrawn from the engine, and blocked tells why.
-func (f *Forwarder) sendWithdrawable(ctx context.Context, j *job, a *streamAttempt, request upstream.Request) (response *upstream.Response, blocked *blockedError, err error) {
-	parts := j.request.SharedParts
-	if a.service.Engine == nil || len(parts) == 0 {
-		response, err = f.config.Upstream.Send(ctx, request)
-		return response, nil, err
-	}
-	ctx, a.release = context.WithCancelCause(ctx)
-	done := f.config.PromptWaiting(parts, func(part string) { a.release(&blockedError{part: part}) })
+// sendWithdrawable sends a request to a server. If it becomes known meanwhile that servers crash under the request, which has not been
+// answered yet, it is withdrawn from the server, and the error is a *blockedError. Release must be called after the use of the response.
+func (f *Forwarder) sendWithdrawable(ctx context.Context, j *job, service *route.Service, request upstream.Request) (response *upstream.Response, release context.CancelCauseFunc, err error) {
+	ctx, release = context.WithCancelCause(ctx)
+	done := f.config.RequestWaiting(j.suspect(service), func(cause poison.Cause) { release(&blockedError{cause: cause}) })
 	response, err = f.config.Upstream.Send(ctx, request)
 	done()
+	var blocked *blockedError
 	if !errors.As(context.Cause(ctx), &blocked) {
-		return response, nil, err
+		return response, release, err
 	}
 	if response != nil {
 		response.Discard()
 	}
 	j.mayHaveRun = true
-	return nil, blocked, nil
+	return nil, release, blocked
 }
 
-// maxCrashDelay is how long after the begin of an answer an engine may crash because of the request.
+// maxCrashDelay is how long after the begin of an answer a server may crash because of the request.
 const maxCrashDelay = 3 * time.Second
 
 // recordEvent records that events of an answer have arrived: its begin, the first time in an attempt, and once it has gone on for
-// maxCrashDelay that the engine will not crash because of the request.
+// maxCrashDelay that the server will not crash because of the request.
 func (f *Forwarder) recordEvent(j *job, a *streamAttempt, arrivedAt time.Time) {
 	if a.beganAt.IsZero() {
 		a.beganAt = arrivedAt
 		if a.service.Engine != nil {
-			f.config.PromptBegan(j.request.SharedParts)
+			f.config.PromptBegan(j.suspect(a.service))
 		}
 	}
 	if arrivedAt.Sub(a.beganAt) > maxCrashDelay {
@@ -80,39 +100,43 @@
 	}
 }
 
-// recordAnswered records that the engine has not crashed because of the request, the first time in an attempt.
+// recordAnswered records that the server has not crashed because of the request, the first time in an attempt.
 func (f *Forwarder) recordAnswered(j *job, a *streamAttempt) {
 	if a.answered {
 		return
 	}
 	a.answered = true
-	if a.service.Engine != nil {
-		f.config.PromptAnswered(j.request.SharedParts)
-	}
+	f.config.RequestAnswered(j.suspect(a.service))
 }
 
-// checkCrash records the end of the connection to the first engine of a failed attempt that was not answered, in which case the
-// engine may have crashed under the request. No other engine of a chain crashes with it.
+// checkCrash records the end of the connection to the first server of a failed attempt that was not answered, in which case the
+// server may have crashed under the request. No other engine of a chain crashes with it.
 func (f *Forwarder) checkCrash(ctx context.Context, j *job, a *streamAttempt, err error) {
-	if a.service.Engine == nil || a.answered || len(j.request.SharedParts) == 0 || ctx.Err() != nil || !isConnectionEnd(err) {
+	if a.answered || ctx.Err() != nil || !isConnectionEnd(err) {
 		return
 	}
-	f.firstEngineCrashed(ctx, a, j.request.SharedParts)
+	f.firstServerCrashed(ctx, a, j.suspect(a.service))
 }
 
-// firstEngineCrashed reports whether the first engine of an attempt whose connection has ended has crashed, and records that it may have
-// crashed because of the parts, and that it is dead. An engine that wants no requests is not probed, and counts as alive.
-func (f *Forwarder) firstEngineCrashed(ctx context.Context, a *streamAttempt, parts []string) bool {
+// firstServerCrashed reports whether the first server of an attempt whose connection has ended has crashed, and records that it may
+// have crashed because of the request, and that an engine is dead.
+func (f *Forwarder) firstServerCrashed(ctx context.Context, a *streamAttempt, request poison.Request) bool {
 	first := a.chain[0].Server
-	crashed := !f.config.Notices.Waiting(first) && f.config.ConnectionEnded(ctx, first, parts, !a.beganAt.IsZero())
-	if crashed {
+	crashed := f.serverCrashed(ctx, first, request, !a.beganAt.IsZero())
+	if crashed && a.service.Engine != nil {
 		f.selector.probeFailed(first)
 	}
 	return crashed
 }
 
-// errCrashed is the error of a response of unknown length whose engine has crashed when its connection ends.
-const errCrashed = errors.ConstError("the engine has crashed at the end of the stream")
+// serverCrashed reports whether a server whose connection has ended has crashed, and records that it may have crashed because of the
+// request. A server that wants no requests is not probed, and counts as alive.
+func (f *Forwarder) serverCrashed(ctx context.Context, server backend.Server, request poison.Request, began bool) bool {
+	return !f.config.Notices.Waiting(server) && f.config.ConnectionEnded(ctx, server, request, began)
+}
+
+// errCrashed is the error of a response of unknown length whose server has crashed when its connection ends.
+const errCrashed = errors.ConstError("the server has crashed at the end of the response")
 
 // finishStream finishes the stream at the end of an attempt's body, or returns an error if the stream is incomplete. A response of
 // unknown length without any new event is complete only if the caller itself resumed the stream, and may thus have all its events.
@@ -129,17 +153,45 @@
 	return j.out.finish()
 }
 
-// crashedAtEnd reports whether the first engine of an attempt has crashed, and records that if the engine may have crashed because of
+// crashedAtEnd reports whether the first server of an attempt has crashed, and records that if the server may have crashed because of
 // the request. A crash ends a response of unknown length in the same way as its last event does.
 func (f *Forwarder) crashedAtEnd(ctx context.Context, j *job, a *streamAttempt) bool {
-	if a.service.Engine == nil {
-		return false
+	var request poison.Request
+	if !a.answered {
+		request = j.suspect(a.service)
 	}
-	parts := j.request.SharedParts
-	if a.answered {
-		parts = nil
+	return f.firstServerCrashed(ctx, a, request)
+}
+
+// checkWhole records that a plain server has answered the request. It returns errCrashed if the response, which has ended, has an unknown
+// length and the server has crashed at its end.
+func (f *Forwarder) checkWhole(ctx context.Context, j *job, server backend.Server, held *heldResponse) error {
+	request := poison.Request{Digest: j.digest}
+	endsWithConnection := !held.response.Framed && !held.meta.NotRun && j.method != http.MethodHead
+	if endsWithConnection && f.serverCrashed(ctx, server, request, true) {
+		return errCrashed
+	}
+	// An error may come from a server that fails before it gets to what crashes it.
+	if held.succeeded() {
+		f.config.RequestAnswered(request)
+	}
+	return nil
+}
+
+// endRelay records the end of a response of a plain server that was relayed while it was read, with the error of the end, and returns
+// the error to report. A server that has gone on for maxCrashDelay has not crashed because of the request.
+func (f *Forwarder) endRelay(ctx context.Context, j *job, server backend.Server, held *heldResponse, err error) error {
+	if err == nil {
+		return f.checkWhole(ctx, j, server, held)
+	}
+	request := poison.Request{Digest: j.digest}
+	switch {
+	case time.Since(held.beganAt) > maxCrashDelay:
+		f.config.RequestAnswered(request)
+	case isConnectionEnd(err):
+		f.serverCrashed(ctx, server, request, true)
 	}
-	return f.firstEngineCrashed(ctx, a, parts)
+	return err
 }
 
 // EnginesCrashed records that engines have crashed, as another instance found. They get no requests until they respond to a probe, or
--- a/comfreyrail/internal/gateway/forward/poison_test.go
+++ b/comfreyrail/internal/gateway/forward/poison_test.go
@@ -172,7 +172,7 @@
 	}
 	allBlock := func() bool {
 		for _, g := range gateways {
-			if _, ok := g.keeper.Blocked([]string{sharedPart, poisonedPart}); !ok {
+			if _, ok := g.keeper.Blocked(poison.Request{Parts: []string{sharedPart, poisonedPart}}); !ok {
 				return false
 			}
 		}
@@ -238,8 +238,8 @@
 		}
 	}
 	var ended []string
-	record := func(_ context.Context, _ backend.Server, parts []string, began bool) bool {
-		ended = append(ended, fmt.Sprint(parts, began))
+	record := func(_ context.Context, _ backend.Server, request poison.Request, began bool) bool {
+		ended = append(ended, fmt.Sprint(request.Parts, began))
 		return true
 	}
 	g := newGatewayWith(t, gatewayOptions{config: shortTimeout, ended: record}, first, second)
@@ -254,7 +254,7 @@
 	engine := newServer(t, "engine", writeStream(toTheEnd, eventText(1, lastEvent), false))
 	engine.card = "card"
 	var probes atomic.Int32
-	count := func(context.Context, backend.Server, []string, bool) bool {
+	count := func(context.Context, backend.Server, poison.Request, bool) bool {
 		probes.Add(1)
 		return false
 	}
@@ -294,7 +294,7 @@
 	<-arrived
 	for i := range poison.MinCrashes {
 		gone := backend.Server{ID: fmt.Sprint("gone", i), Address: "127.0.0.1:1"}
-		g.keeper.ConnectionEnded(context.Background(), gone, []string{sharedPart, poisonedPart}, false)
+		g.keeper.ConnectionEnded(context.Background(), gone, poison.Request{Parts: []string{sharedPart, poisonedPart}}, false)
 	}
 	select {
 	case <-left:
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/pause"
 	"github.com/comfreyrail/comfreyrail/rail/call"
 	"github.com/comfreyrail/comfreyrail/rail/pipeline"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
 // Times of a stream. The factors of the route's LatencyTarget, the target for the time to the first event, apply until the
@@ -182,8 +183,12 @@
 	defer f.endAttempt(a, nil)
 	held, err := f.hold(response, call.Response{}, func() {})
 	if err != nil {
+		f.checkCrash(ctx, j, a, err)
 		return j.failureResponse("stream-failed")
 	}
+	if held.complete && held.succeeded() {
+		f.config.RequestAnswered(poison.Request{Digest: j.digest})
+	}
 	if j.out.beginResponse() != nil {
 		held.discard()
 		return j.timeoutResponse()
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -176,7 +176,7 @@
 		MaxConfigAge: maxConfigAge(cfg), MaxApplyDelay: time.Duration(cfg.ConfigDelays.MaxApplyDelay),
 		ReadRequest: platform.ReadRequest, WriteBackendRequest: platform.WriteBackendRequest, ReadResponse: platform.ReadResponse,
 		Reroute: engines.Reroute, FetchState: engines.FetchState, RequestMemory: memory.requests, ResponseMemory: memory.responses,
-		PromptBlocked: quarantineKeeper.Blocked, PromptWaiting: quarantineKeeper.Waiting, PromptBegan: quarantineKeeper.Began, PromptAnswered: quarantineKeeper.Answered, ConnectionEnded: quarantineKeeper.ConnectionEnded,
+		RequestBlocked: quarantineKeeper.Blocked, RequestWaiting: quarantineKeeper.Waiting, PromptBegan: quarantineKeeper.Began, RequestAnswered: quarantineKeeper.Answered, ConnectionEnded: quarantineKeeper.ConnectionEnded,
 		Notices: noticeKeeper, Clock: runClock,
 	})
 }
--- a/comfreyrail/internal/gateway/quarantine/announcer.go
+++ b/comfreyrail/internal/gateway/quarantine/announcer.go
@@ -78,15 +78,14 @@
 	k.mu.Lock()
 	evidence := k.finder.CrashOf(engine)
 	k.mu.Unlock()
-	if evidence.IsEmpty() {
-		return nil
-	}
-	content, err := evidence.Encode()
-	if err != nil {
-		return err
+	for _, told := range evidence {
+		content, err := told.Encode()
+		if err != nil {
+			return err
+		}
+		k.config.Announce(content)
+		metrics.GetOrRegisterCounter("quarantine.announced", k.config.Metrics).Inc(1)
 	}
-	k.config.Announce(content)
-	metrics.GetOrRegisterCounter("quarantine.announced", k.config.Metrics).Inc(1)
 	return nil
 }
 
--- a/comfreyrail/internal/gateway/quarantine/announcer_test.go
+++ b/comfreyrail/internal/gateway/quarantine/announcer_test.go
@@ -26,7 +26,7 @@
 // waitBlocked reports whether the keeper blocks the part after a while.
 func waitBlocked(k *Keeper, part string) bool {
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if _, ok := k.Blocked([]string{part}); ok {
+		if _, ok := k.Blocked(poison.Request{Parts: []string{part}}); ok {
 			return true
 		}
 	}
@@ -53,7 +53,7 @@
 	for _, content := range []string{"", "{", `{"crashes":1}`} {
 		k.Announced("b", []byte(content))
 	}
-	if _, ok := k.Blocked([]string{"part"}); ok {
+	if _, ok := k.Blocked(poison.Request{Parts: []string{"part"}}); ok {
 		t.Error("got a part blocked, want none")
 	}
 }
--- a/comfreyrail/internal/gateway/quarantine/probe.go
+++ b/comfreyrail/internal/gateway/quarantine/probe.go
@@ -40,7 +40,7 @@
 // incarnation identifies a start of an engine.
 func incarnation(server backend.Server) string { return fmt.Sprintf("%s@%d", server.ID, server.Born) }
 
-// probe reports whether an engine refuses connections now. Requests whose connections ended together share a probe. One that found
+// probe reports whether a server refuses connections now. Requests whose connections ended together share a probe. One that found
 // the engine crashed is reused; one that found it alive counts only for connections that had ended before it started.
 func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed bool) {
 	endedAt := time.Now()
@@ -81,10 +81,33 @@
 func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server) bool {
 	ctx, cancel := k.config.Clock.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
-	_, err := k.config.FetchState(ctx, server)
+	err := k.connect(ctx, server)
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
 	if crashed {
 		metrics.GetOrRegisterCounter("quarantine.crashes", k.config.Metrics).Inc(1)
 	}
 	return crashed
 }
+
+// connect requests the state of an engine, or opens a connection to another server.
+func (k *Keeper) connect(ctx context.Context, server backend.Server) error {
+	if !k.isPlain(server) {
+		_, err := k.config.FetchState(ctx, server)
+		return err
+	}
+	conn, err := k.config.Clock.Dialer(probeTimeout)(ctx, "tcp", server.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// isPlain reports whether a server is not an engine.
+func (k *Keeper) isPlain(server backend.Server) bool {
+	index := k.config.Snapshot().Index
+	if index == nil {
+		return false
+	}
+	service, ok := index.Service(server.Service)
+	return ok && service.Engine == nil
+}
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -42,7 +42,7 @@
 	Log *logrus.Entry
 }
 
-// Keeper decides which requests must not be sent to engines; its methods may be called concurrently.
+// Keeper decides which requests must not be sent to engines or to other servers; its methods may be called concurrently.
 type Keeper struct {
 	config    Config
 	changed   chan struct{} // receives an element when the own report may have changed
@@ -63,55 +63,67 @@
 	}
 }
 
-// Blocked returns a poisoned part because of which a request with the shared parts must not be sent, and false if there is none.
-func (k *Keeper) Blocked(parts []string) (part string, ok bool) {
+// Blocked returns why a request must not be sent, and false if it may be.
+func (k *Keeper) Blocked(request poison.Request) (cause poison.Cause, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.readEvidence()
-	if part, ok = k.finder.Blocked(time.Now(), parts); ok {
+	if cause, ok = k.finder.Blocked(time.Now(), request); ok {
 		metrics.GetOrRegisterCounter("quarantine.blocked", k.config.Metrics).Inc(1)
 	}
-	return part, ok
+	if cause.Digest != "" {
+		metrics.GetOrRegisterCounter("quarantine.blocked.requests", k.config.Metrics).Inc(1)
+	}
+	return cause, ok
 }
 
-// Began records that an engine has begun the answer to a request with the shared parts.
-func (k *Keeper) Began(parts []string) {
+// Began records that an engine has begun the answer to a request.
+func (k *Keeper) Began(request poison.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.finder.Began(time.Now(), parts)
+	k.finder.Began(time.Now(), request)
 }
 
-// Answered records that an engine has answered a request with the shared parts, or that the answer has gone on for so long that the
-// engine will not crash because of them.
-func (k *Keeper) Answered(parts []string) {
+// Answered records that a server has answered a request, or that the answer has gone on for so long that the server will not crash
+// because of it.
+func (k *Keeper) Answered(request poison.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.finder.Answered(time.Now(), parts)
+	k.finder.Answered(time.Now(), request)
 }
 
-// ConnectionEnded records that the connection to an engine has ended before a request with the shared parts was answered, and whether
-// the answer had begun. It probes the engine and returns whether it has crashed. Without parts nothing is recorded.
-func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, parts []string, began bool) (crashed bool) {
+// ConnectionEnded records that the connection to a server has ended before a request was answered, and whether the answer had begun. It
+// probes the server and returns whether it has crashed. Of an empty request nothing is recorded.
+func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool) {
 	if !k.probe(ctx, server) {
 		return false
 	}
-	if len(parts) == 0 {
-		return true
+	k.recordCrash(server, request, began)
+	return true
+}
+
+// recordCrash records that a server may have crashed under a request, and tells the other instances.
+func (k *Keeper) recordCrash(server backend.Server, request poison.Request, began bool) {
+	if request.IsEmpty() {
+		return
 	}
 	engine := incarnation(server)
 	k.mu.Lock()
 	k.readEvidence()
-	k.finder.Crashed(time.Now(), engine, parts, began)
+	k.finder.Crashed(time.Now(), engine, request, began)
 	k.withdrawBlocked()
 	k.mu.Unlock()
-	fields := logrus.Fields{"server": server.ID, "address": server.Address, "parts": parts, "began": began}
-	k.config.Log.WithFields(fields).Info("an engine crashed before a request was answered")
+	fields := logrus.Fields{"server": server.ID, "address": server.Address, "parts": request.Parts, "digest": request.Digest, "began": began}
+	message := "an engine crashed before a request was answered"
+	if k.isPlain(server) {
+		message = "a server crashed before a request was answered"
+	}
+	k.config.Log.WithFields(fields).Info(message)
 	k.announcer.add(engine)
 	select {
 	case k.changed <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // readEvidence gives the finder the evidence of the newest snapshot, if it has changed. The caller must hold the mutex.
--- a/comfreyrail/internal/gateway/quarantine/quarantine_test.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine_test.go
@@ -83,7 +83,7 @@
 // endConnections records connections to engines that ended under a prompt with the part.
 func endConnections(k *Keeper, engines int, part string) (crashed int) {
 	for i := range engines {
-		if k.ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprintf("%s-%d", k.config.Name, i)}, []string{part}, false) {
+		if k.ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprintf("%s-%d", k.config.Name, i)}, poison.Request{Parts: []string{part}}, false) {
 			crashed++
 		}
 	}
@@ -108,7 +108,7 @@
 		if got := crashed == poison.MinCrashes; got != test.crashed {
 			t.Errorf("%s: got %d crashes, want %v for every engine", test.name, crashed, test.crashed)
 		}
-		if _, got := k.Blocked([]string{"poisoned"}); got != test.crashed {
+		if _, got := k.Blocked(poison.Request{Parts: []string{"poisoned"}}); got != test.crashed {
 			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.crashed)
 		}
 	}
@@ -124,7 +124,7 @@
 	k.config.FetchState = func(context.Context, backend.Server) (backend.State, error) { return backend.State{}, <-probes }
 	server := backend.Server{ID: "one"}
 	for i, want := range []bool{false, true, true} {
-		if got := k.ConnectionEnded(context.Background(), server, []string{"part"}, false); got != want {
+		if got := k.ConnectionEnded(context.Background(), server, poison.Request{Parts: []string{"part"}}, false); got != want {
 			t.Errorf("connection %d: got a crash %v, want %v", i, got, want)
 		}
 	}
@@ -143,11 +143,15 @@
 		}
 		var wait sync.WaitGroup
 		for range connections / 2 {
-			wait.Go(func() { k.ConnectionEnded(context.Background(), backend.Server{ID: "one"}, []string{"part"}, false) })
+			wait.Go(func() {
+				k.ConnectionEnded(context.Background(), backend.Server{ID: "one"}, poison.Request{Parts: []string{"part"}}, false)
+			})
 		}
 		time.Sleep(probeTime / 2)
 		for range connections / 2 { // these end while the engine is being probed
-			wait.Go(func() { k.ConnectionEnded(context.Background(), backend.Server{ID: "one"}, []string{"part"}, false) })
+			wait.Go(func() {
+				k.ConnectionEnded(context.Background(), backend.Server{ID: "one"}, poison.Request{Parts: []string{"part"}}, false)
+			})
 		}
 		wait.Wait()
 		if got, want := probes, 2; got != want {
@@ -168,12 +172,12 @@
 	s.writeErr = nil
 	s.mu.Unlock()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if _, ok := c.Blocked([]string{"poisoned"}); ok {
+		if _, ok := c.Blocked(poison.Request{Parts: []string{"poisoned"}}); ok {
 			break
 		}
 	}
 	for _, k := range []*Keeper{a, b, c} {
-		if _, ok := k.Blocked([]string{"poisoned"}); !ok {
+		if _, ok := k.Blocked(poison.Request{Parts: []string{"poisoned"}}); !ok {
 			t.Errorf("%s: got the part sent, want it blocked", k.config.Name)
 		}
 	}
--- a/comfreyrail/internal/gateway/quarantine/waiting.go
+++ b/comfreyrail/internal/gateway/quarantine/waiting.go
@@ -4,18 +4,20 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
-// waitingRequest is a request that waits at an engine for the begin of its answer.
+// waitingRequest is a request that waits at a server for the begin of its answer.
 type waitingRequest struct {
-	parts    []string
-	withdraw func(part string)
+	request  poison.Request
+	withdraw func(cause poison.Cause)
 }
 
-// Waiting records that a request with the shared parts waits at an engine for the begin of its answer, until done is called. If one
-// of its parts turns out to be poisoned meanwhile, withdraw is called once, which must not wait.
-func (k *Keeper) Waiting(parts []string, withdraw func(part string)) (done func()) {
-	request := &waitingRequest{parts: parts, withdraw: withdraw}
+// Waiting records that a request waits at a server for the begin of its answer, until done is called. If it turns out meanwhile that
+// it must not be sent, withdraw is called once, which must not wait.
+func (k *Keeper) Waiting(waiting poison.Request, withdraw func(cause poison.Cause)) (done func()) {
+	request := &waitingRequest{request: waiting, withdraw: withdraw}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.waiting[request] = true
@@ -37,11 +39,11 @@
 
 // withdrawIfBlocked withdraws a waiting request if it is blocked. The caller must hold the mutex.
 func (k *Keeper) withdrawIfBlocked(now time.Time, request *waitingRequest) {
-	part, ok := k.finder.Blocked(now, request.parts)
+	cause, ok := k.finder.Blocked(now, request.request)
 	if !ok {
 		return
 	}
 	delete(k.waiting, request)
 	metrics.GetOrRegisterCounter("quarantine.withdrawn", k.config.Metrics).Inc(1)
-	request.withdraw(part)
+	request.withdraw(cause)
 }
--- a/comfreyrail/internal/gateway/quarantine/waiting_test.go
+++ b/comfreyrail/internal/gateway/quarantine/waiting_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/comfreyrail/comfreyrail/rail/backend"
+	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
 // Guards against a request that goes on waiting at an engine, and crashes it, after its part has become known as poisoned, and against
@@ -16,17 +17,17 @@
 	var mu sync.Mutex
 	withdrawn := make(map[string]int)
 	wait := func(part string) (done func()) {
-		return k.Waiting([]string{part}, func(part string) {
+		return k.Waiting(poison.Request{Parts: []string{part}}, func(cause poison.Cause) {
 			mu.Lock()
 			defer mu.Unlock()
-			withdrawn[part]++
+			withdrawn[cause.Part]++
 		})
 	}
 	wait("poisoned")
 	wait("sound")
 	wait("poisoned")() // no longer waiting
 	for i, engine := range []string{"one", "two", "three"} {
-		k.ConnectionEnded(context.Background(), backend.Server{ID: engine}, []string{"poisoned"}, false)
+		k.ConnectionEnded(context.Background(), backend.Server{ID: engine}, poison.Request{Parts: []string{"poisoned"}}, false)
 		mu.Lock()
 		got, want := withdrawn["poisoned"], min(i, 1)
 		mu.Unlock()
@@ -44,10 +45,10 @@
 func TestRequestThatBeginsToWaitAfterVerdictIsWithdrawn(t *testing.T) {
 	k := newKeeper(t, new(shared), "a", syscall.ECONNREFUSED)
 	for _, engine := range []string{"one", "two"} {
-		k.ConnectionEnded(context.Background(), backend.Server{ID: engine}, []string{"poisoned"}, false)
+		k.ConnectionEnded(context.Background(), backend.Server{ID: engine}, poison.Request{Parts: []string{"poisoned"}}, false)
 	}
 	withdrawn := false
-	k.Waiting([]string{"poisoned"}, func(string) { withdrawn = true })
+	k.Waiting(poison.Request{Parts: []string{"poisoned"}}, func(poison.Cause) { withdrawn = true })
 	if !withdrawn {
 		t.Error("got a request that waits at its engine, want it withdrawn")
 	}
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -37,6 +37,11 @@
 	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
 	// it. Nil means that it never is, and that crashes are reported at once.
 	IsExplained func(now time.Time, engine string) bool
+	// MayBeExplained reports whether other evidence of an engine's crash is known. If not, the crash is reported at once. Nil means that
+	// there may always be some.
+	MayBeExplained func(engine string) bool
+	// WholeRequests means that each part is the digest of a request, so that a request has no other part which explains its crashes.
+	WholeRequests bool
 }
 
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
@@ -98,13 +103,13 @@
 }
 
 // forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash if there are more than maxSurvived, or
-// all of them if that does not make room.
+// all of them if that does not make much room.
 func forgetSurvived(now time.Time, survived map[string]time.Time) {
 	if len(survived) <= maxSurvived {
 		return
 	}
 	maps.DeleteFunc(survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
-	if len(survived) > maxSurvived {
+	if len(survived) > maxSurvived*3/4 {
 		clear(survived)
 	}
 }
@@ -116,7 +121,13 @@
 		at, ok := d.survived[part]
 		return ok && now.Sub(at) <= clearMargin
 	})
-	d.learn(now, engine, d.seen(now, engine).add(parts))
+	crash := d.seen(now, engine)
+	if d.config.WholeRequests {
+		for _, part := range parts {
+			d.makeRoom(crash, part)
+		}
+	}
+	d.learn(now, engine, crash.add(parts))
 }
 
 // seen returns the crash of an engine as this instance saw it, without parts if it is new. The oldest crash makes room for a new one.
@@ -228,7 +239,7 @@
 // reportParts returns the parts of a crash that the others are told: those that were told before, and those that no answer clears here,
 // nor elsewhere of a crash at that time.
 func (d *Detector) reportParts(now time.Time, crash *seenCrash, instances int) (parts []string) {
-	if d.config.IsExplained != nil && len(crash.reported) == 0 {
+	if d.mayBeExplained(crash.Engine) && len(crash.reported) == 0 {
 		if now.Sub(crash.at) < answerReportDelay(d.config.Name, crash.Engine, instances) || d.config.IsExplained(now, crash.Engine) {
 			return nil
 		}
@@ -243,6 +254,11 @@
 	return crash.reported
 }
 
+// mayBeExplained reports whether the cause of an engine's crash may be known from other evidence.
+func (d *Detector) mayBeExplained(engine string) bool {
+	return d.config.IsExplained != nil && (d.config.MayBeExplained == nil || d.config.MayBeExplained(engine))
+}
+
 // explains reports whether a part is known under which the engine crashed, as did most others lately.
 func (d *Detector) explains(now time.Time, engine string) bool {
 	lately := 0
@@ -308,15 +324,24 @@
 // other parts explain all crashes of the poisoned part as well, only a request that has these too is blocked: which of them
 // causes the crashes is not known yet, and most requests have but one.
 func (d *Detector) Blocked(now time.Time, parts []string) (part string, ok bool) {
-	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
 	for _, part := range parts {
-		if d.isPoisoned(now, part) && !slices.ContainsFunc(d.index.companions(part), missing) {
+		if d.isPoisoned(now, part) && !d.hasOtherCause(part, parts) {
 			return part, true
 		}
 	}
 	return "", false
 }
 
+// hasOtherCause reports whether something else than a poisoned part, which a request with the parts does not have, may explain its
+// crashes.
+func (d *Detector) hasOtherCause(poisoned string, parts []string) bool {
+	if d.config.WholeRequests {
+		return d.isOutweighed(poisoned)
+	}
+	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
+	return slices.ContainsFunc(d.index.companions(poisoned), missing)
+}
+
 // isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
 func (d *Detector) isPoisoned(now time.Time, part string) bool {
 	engines := d.unexplained(now, part)
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -6,56 +6,85 @@
 // MinCrashes, since more requests are being answered at an engine than are waiting for the begin of an answer.
 const minAnswerCrashes = 3
 
-// Finder decides which requests are blocked. It finds the parts under which engines crash before an answer begins, and those under
-// which they crash before an answer is whole. Its methods must not be called concurrently.
+// MinRequestCrashes is the number of servers that must have crashed under a request before its answer was whole, so that it is blocked.
+// With fewer, a sound request that is tried twice would be blocked by chance.
+const MinRequestCrashes = 3
+
+// Finder decides which requests are blocked. It finds the parts under which engines crash before an answer begins, those under
+// which they crash before an answer is whole, and whole requests under which engines or other servers do. Its methods must not be
+// called concurrently.
 type Finder struct {
-	begins  *Detector
-	answers *Detector
+	begins   *Detector
+	answers  *Detector
+	requests *Detector
 }
 
 // NewFinder returns a Finder of the instance with the name.
 func NewFinder(self string) *Finder {
 	begins := New(Config{Name: self, MinCrashes: MinCrashes})
 	answers := New(Config{Name: self, MinCrashes: minAnswerCrashes, IsExplained: begins.explains})
-	return &Finder{begins: begins, answers: answers}
+	requests := New(Config{
+		Name: self, MinCrashes: MinRequestCrashes, WholeRequests: true,
+		IsExplained: func(now time.Time, engine string) bool {
+			return begins.explains(now, engine) || answers.explains(now, engine)
+		},
+		MayBeExplained: func(engine string) bool { return begins.knows(engine) || answers.knows(engine) },
+	})
+	return &Finder{begins: begins, answers: answers, requests: requests}
 }
 
-// Began records that an answer to a prompt with the parts has begun.
-func (f *Finder) Began(now time.Time, parts []string) { f.begins.Survived(now, parts) }
+// Began records that an answer to the request has begun.
+func (f *Finder) Began(now time.Time, request Request) { f.begins.Survived(now, request.Parts) }
 
-// Answered records that a prompt with the parts has been answered, or that the answer has gone on for so long that its engine will not
-// crash because of them.
-func (f *Finder) Answered(now time.Time, parts []string) { f.answers.Survived(now, parts) }
+// Answered records that the request has been answered, or that the answer has gone on for so long that its server will not crash
+// because of it.
+func (f *Finder) Answered(now time.Time, request Request) {
+	f.answers.Survived(now, request.Parts)
+	if request.Digest != "" {
+		f.requests.Survived(now, []string{request.Digest})
+	}
+}
 
-// Crashed records that an engine has crashed before a request with the parts was answered, and whether the answer had begun.
-func (f *Finder) Crashed(now time.Time, engine string, parts []string, began bool) {
-	if !began {
-		f.begins.Crashed(now, engine, parts)
+// Crashed records that an engine or another server has crashed before the request was answered, and whether the answer had begun.
+func (f *Finder) Crashed(now time.Time, engine string, request Request, began bool) {
+	if len(request.Parts) > 0 && !began {
+		f.begins.Crashed(now, engine, request.Parts)
+	}
+	if len(request.Parts) > 0 {
+		f.answers.Crashed(now, engine, request.Parts)
+	}
+	if request.Digest != "" {
+		f.requests.Crashed(now, engine, []string{request.Digest})
 	}
-	f.answers.Crashed(now, engine, parts)
 }
 
 // SetEvidence replaces the evidence of all instances, by their names.
 func (f *Finder) SetEvidence(now time.Time, evidence map[string]Evidence) {
-	begins, answers := make(map[string]Report, len(evidence)), make(map[string]Report, len(evidence))
+	begins, answers, requests := make(map[string]Report, len(evidence)), make(map[string]Report, len(evidence)), make(map[string]Report, len(evidence))
 	for name, seen := range evidence {
-		begins[name], answers[name] = seen.Report, seen.Answers
+		begins[name], answers[name], requests[name] = seen.Report, seen.Answers, seen.Requests
 	}
 	f.begins.SetReports(now, begins)
 	f.answers.SetReports(now, answers)
+	f.requests.SetReports(now, requests)
 }
 
 // Heard records crashes of which another instance tells at once.
 func (f *Finder) Heard(now time.Time, from string, evidence Evidence) {
 	f.begins.Heard(now, from, evidence.Crashes)
 	f.answers.Heard(now, from, evidence.Answers.Crashes)
+	f.requests.Heard(now, from, evidence.Requests.Crashes)
 }
 
-// CrashOf returns what this instance has to announce of the crash of an engine: the parts of the prompts whose answers had not begun.
-// Answers that had begun say little at once, as most of them had another part; they are left to Evidence.
-func (f *Finder) CrashOf(engine string) (evidence Evidence) {
+// CrashOf returns what this instance has to announce of the crash of an engine or another server: the parts of the prompts whose
+// answers had not begun, and the requests whose answers were not whole, each small enough for a datagram. The parts of answers that had
+// begun say little at once, as most of them had another part; they are left to Evidence.
+func (f *Finder) CrashOf(engine string) (evidence []Evidence) {
 	if crash, ok := f.begins.SeenCrash(engine); ok {
-		evidence.Crashes = []Crash{crash}
+		evidence = append(evidence, Evidence{Report: Report{Crashes: []Crash{crash}}})
+	}
+	if crash, ok := f.requests.SeenCrash(engine); ok {
+		evidence = append(evidence, Evidence{Requests: Report{Crashes: []Crash{crash}}})
 	}
 	return evidence
 }
@@ -63,13 +92,21 @@
 // Evidence returns what this instance has to tell the others. The number of live instances, this one included, decides how long it
 // waits for others to tell the same.
 func (f *Finder) Evidence(now time.Time, instances int) Evidence {
-	return Evidence{Report: f.begins.Report(now, instances), Answers: f.answers.Report(now, instances)}
+	return Evidence{
+		Report: f.begins.Report(now, instances), Answers: f.answers.Report(now, instances), Requests: f.requests.Report(now, instances),
+	}
 }
 
-// Blocked returns a poisoned part because of which a request with the parts must not be sent, and false if there is none.
-func (f *Finder) Blocked(now time.Time, parts []string) (part string, ok bool) {
-	if part, ok = f.begins.Blocked(now, parts); ok {
-		return part, true
+// Blocked returns why the request must not be sent, and false if it may be.
+func (f *Finder) Blocked(now time.Time, request Request) (cause Cause, ok bool) {
+	if request.Digest != "" {
+		if _, ok = f.requests.Blocked(now, []string{request.Digest}); ok {
+			return Cause{Digest: request.Digest}, true
+		}
+	}
+	if cause.Part, ok = f.begins.Blocked(now, request.Parts); ok {
+		return cause, true
 	}
-	return f.answers.Blocked(now, parts)
+	cause.Part, ok = f.answers.Blocked(now, request.Parts)
+	return cause, ok
 }
--- a/rail/poison/heard_test.go
+++ b/rail/poison/heard_test.go
@@ -84,17 +84,19 @@
 	for i := range 3 {
 		engine, name := fmt.Sprint("engine", i), fmt.Sprint("other", i)
 		other, now := NewFinder(name), start.Add(time.Duration(i)*100*time.Millisecond)
-		cause.Crashed(now, engine, []string{"poisoned"}, false)
-		other.Crashed(now, engine, []string{"sound"}, true)
+		cause.Crashed(now, engine, Request{Parts: []string{"poisoned"}}, false)
+		other.Crashed(now, engine, Request{Parts: []string{"sound"}}, true)
 		if got := other.Evidence(now, instances); !got.IsEmpty() {
 			t.Errorf("got report %v, want none before the cause is known", got)
 		}
-		listener.Heard(now, name, other.CrashOf(engine))
+		for _, told := range other.CrashOf(engine) {
+			listener.Heard(now, name, told)
+		}
 	}
-	if _, ok := listener.Blocked(start.Add(time.Second), []string{"sound"}); ok {
+	if _, ok := listener.Blocked(start.Add(time.Second), Request{Parts: []string{"sound"}}); ok {
 		t.Error("got the sound part blocked, want it free")
 	}
-	if got := cause.CrashOf("engine0"); len(got.Crashes) != 1 {
+	if got := cause.CrashOf("engine0"); len(got) != 1 || len(got[0].Crashes) != 1 {
 		t.Errorf("got %v, want the crash announced with the part whose answer had not begun", got)
 	}
 }
--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -55,15 +55,17 @@
 	Report
 	// Answers is about engines that crashed before answers were whole.
 	Answers Report `json:"answers"`
+	// Requests is about engines and other servers that crashed before answers were whole, with the digests of the requests as parts.
+	Requests Report `json:"requests,omitzero"`
 }
 
 // IsEmpty reports whether there is nothing to tell.
-func (e Evidence) IsEmpty() bool { return e.isEmpty() && e.Answers.isEmpty() }
+func (e Evidence) IsEmpty() bool { return e.isEmpty() && e.Answers.isEmpty() && e.Requests.isEmpty() }
 
-// Engines returns the engines that crashed.
+// Engines returns the engines and other servers that crashed.
 func (e Evidence) Engines() (engines map[string]bool) {
 	engines = make(map[string]bool)
-	for _, crash := range slices.Concat(e.Crashes, e.Answers.Crashes) {
+	for _, crash := range slices.Concat(e.Crashes, e.Answers.Crashes, e.Requests.Crashes) {
 		engines[crash.Engine] = true
 	}
 	return engines
@@ -85,5 +87,8 @@
 	if err = evidence.check(); err != nil {
 		return evidence, err
 	}
-	return evidence, evidence.Answers.check()
+	if err = evidence.Answers.check(); err != nil {
+		return evidence, err
+	}
+	return evidence, evidence.Requests.check()
 }
--- a/rail/poison/sharing_test.go
+++ b/rail/poison/sharing_test.go
@@ -60,7 +60,7 @@
 // send sends a request with the part unless it is blocked, and reports whether it is sent.
 func (f *sharingFleet) send(now time.Time, engine int, part string) bool {
 	run := fleetRun{end: now.Add(sharingAnswer), instance: f.random.IntN(len(f.instances)), engine: engine, parts: []string{part}}
-	if _, blocked := f.instances[run.instance].finder.Blocked(now, run.parts); blocked {
+	if _, blocked := f.instances[run.instance].finder.Blocked(now, Request{Parts: run.parts}); blocked {
 		return false
 	}
 	f.engines[engine] = append(f.engines[engine], run)
@@ -71,12 +71,12 @@
 func (f *sharingFleet) endAnswers(now time.Time, step time.Duration) {
 	for i, runs := range f.engines {
 		for len(runs) > 0 && !runs[0].end.After(now) {
-			f.instances[runs[0].instance].finder.Answered(now, runs[0].parts)
+			f.instances[runs[0].instance].finder.Answered(now, Request{Parts: runs[0].parts})
 			runs = runs[1:]
 		}
 		for _, run := range runs {
 			if age := now.Sub(run.end.Add(-sharingAnswer)); age >= sharingFirstEvent && age < sharingFirstEvent+step {
-				f.instances[run.instance].finder.Began(now, run.parts)
+				f.instances[run.instance].finder.Began(now, Request{Parts: run.parts})
 			}
 		}
 		f.engines[i] = runs
@@ -95,7 +95,7 @@
 		if run.parts[0] == "poisoned" {
 			begun = began
 		}
-		f.instances[run.instance].finder.Crashed(now, fmt.Sprint("engine", engine, "@1777385914000"), run.parts, begun)
+		f.instances[run.instance].finder.Crashed(now, fmt.Sprint("engine", engine, "@1777385914000"), Request{Parts: run.parts}, begun)
 	}
 	f.engines[engine] = nil
 }
@@ -159,7 +159,7 @@
 // sendersOfPoisoned returns how many instances would send a request with the poisoned part.
 func (f *sharingFleet) sendersOfPoisoned(now time.Time) (senders int) {
 	for _, instance := range f.instances {
-		if _, blocked := instance.finder.Blocked(now, []string{"poisoned"}); !blocked {
+		if _, blocked := instance.finder.Blocked(now, Request{Parts: []string{"poisoned"}}); !blocked {
 			senders++
 		}
 	}
