--- a/comfreyrail/internal/gateway/forward/crashing_server_test.go
+++ b/comfreyrail/internal/gateway/forward/crashing_server_test.go
@@ -203,6 +203,21 @@
 	}
 }
 
+// Guards against a crash that is not seen because the next incarnation of the server accepts connections before the probe.
+func TestCrashOfServerThatIsBackAtOnceCounts(t *testing.T) {
+	s := newSharedStore(nil)
+	servers := newFragileServers(t, s, 5, "", nil)
+	servers.downTime = 0
+	g := newGatewayWith(t, gatewayOptions{store: s, name: "self"})
+	for n := range 8 {
+		g.post(t.Context(), "/once/", fmt.Sprint("crashing", n), crashingBody)
+		time.Sleep(500 * time.Millisecond) // until the entries have been looked at
+	}
+	if got, want := servers.arrived(time.Time{}), poison.MinRequestCrashes; got != want {
+		t.Errorf("got %d arrivals, want %d", got, want)
+	}
+}
+
 // Guards against a large body, or one that comes in pieces without a length, that gives a request another digest.
 func TestDigestOfPiecesIsThatOfWhole(t *testing.T) {
 	body := strings.Repeat("0123456789abcdef", 64<<10)
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -52,6 +52,7 @@
 	finder   *poison.Finder
 	evidence map[string]poison.Evidence // of the snapshot that the finder knows
 	probes   map[string]*crashProbe     // by engine
+	doubts   []doubt                    // ended connections to servers that were alive
 	waiting  map[*waitingRequest]bool   // requests that wait for the begin of an answer
 }
 
@@ -96,6 +97,7 @@
 // probes the server and returns whether it has crashed. Of an empty request nothing is recorded.
 func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool) {
 	if !k.probe(ctx, server) {
+		k.doubtLater(server, request, began)
 		return false
 	}
 	k.recordCrash(server, request, began)
@@ -151,6 +153,7 @@
 		case <-ticker.C:
 		}
 		snapshot := k.config.Snapshot()
+		k.resolveDoubts(snapshot)
 		p.forgetIfRestored(snapshot.Era)
 		instances := max(len(snapshot.Instances), 1)
 		report := k.report(instances)
