Tell of whole requests at crashes within the limits of large fleets

What callers saw: nothing yet; in the simulation of 195 instances whose requests have digests now (TestSharingStaysWithinLimits failed), reports came to 88,564 bytes in a second, 65,536 being allowed, and 1,371 of 12,800 sound requests were refused, 1,280 being allowed (48,791 and 953 without digests), as what else is told came late.

Cause: an engine answers far more requests than it begins, and each of them was told at each crash at once and for five minutes.

Change: a digest whose answer had begun is told up to 4 s later in a large fleet if parts of the crash are known too, unless the digest is suspected of another crash, and is not told any more once an answer clears it or parts explain the crash. Records leave out what is empty.

Also mends TestLaterInstanceBlocksCrashingRequest, which failed once: it waited for any report of the first instance, which may hold its first crash only. It waits for the verdict now, for 3 s.

--- a/comfreyrail/internal/gateway/forward/crashing_server_test.go
+++ b/comfreyrail/internal/gateway/forward/crashing_server_test.go
@@ -52,15 +52,16 @@
 		first.post(t.Context(), "/once/", fmt.Sprint("crashing", n), crashingBody)
 	}
 	later := newGatewayWith(t, gatewayOptions{store: s, name: "later"})
-	before := servers.arrived(time.Time{})
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		if _, ok := s.crashReport("first"); ok {
-			break
-		}
+	request := poison.Request{Digest: poison.Digest(http.MethodPost, "127.0.0.1", "/once/", "", []byte(crashingBody))}
+	isBlocked := func() bool {
+		_, ok := later.keeper.Blocked(request)
+		return ok
+	}
+	for deadline := time.Now().Add(stableTime); !isBlocked() && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
 	}
-	time.Sleep(50 * time.Millisecond)
 	later.post(t.Context(), "/once/", "crashing", crashingBody)
-	if got := servers.arrived(time.Time{}); got != before || before != poison.MinRequestCrashes {
+	if got := servers.arrived(time.Time{}); got != poison.MinRequestCrashes {
 		t.Errorf("got %d arrivals, want %d: those at the first instance", got, poison.MinRequestCrashes)
 	}
 }
--- a/comfreyrail/internal/gateway/forward/shared_store_test.go
+++ b/comfreyrail/internal/gateway/forward/shared_store_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/comfreyrail/comfreyrail/comfreyrail/internal/gateway/catalog"
 	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/store"
 )
@@ -87,14 +86,6 @@
 	}
 }
 
-// crashReport returns the crash report of an instance, and false if there is none.
-func (s *sharedStore) crashReport(name string) (item store.Item, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	item, ok = s.items[catalog.CrashReportPrefix+name]
-	return item, ok
-}
-
 func (s *sharedStore) grant(context.Context, time.Duration) (store.Lease, error) {
 	return store.Lease{ID: 1}, nil
 }
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -37,11 +37,12 @@
 	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
 	// it. Nil means that it never is, and that crashes are reported at once.
 	IsExplained func(now time.Time, engine string) bool
-	// MayBeExplained reports whether other evidence of an engine's crash is known. If not, the crash is reported at once. Nil means that
-	// there may always be some.
-	MayBeExplained func(engine string) bool
 	// WholeRequests means that each part is the digest of a request, so that a request has no other part which explains its crashes.
+	// It needs IsExplained.
 	WholeRequests bool
+	// MayBeExplained reports whether other evidence of an engine's crash is known, so that the others are told of requests whose
+	// answers had begun later; nil means that there never is.
+	MayBeExplained func(engine string) bool
 }
 
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
@@ -64,6 +65,7 @@
 	Crash
 	at       time.Time
 	reported []string // the parts that were reported
+	begun    []string // the requests whose answers had begun
 }
 
 // add adds parts and returns the new ones for which there was room.
@@ -121,13 +123,7 @@
 		at, ok := d.survived[part]
 		return ok && now.Sub(at) <= clearMargin
 	})
-	crash := d.seen(now, engine)
-	if d.config.WholeRequests {
-		for _, part := range parts {
-			d.makeRoom(crash, part)
-		}
-	}
-	d.learn(now, engine, crash.add(parts))
+	d.learn(now, engine, d.seen(now, engine).add(parts))
 }
 
 // seen returns the crash of an engine as this instance saw it, without parts if it is new. The oldest crash makes room for a new one.
@@ -239,24 +235,26 @@
 // reportParts returns the parts of a crash that the others are told: those that were told before, and those that no answer clears here,
 // nor elsewhere of a crash at that time.
 func (d *Detector) reportParts(now time.Time, crash *seenCrash, instances int) (parts []string) {
-	if d.mayBeExplained(crash.Engine) && len(crash.reported) == 0 {
+	if d.config.WholeRequests {
+		return d.reportRequests(now, crash, instances)
+	}
+	if d.config.IsExplained != nil && len(crash.reported) == 0 {
 		if now.Sub(crash.at) < answerReportDelay(d.config.Name, crash.Engine, instances) || d.config.IsExplained(now, crash.Engine) {
 			return nil
 		}
 	}
 	for _, part := range crash.Parts {
-		vouchedAt, vouched := d.vouched[part]
-		vouched = vouched && crash.at.Sub(vouchedAt) <= clearMargin
-		if !vouched && !d.index.cleared[part][crash.Engine] && !slices.Contains(crash.reported, part) {
+		if !d.isCleared(crash, part) && !slices.Contains(crash.reported, part) {
 			crash.reported = append(crash.reported, part)
 		}
 	}
 	return crash.reported
 }
 
-// mayBeExplained reports whether the cause of an engine's crash may be known from other evidence.
-func (d *Detector) mayBeExplained(engine string) bool {
-	return d.config.IsExplained != nil && (d.config.MayBeExplained == nil || d.config.MayBeExplained(engine))
+// isCleared reports whether an answer seen here clears a part of a crash, or an answer elsewhere one of a crash at that time.
+func (d *Detector) isCleared(crash *seenCrash, part string) bool {
+	vouchedAt, vouched := d.vouched[part]
+	return vouched && crash.at.Sub(vouchedAt) <= clearMargin || d.index.cleared[part][crash.Engine]
 }
 
 // explains reports whether a part is known under which the engine crashed, as did most others lately.
--- a/rail/poison/dying_engines_test.go
+++ b/rail/poison/dying_engines_test.go
@@ -22,8 +22,12 @@
 	end              time.Time
 	instance, engine int
 	parts            []string
+	digest           string
 }
 
+// request returns the request of the run.
+func (r fleetRun) request() Request { return Request{Digest: r.digest, Parts: r.parts} }
+
 // fleet simulates instances that share what they see, and engines of which some die.
 type fleet struct {
 	random    *rand.Rand
@@ -56,7 +60,7 @@
 // endAnswers ends the answers that are whole.
 func (f *fleet) endAnswers(now time.Time) {
 	for len(f.running) > 0 && !f.running[0].end.After(now) {
-		f.finders[f.running[0].instance].Answered(now, Request{Parts: f.running[0].parts})
+		f.finders[f.running[0].instance].Answered(now, f.running[0].request())
 		f.running = f.running[1:]
 	}
 }
@@ -70,7 +74,7 @@
 			rest = append(rest, run)
 			continue
 		}
-		f.finders[run.instance].Crashed(now, fmt.Sprint("engine", run.engine), Request{Parts: run.parts}, true)
+		f.finders[run.instance].Crashed(now, fmt.Sprint("engine", run.engine), run.request(), true)
 	}
 	f.running = rest
 }
@@ -82,7 +86,7 @@
 		run.engine = fleetDying + f.random.IntN(fleetEngines-fleetDying)
 	}
 	run.parts = []string{fmt.Sprint("first", f.random.IntN(fleetFirstParts))}
-	if _, blocked := f.finders[run.instance].Blocked(now, Request{Parts: run.parts}); blocked {
+	if _, blocked := f.finders[run.instance].Blocked(now, run.request()); blocked {
 		return false
 	}
 	f.running = append(f.running, run)
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -54,7 +54,7 @@
 		f.answers.Crashed(now, engine, request.Parts)
 	}
 	if request.Digest != "" {
-		f.requests.Crashed(now, engine, []string{request.Digest})
+		f.requests.RequestCrashed(now, engine, request.Digest, began)
 	}
 }
 
--- a/rail/poison/pace.go
+++ b/rail/poison/pace.go
@@ -21,6 +21,11 @@
 	answerDelayPerInstance = 10 * time.Millisecond
 	// maxAnswerDelay is that time in a large fleet, which must know a poisoned part soon.
 	maxAnswerDelay = 2 * time.Second
+	// begunDelayPerInstance times the number of other instances is how much longer an instance waits before it tells the others of
+	// requests whose answers had begun, so that they are not told if the answers that were not whole explain the crash.
+	begunDelayPerInstance = 10 * time.Millisecond
+	// maxBegunDelay is the maximum of that.
+	maxBegunDelay = 2 * time.Second
 	// clearDelayPerInstance times the number of other instances is the maximum time that an instance waits for others to clear a part.
 	clearDelayPerInstance = 20 * time.Millisecond
 	// maxClearDelay is the maximum time that an instance of a large fleet waits for others to clear a part. As many instances may
@@ -42,6 +47,11 @@
 	return time.Duration(float64(longest) * (1 + fraction(self, engine)) / 2)
 }
 
+// begunReportDelay returns how long an instance waits before it tells the others of requests whose answers had begun at a crash.
+func begunReportDelay(self, engine string, instances int) time.Duration {
+	return answerReportDelay(self, engine, instances) + min(time.Duration(instances-1)*begunDelayPerInstance, maxBegunDelay)
+}
+
 // clearDelay returns how long an instance waits for another one to clear a part before it does so itself. It differs between instances,
 // so that most of them hear of the first that did.
 func clearDelay(self, part string, instances int) time.Duration {
--- a/rail/poison/report.go
+++ b/rail/poison/report.go
@@ -18,10 +18,10 @@
 // Report holds crashes that one instance saw before answers had begun, or before they were whole.
 type Report struct {
 	// Crashes lists the crashes, oldest first, with the parts of the prompts under which the engines may have crashed.
-	Crashes []Crash `json:"crashes"`
+	Crashes []Crash `json:"crashes,omitempty"`
 	// Cleared lists crashes with the parts that did not cause them, nor those that became known before, since other engines have
 	// survived them.
-	Cleared []Crash `json:"cleared"`
+	Cleared []Crash `json:"cleared,omitempty"`
 }
 
 // isEmpty reports whether there is nothing to tell.
@@ -54,7 +54,7 @@
 	// Report is about engines that crashed before answers had begun.
 	Report
 	// Answers is about engines that crashed before answers were whole.
-	Answers Report `json:"answers"`
+	Answers Report `json:"answers,omitzero"`
 	// Requests is about engines and other servers that crashed before answers were whole, with the digests of the requests as parts.
 	Requests Report `json:"requests,omitzero"`
 }
--- a/rail/poison/request_test.go
+++ b/rail/poison/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -190,13 +191,11 @@
 	if err != nil || len(evidence.Crashes) != 1 || !evidence.Requests.isEmpty() {
 		t.Errorf("got %v, %v, want the crash of an older record", evidence, err)
 	}
-	value, err := evidence.Encode()
-	if err != nil || string(value) != old {
-		t.Errorf("got %s, %v, want %s", value, err, old)
-	}
 	f := NewFinder("a")
 	crashed(f, 0, 1, "crashing")
-	if value, err = f.Evidence(start, 1).Encode(); err != nil {
+	f.Crashed(start, "e", Request{Parts: []string{"p"}}, false)
+	value, err := f.Evidence(start, 1).Encode()
+	if err != nil {
 		t.Fatal(err)
 	}
 	var older struct {
@@ -204,7 +203,7 @@
 
 		Answers Report `json:"answers"`
 	}
-	if err = json.Unmarshal(value, &older); err != nil || len(older.Crashes) != 0 {
+	if err = json.Unmarshal(value, &older); err != nil || len(older.Crashes) != 1 {
 		t.Errorf("got %v, %v, want a record that older instances read", older, err)
 	}
 }
@@ -242,3 +241,67 @@
 		})
 	}
 }
+
+// Guards against a large fleet that learns too late of the third crash, of whose engines parts are known as well: each instance must block
+// the request within 4 s.
+func TestLargeFleetLearnsOfCrashingRequestInTime(t *testing.T) {
+	const within = 4 * time.Second
+	tests := []struct {
+		name     string
+		interval time.Duration // between crashes
+		began    bool          // whether answers had begun
+	}{
+		{"before the answers, at once", 0, false},
+		{"before the answers, one after the other", 2 * time.Second, false},
+		{"in the answers, one after the other", 2 * time.Second, true},
+	}
+	for _, test := range tests {
+		if got := learnCrashingRequest(t, test.interval, test.began); got > within {
+			t.Errorf("%s: got the request blocked %v after the third crash, want %v at most", test.name, got, within)
+		} else {
+			t.Logf("%s: %v", test.name, got)
+		}
+	}
+}
+
+// learnCrashingRequest returns how long after the third crash under a request an instance of a large fleet blocks it that saw none and
+// knows of them from the store alone. Each crash was seen by another instance.
+func learnCrashingRequest(t *testing.T, interval time.Duration, began bool) time.Duration {
+	t.Helper()
+	const (
+		instances = 195
+		tick      = 250 * time.Millisecond
+		storeLag  = time.Second // until the others know what one has written
+		longest   = 10 * time.Second
+	)
+	evidence, visible := make(map[string]Evidence), make(map[time.Time]map[string]Evidence)
+	finders, written := make([]*Finder, MinRequestCrashes+1), make([]time.Time, MinRequestCrashes+1)
+	for i := range finders {
+		finders[i] = NewFinder(fmt.Sprint("instance", i))
+	}
+	third := start.Add((MinRequestCrashes - 1) * interval)
+	for now := start; now.Before(third.Add(longest)); now = now.Add(tick) {
+		for i, finder := range finders {
+			if i < MinRequestCrashes && now.Equal(start.Add(time.Duration(i)*interval)) {
+				request := Request{Digest: "crashing", Parts: []string{fmt.Sprint("shared", i)}}
+				finder.Crashed(now, fmt.Sprint("engine", i), request, began)
+			}
+			if known := visible[now]; known != nil {
+				finder.SetEvidence(now, known)
+			}
+			told := finder.Evidence(now, instances)
+			value, err := told.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !told.IsEmpty() && now.Sub(written[i]) >= WriteInterval(instances, len(value)) {
+				written[i], evidence[fmt.Sprint("instance", i)] = now, told
+			}
+		}
+		visible[now.Add(storeLag)] = maps.Clone(evidence)
+		if _, ok := finders[MinRequestCrashes].Blocked(now, Request{Digest: "crashing"}); ok {
+			return now.Sub(third)
+		}
+	}
+	return longest
+}
--- a/rail/poison/sharing_test.go
+++ b/rail/poison/sharing_test.go
@@ -46,7 +46,7 @@
 	sendersAfter int   // instances that would send the poisoned part sharingKnown after the first crash
 	bytes        []int // written in each second
 	writes       int
-	parts        [4]int
+	parts        [6]int
 }
 
 func newSharingFleet(instances int) *sharingFleet {
@@ -59,8 +59,8 @@
 
 // send sends a request with the part unless it is blocked, and reports whether it is sent.
 func (f *sharingFleet) send(now time.Time, engine int, part string) bool {
-	run := fleetRun{end: now.Add(sharingAnswer), instance: f.random.IntN(len(f.instances)), engine: engine, parts: []string{part}}
-	if _, blocked := f.instances[run.instance].finder.Blocked(now, Request{Parts: run.parts}); blocked {
+	run := fleetRun{end: now.Add(sharingAnswer), instance: f.random.IntN(len(f.instances)), engine: engine, parts: []string{part}, digest: fmt.Sprintf("%016d", f.sent)}
+	if _, blocked := f.instances[run.instance].finder.Blocked(now, run.request()); blocked {
 		return false
 	}
 	f.engines[engine] = append(f.engines[engine], run)
@@ -71,12 +71,12 @@
 func (f *sharingFleet) endAnswers(now time.Time, step time.Duration) {
 	for i, runs := range f.engines {
 		for len(runs) > 0 && !runs[0].end.After(now) {
-			f.instances[runs[0].instance].finder.Answered(now, Request{Parts: runs[0].parts})
+			f.instances[runs[0].instance].finder.Answered(now, runs[0].request())
 			runs = runs[1:]
 		}
 		for _, run := range runs {
 			if age := now.Sub(run.end.Add(-sharingAnswer)); age >= sharingFirstEvent && age < sharingFirstEvent+step {
-				f.instances[run.instance].finder.Began(now, Request{Parts: run.parts})
+				f.instances[run.instance].finder.Began(now, run.request())
 			}
 		}
 		f.engines[i] = runs
@@ -95,7 +95,7 @@
 		if run.parts[0] == "poisoned" {
 			begun = began
 		}
-		f.instances[run.instance].finder.Crashed(now, fmt.Sprint("engine", engine, "@1777385914000"), Request{Parts: run.parts}, begun)
+		f.instances[run.instance].finder.Crashed(now, fmt.Sprint("engine", engine, "@1777385914000"), run.request(), begun)
 	}
 	f.engines[engine] = nil
 }
@@ -122,7 +122,7 @@
 		next[fmt.Sprint(i)] = evidence
 		f.bytes[now.Sub(start)/time.Second] += len(value)
 		f.writes++
-		for k, r := range [][]Crash{evidence.Crashes, evidence.Cleared, evidence.Answers.Crashes, evidence.Answers.Cleared} {
+		for k, r := range [][]Crash{evidence.Crashes, evidence.Cleared, evidence.Answers.Crashes, evidence.Answers.Cleared, evidence.Requests.Crashes, evidence.Requests.Cleared} {
 			for _, c := range r {
 				f.parts[k] += len(c.Parts)
 			}
--- a/rail/poison/whole.go
+++ b/rail/poison/whole.go
@@ -1,6 +1,36 @@
 package poison
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
+
+// RequestCrashed records that a server may have crashed under a request, and whether its answer had begun.
+func (d *Detector) RequestCrashed(now time.Time, engine, digest string, began bool) {
+	crash := d.seen(now, engine)
+	d.makeRoom(crash, digest)
+	if began && !slices.Contains(crash.begun, digest) && len(crash.begun) < maxParts {
+		crash.begun = append(crash.begun, digest)
+	}
+	d.Crashed(now, engine, []string{digest})
+}
+
+// reportRequests returns the requests at a crash that the others are told: those that no answer clears, unless parts explain the crash.
+// They are told of an answer that had begun later than of others, unless it has become suspected of another crash: an engine answers
+// far more requests than it begins, and parts may explain the crash soon.
+func (d *Detector) reportRequests(now time.Time, crash *seenCrash, instances int) (digests []string) {
+	if d.config.IsExplained(now, crash.Engine) {
+		return nil
+	}
+	waits := d.config.MayBeExplained != nil && d.config.MayBeExplained(crash.Engine) && now.Sub(crash.at) < begunReportDelay(d.config.Name, crash.Engine, instances)
+	for _, digest := range crash.Parts {
+		waits := waits && slices.Contains(crash.begun, digest) && !slices.Contains(crash.reported, digest) && !d.isSuspectedElsewhere(digest, crash.Engine)
+		if !waits && !d.isCleared(crash, digest) {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
 
 // isOutweighed reports whether another request explains all crashes under a poisoned one, and crashes besides. Two requests that share
 // all their crashes explain none of each other's.
@@ -29,7 +59,7 @@
 	}
 	removed := crash.Parts[i]
 	crash.Parts = slices.Delete(crash.Parts, i, i+1)
-	crash.reported = slices.DeleteFunc(slices.Clone(crash.reported), func(part string) bool { return part == removed })
+	crash.begun = slices.DeleteFunc(crash.begun, func(digest string) bool { return digest == removed })
 	d.forget(Crash{Engine: crash.Engine, Parts: []string{removed}})
 }
 
