--- a/comfreyrail/internal/gateway/quarantine/announcer_test.go
+++ b/comfreyrail/internal/gateway/quarantine/announcer_test.go
@@ -1,12 +1,15 @@
 package quarantine
 
 import (
+	"context"
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/comfreyrail/comfreyrail/rail/backend"
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
@@ -57,3 +60,23 @@
 		t.Error("got a part blocked, want none")
 	}
 }
+
+// Guards against a request that crashes server after server at each instance while the store passes on nothing.
+func TestCrashesUnderRequestAreAnnounced(t *testing.T) {
+	s := &shared{writeErr: errors.New("down")}
+	keepers := []*Keeper{newKeeper(t, s, "a", syscall.ECONNREFUSED), newKeeper(t, s, "b", syscall.ECONNREFUSED), newKeeper(t, s, "c", nil)}
+	connect(keepers...)
+	request := poison.Request{Digest: "digest"}
+	for i := range poison.MinRequestCrashes {
+		keepers[i%2].ConnectionEnded(context.Background(), backend.Server{ID: fmt.Sprint(i)}, request, false)
+	}
+	for _, k := range keepers {
+		isBlocked := false
+		for deadline := time.Now().Add(3 * time.Second); !isBlocked && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			_, isBlocked = k.Blocked(request)
+		}
+		if !isBlocked {
+			t.Errorf("%s: got the request sent, want it blocked", k.config.Name)
+		}
+	}
+}
--- a/rail/poison/request_test.go
+++ b/rail/poison/request_test.go
@@ -305,3 +305,24 @@
 	}
 	return longest
 }
+
+// Guards against the announcement of a crash that does not fit into a datagram because an engine crashed under many requests.
+func TestAnnouncementFitsDatagram(t *testing.T) {
+	const maxBytes = 1300
+	f := NewFinder("a")
+	engine := "i-0123456789abcdef0@1777385914000"
+	for i := range 2 * maxParts {
+		digest := Digest("POST", "host", fmt.Sprint(i), "", nil)
+		f.Crashed(start, engine, Request{Digest: digest, Parts: []string{fmt.Sprintf("%08x:%d", i, i)}}, false)
+	}
+	told := f.CrashOf(engine)
+	if len(told) != 2 {
+		t.Fatalf("got %d announcements, want one of parts and one of requests", len(told))
+	}
+	for _, evidence := range told {
+		value, err := evidence.Encode()
+		if err != nil || len(value) > maxBytes {
+			t.Errorf("got %d bytes, %v, want %d at most", len(value), err, maxBytes)
+		}
+	}
+}
