--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -26,6 +26,7 @@
 	host            string
 	header          http.Header
 	body            *limit.Buffer // the whole body once it has been read
+	digest          string        // identifies the request with its body, whenever it is sent again
 	startedAt       time.Time
 	attempts        int
 	unsent          int            // attempts whose request was certainly not sent
--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -37,6 +37,12 @@
 	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
 	// it. Nil means that it never is, and that crashes are reported at once.
 	IsExplained func(now time.Time, engine string) bool
+	// WholeRequests means that each part is the digest of a request, so that a request has no other part which explains its crashes.
+	// It needs IsExplained.
+	WholeRequests bool
+	// MayBeExplained reports whether other evidence of an engine's crash is known, so that the others are told of requests whose
+	// answers had begun later; nil means that there never is.
+	MayBeExplained func(engine string) bool
 }
 
 // Detector decides which requests are blocked, from what this instance saw and from the other instances' reports. Its methods
@@ -59,6 +65,7 @@
 	Crash
 	at       time.Time
 	reported []string // the parts that were reported
+	begun    []string // the requests whose answers had begun
 }
 
 // add adds parts and returns the new ones for which there was room.
@@ -98,13 +105,13 @@
 }
 
 // forgetSurvived removes the parts that were survived too long ago to be cleared of a new crash if there are more than maxSurvived, or
-// all of them if that does not make room.
+// all of them if that does not make much room.
 func forgetSurvived(now time.Time, survived map[string]time.Time) {
 	if len(survived) <= maxSurvived {
 		return
 	}
 	maps.DeleteFunc(survived, func(_ string, at time.Time) bool { return now.Sub(at) > clearMargin })
-	if len(survived) > maxSurvived {
+	if len(survived) > maxSurvived*3/4 {
 		clear(survived)
 	}
 }
@@ -228,21 +235,28 @@
 // reportParts returns the parts of a crash that the others are told: those that were told before, and those that no answer clears here,
 // nor elsewhere of a crash at that time.
 func (d *Detector) reportParts(now time.Time, crash *seenCrash, instances int) (parts []string) {
+	if d.config.WholeRequests {
+		return d.reportRequests(now, crash, instances)
+	}
 	if d.config.IsExplained != nil && len(crash.reported) == 0 {
 		if now.Sub(crash.at) < answerReportDelay(d.config.Name, crash.Engine, instances) || d.config.IsExplained(now, crash.Engine) {
 			return nil
 		}
 	}
 	for _, part := range crash.Parts {
-		vouchedAt, vouched := d.vouched[part]
-		vouched = vouched && crash.at.Sub(vouchedAt) <= clearMargin
-		if !vouched && !d.index.cleared[part][crash.Engine] && !slices.Contains(crash.reported, part) {
+		if !d.isCleared(crash, part) && !slices.Contains(crash.reported, part) {
 			crash.reported = append(crash.reported, part)
 		}
 	}
 	return crash.reported
 }
 
+// isCleared reports whether an answer seen here clears a part of a crash, or an answer elsewhere one of a crash at that time.
+func (d *Detector) isCleared(crash *seenCrash, part string) bool {
+	vouchedAt, vouched := d.vouched[part]
+	return vouched && crash.at.Sub(vouchedAt) <= clearMargin || d.index.cleared[part][crash.Engine]
+}
+
 // explains reports whether a part is known under which the engine crashed, as did most others lately.
 func (d *Detector) explains(now time.Time, engine string) bool {
 	lately := 0
@@ -308,15 +322,24 @@
 // other parts explain all crashes of the poisoned part as well, only a request that has these too is blocked: which of them
 // causes the crashes is not known yet, and most requests have but one.
 func (d *Detector) Blocked(now time.Time, parts []string) (part string, ok bool) {
-	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
 	for _, part := range parts {
-		if d.isPoisoned(now, part) && !slices.ContainsFunc(d.index.companions(part), missing) {
+		if d.isPoisoned(now, part) && !d.hasOtherCause(part, parts) {
 			return part, true
 		}
 	}
 	return "", false
 }
 
+// hasOtherCause reports whether something else than a poisoned part, which a request with the parts does not have, may explain its
+// crashes.
+func (d *Detector) hasOtherCause(poisoned string, parts []string) bool {
+	if d.config.WholeRequests {
+		return d.isOutweighed(poisoned)
+	}
+	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
+	return slices.ContainsFunc(d.index.companions(poisoned), missing)
+}
+
 // isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
 func (d *Detector) isPoisoned(now time.Time, part string) bool {
 	engines := d.unexplained(now, part)
--- /dev/null
+++ b/rail/poison/whole.go
@@ -0,0 +1,77 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// RequestCrashed records that a server may have crashed under a request, and whether its answer had begun.
+func (d *Detector) RequestCrashed(now time.Time, engine, digest string, began bool) {
+	crash := d.seen(now, engine)
+	d.makeRoom(crash, digest)
+	if began && !slices.Contains(crash.begun, digest) && len(crash.begun) < maxParts {
+		crash.begun = append(crash.begun, digest)
+	}
+	d.Crashed(now, engine, []string{digest})
+}
+
+// reportRequests returns the requests at a crash that the others are told: those that no answer clears, unless parts explain the crash.
+// They are told of an answer that had begun later than of others, unless it has become suspected of another crash: an engine answers
+// far more requests than it begins, and parts may explain the crash soon.
+func (d *Detector) reportRequests(now time.Time, crash *seenCrash, instances int) (digests []string) {
+	if d.config.IsExplained(now, crash.Engine) {
+		return nil
+	}
+	waits := d.config.MayBeExplained != nil && d.config.MayBeExplained(crash.Engine) && now.Sub(crash.at) < begunReportDelay(d.config.Name, crash.Engine, instances)
+	for _, digest := range crash.Parts {
+		waits := waits && slices.Contains(crash.begun, digest) && !slices.Contains(crash.reported, digest) && !d.isSuspectedElsewhere(digest, crash.Engine)
+		if !waits && !d.isCleared(crash, digest) {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
+// isOutweighed reports whether another request explains all crashes under a poisoned one, and crashes besides. Two requests that share
+// all their crashes explain none of each other's.
+func (d *Detector) isOutweighed(digest string) bool {
+	own := d.index.suspected[digest]
+	for engine := range own {
+		for other := range d.index.reports[engine] {
+			if len(d.index.suspected[other]) > len(own) && d.index.isExplainedBy(digest, other) {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
+
+// makeRoom removes a part from a crash that is full if the new part is suspected of another crash and the removed one is not: an engine
+// may have crashed under more requests than a report holds, and the one that comes again is the cause.
+func (d *Detector) makeRoom(crash *seenCrash, part string) {
+	if len(crash.Parts) < maxParts || slices.Contains(crash.Parts, part) || !d.isSuspectedElsewhere(part, crash.Engine) {
+		return
+	}
+	i := slices.IndexFunc(crash.Parts, func(part string) bool { return !d.isSuspectedElsewhere(part, crash.Engine) })
+	if i < 0 {
+		return
+	}
+	removed := crash.Parts[i]
+	crash.Parts = slices.Delete(crash.Parts, i, i+1)
+	crash.begun = slices.DeleteFunc(crash.begun, func(digest string) bool { return digest == removed })
+	d.forget(Crash{Engine: crash.Engine, Parts: []string{removed}})
+}
+
+// isSuspectedElsewhere reports whether a part is suspected of the crash of another engine.
+func (d *Detector) isSuspectedElsewhere(part, engine string) bool {
+	for other := range d.index.suspected[part] {
+		if other != engine {
+			return true
+		}
+	}
+	return false
+}
+
+// knows reports whether a part is known under which the engine may have crashed.
+func (d *Detector) knows(engine string) bool { return d.index.reports[engine] != nil }
