Answer a resumed stream while its engine is probed

Callers of a resumed stream could be left without an answer: at the end of a response without a length the engine is probed, and that was awaited beyond the time of the caller (found by review).

--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -166,7 +166,7 @@
 	if !a.answered {
 		request = j.suspect(a.service)
 	}
-	return f.awaitCrash(context.WithoutCancel(ctx), a.chain[0].Server, request, !a.beganAt.IsZero())
+	return f.awaitCrash(ctx, a.chain[0].Server, request, !a.beganAt.IsZero())
 }
 
 // checkWhole records that a plain server has answered the request. It returns errCrashed if the response, which has ended, has an unknown
@@ -174,7 +174,7 @@
 func (f *Forwarder) checkWhole(ctx context.Context, j *job, server backend.Server, held *heldResponse) error {
 	request := poison.Request{Digest: j.digest}
 	endsWithConnection := !held.response.Framed && !held.meta.NotRun && j.method != http.MethodHead
-	if endsWithConnection && f.awaitCrash(context.WithoutCancel(ctx), server, request, true) {
+	if endsWithConnection && f.awaitCrash(ctx, server, request, true) {
 		return errCrashed
 	}
 	// An error may come from a server that fails before it gets to what crashes it.
