--- a/comfreyrail/internal/gateway/forward/liveness.go
+++ b/comfreyrail/internal/gateway/forward/liveness.go
@@ -72,6 +72,12 @@
 	ctx = context.WithoutCancel(ctx) // other requests wait for the result too
 	go func() {
 		defer close(result.done)
+		defer func() {
+			if reason := recover(); reason != nil {
+				result.err = errPanicked
+				p.config.recordPanic("the probe of a silent engine", reason)
+			}
+		}()
 		ctx, cancel := p.config.Clock.WithTimeout(ctx, livenessTimeout)
 		defer cancel()
 		result.state, result.err = p.config.FetchState(ctx, server)
--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -127,6 +127,12 @@
 	}
 	found := make(chan bool, 1)
 	go func() {
+		defer func() {
+			if reason := recover(); reason != nil {
+				f.config.recordPanic("the probe of a server after the end of its connection", reason)
+				found <- false
+			}
+		}()
 		hasCrashed := f.config.ConnectionEnded(context.WithoutCancel(ctx), server, request, began)
 		if hasCrashed {
 			f.selector.probeFailed(server)
--- a/comfreyrail/internal/gateway/forward/successor.go
+++ b/comfreyrail/internal/gateway/forward/successor.go
@@ -4,13 +4,10 @@
 	"bytes"
 	"context"
 	"io"
-	"runtime/debug"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyrail/comfreyrail/rail/event"
 	"github.com/comfreyrail/comfreyrail/rail/limit"
@@ -89,10 +86,8 @@
 	if reason == nil {
 		return
 	}
-	s.attempt, s.err = nil, errors.Errorf("panic: %v", reason)
-	metrics.GetOrRegisterCounter("requests.panicked", f.config.Metrics).Inc(1)
-	fields := logrus.Fields{"request": s.job.request.ID, "reason": reason, "stack": string(debug.Stack())}
-	f.config.Log.WithFields(fields).Error("the start of another attempt panicked")
+	s.attempt, s.err = nil, errPanicked
+	f.config.recordPanic("the start of another attempt of request "+s.job.request.ID, reason)
 }
 
 // beginSuccessor starts an attempt and reads its first event. It returns an error if the response cannot continue the stream at the
