Keep a tenth of a second for responses to callers that leave

Callers of streams that had no event for two seconds left without an answer or a refusal, though the gateway sends one before they leave: a process that has used up its share of a core, as when it reads a new configuration, stands still for most of a tenth of a second, and 30 ms were kept.

Cause: the time that is kept for the response was chosen for the network, not for the process.

Change: up to 100 ms are kept, a tenth of the caller's time at most, as before.

--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -47,8 +47,9 @@
 
 // Limits of the part of a caller's timeout that is kept for the response to reach it.
 const (
-	// maxDeliveryTime is the longest time that is kept.
-	maxDeliveryTime = 30 * time.Millisecond
+	// maxDeliveryTime is the longest time that is kept. A process whose share of a core is used up may stand still for most of a tenth
+	// of a second.
+	maxDeliveryTime = 100 * time.Millisecond
 	// deliveryDivisor is the inverse of the largest part of a timeout that is kept.
 	deliveryDivisor = 10
 )
