Test the time kept for responses without a process

TestCallersAreAnsweredDespiteStandstill stops a gateway's process for 60 ms shortly before callers leave.

TestStandstillLeavesTimeForResponse asks the same of the time that is kept, for any stand-still of 60 ms instead of two of them: with 30 ms kept it fails in all four cases, with 100 ms it passes.

--- a/comfreyrail/internal/gateway/forward/deadline_test.go
+++ b/comfreyrail/internal/gateway/forward/deadline_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// Guards against a response that is due while the gateway stands still and then comes when the caller has left: a process that has 0.4
+// of a core may use up its share within 40 ms and stands still for the rest of a tenth of a second.
+func TestStandstillLeavesTimeForResponse(t *testing.T) {
+	const standstill, network = 60 * time.Millisecond, 10 * time.Millisecond
+	for _, callerTime := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 20 * time.Second} {
+		if got, want := lessDelivery(callerTime)+standstill+network, callerTime; got > want {
+			t.Errorf("got the response at %v at the latest, want it before the caller leaves at %v", got, want)
+		}
+	}
+}
+
 // Guards against a stream that gets neither a response nor a refusal because its caller disconnects, well before its timeout, when no
 // event has arrived: its servers are silent, or respond without an event.
 func TestCallerOfStreamIsAnsweredBeforeItLeaves(t *testing.T) {
