--- a/comfreyrail/internal/gateway/forward/job.go
+++ b/comfreyrail/internal/gateway/forward/job.go
@@ -62,7 +62,8 @@
 // Limits of the part of a caller's timeout that is kept for the response to reach it.
 const (
 	// maxDeliveryTime is the longest time that is kept. It includes the time from the caller's clock to the start of the handling,
-	// in which the request crosses the network and waits for the processor.
+	// in which the request crosses the network and waits for the processor: a process whose share of a core is used up may stand still
+	// for most of a tenth of a second.
 	maxDeliveryTime = 100 * time.Millisecond
 	// deliveryDivisor is the inverse of the largest part of a timeout that is kept.
 	deliveryDivisor = 10
