Judge requests and parts by what explains more crashes

Callers of streams found no engine: a request that crashes engines went on crashing them, 8 to 15 of some 30, and sound prompts were refused because of their parts.

Cause: each crash that any poisoned part explained did not count against the request, engine by engine. Parts of sound prompts that were in progress at some of the crashes excused it so, and were blocked themselves, since nothing that is known of the request excused them.

Change: a part or a request doesn't count as the cause if another one, that the request at hand doesn't have, explains all its crashes and more. A part of prompts whose answers had not begun also excuses a request that has all its crashes in common with it, as a poisoned part does.

TestRequestIsBlockedBesideSoundParts and TestSoundPartIsSentBesideCrashingRequest failed before.

--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -37,8 +37,10 @@
 	// IsExplained reports whether the cause of an engine's crash is known from other evidence, so that the others need not be told of
 	// it. Nil means that it never is, and that crashes are reported at once.
 	IsExplained func(now time.Time, engine string) bool
+	// IsOutweighed reports whether other evidence explains all crashes of the engines and besides, by something that a request with the
+	// given other parts does not have. Nil means that there is none.
+	IsOutweighed func(engines map[string]bool, others []string) bool
 	// WholeRequests means that each part is the digest of a request, so that a request has no other part which explains its crashes.
-	// It needs IsExplained.
 	WholeRequests bool
 	// MayBeExplained reports whether other evidence of an engine's crash is known, so that the others are told of requests whose
 	// answers had begun later; nil means that there never is.
@@ -66,6 +68,8 @@
 	at       time.Time
 	reported []string // the parts that were reported
 	begun    []string // the requests whose answers had begun
+
+	promptParts map[string][]string // by request, the parts of its prompt
 }
 
 // add adds parts and returns the new ones for which there was room.
@@ -333,11 +337,14 @@
 // hasOtherCause reports whether something else than a poisoned part, which a request with the parts does not have, may explain its
 // crashes.
 func (d *Detector) hasOtherCause(poisoned string, parts []string) bool {
-	if d.config.WholeRequests {
-		return d.isOutweighed(poisoned)
-	}
 	missing := func(companion string) bool { return !slices.Contains(parts, companion) }
-	return slices.ContainsFunc(d.index.companions(poisoned), missing)
+	return slices.ContainsFunc(d.index.companions(poisoned), missing) || d.isOutweighedElsewhere(poisoned, nil)
+}
+
+// isOutweighedElsewhere reports whether other evidence explains all crashes of a part and besides, by something that a request with the
+// other parts does not have.
+func (d *Detector) isOutweighedElsewhere(part string, others []string) bool {
+	return d.config.IsOutweighed != nil && d.config.IsOutweighed(d.index.suspected[part], others)
 }
 
 // isPoisoned reports whether so many engines crashed under a part that requests with it are blocked now.
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -21,16 +21,25 @@
 
 // NewFinder returns a Finder of the instance with the name.
 func NewFinder(self string) *Finder {
-	begins := New(Config{Name: self, MinCrashes: MinCrashes})
-	answers := New(Config{Name: self, MinCrashes: minAnswerCrashes, IsExplained: begins.explains})
-	requests := New(Config{
-		Name: self, MinCrashes: MinRequestCrashes, WholeRequests: true,
-		IsExplained: func(now time.Time, engine string) bool {
-			return begins.explains(now, engine) || answers.explains(now, engine)
-		},
-		MayBeExplained: func(engine string) bool { return begins.knows(engine) || answers.knows(engine) },
+	f := &Finder{}
+	f.begins = New(Config{Name: self, MinCrashes: MinCrashes, IsOutweighed: f.requestOutweighs})
+	f.answers = New(Config{Name: self, MinCrashes: minAnswerCrashes, IsExplained: f.begins.explains, IsOutweighed: f.requestOutweighs})
+	f.requests = New(Config{
+		Name: self, MinCrashes: MinRequestCrashes, WholeRequests: true, IsOutweighed: f.partOutweighs,
+		MayBeExplained: func(engine string) bool { return f.begins.knows(engine) || f.answers.knows(engine) },
 	})
-	return &Finder{begins: begins, answers: answers, requests: requests}
+	return f
+}
+
+// requestOutweighs reports whether a request explains all crashes of the engines, and crashes besides.
+func (f *Finder) requestOutweighs(engines map[string]bool, _ []string) bool {
+	return f.requests.index.outweighs(engines, nil)
+}
+
+// partOutweighs reports whether a part that is not among the given ones explains all crashes of the engines: one of prompts whose answers
+// had not begun, or one of prompts whose answers were not whole, of which there are far more, that explains crashes besides.
+func (f *Finder) partOutweighs(engines map[string]bool, parts []string) bool {
+	return f.begins.index.explainsAll(engines, parts, len(engines)) || f.answers.index.outweighs(engines, parts)
 }
 
 // Began records that an answer to the request has begun.
@@ -54,7 +63,7 @@
 		f.answers.Crashed(now, engine, request.Parts)
 	}
 	if request.Digest != "" {
-		f.requests.RequestCrashed(now, engine, request.Digest, began)
+		f.requests.RequestCrashed(now, engine, request, began)
 	}
 }
 
@@ -99,10 +108,8 @@
 
 // Blocked returns why the request must not be sent, and false if it may be.
 func (f *Finder) Blocked(now time.Time, request Request) (cause Cause, ok bool) {
-	if request.Digest != "" {
-		if _, ok = f.requests.Blocked(now, []string{request.Digest}); ok {
-			return Cause{Digest: request.Digest}, true
-		}
+	if request.Digest != "" && f.requests.RequestBlocked(now, request) {
+		return Cause{Digest: request.Digest}, true
 	}
 	if cause.Part, ok = f.begins.Blocked(now, request.Parts); ok {
 		return cause, true
--- a/rail/poison/index.go
+++ b/rail/poison/index.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // nameSets holds a set of names for each name.
 type nameSets map[string]map[string]bool
@@ -186,8 +189,31 @@
 
 // isExplainedBy reports whether all the engines that crashed under a suspected part crashed under the other one as well.
 func (x *crashIndex) isExplainedBy(part, other string) bool {
-	for engine := range x.suspected[part] {
-		if !x.suspected[other][engine] {
+	return x.covers(other, x.suspected[part])
+}
+
+// outweighs reports whether a part explains all crashes of the engines, and crashes besides. The excluded parts don't count.
+func (x *crashIndex) outweighs(engines map[string]bool, excluded []string) bool {
+	return x.explainsAll(engines, excluded, len(engines)+1)
+}
+
+// explainsAll reports whether a part that is not excluded explains all crashes of the engines, and at least the given number in all.
+func (x *crashIndex) explainsAll(engines map[string]bool, excluded []string, minCrashes int) bool {
+	for engine := range engines {
+		for part := range x.reports[engine] {
+			if len(x.suspected[part]) >= minCrashes && !slices.Contains(excluded, part) && x.covers(part, engines) {
+				return true
+			}
+		}
+		return false
+	}
+	return false
+}
+
+// covers reports whether all the engines crashed under a suspected part.
+func (x *crashIndex) covers(part string, engines map[string]bool) bool {
+	for engine := range engines {
+		if !x.suspected[part][engine] {
 			return false
 		}
 	}
--- a/rail/poison/whole.go
+++ b/rail/poison/whole.go
@@ -6,45 +6,46 @@
 )
 
 // RequestCrashed records that a server may have crashed under a request, and whether its answer had begun.
-func (d *Detector) RequestCrashed(now time.Time, engine, digest string, began bool) {
+func (d *Detector) RequestCrashed(now time.Time, engine string, request Request, began bool) {
+	digest := request.Digest
 	crash := d.seen(now, engine)
 	d.makeRoom(crash, digest)
+	if crash.promptParts == nil {
+		crash.promptParts = make(map[string][]string)
+	}
+	if len(crash.promptParts) < maxParts {
+		crash.promptParts[digest] = request.Parts
+	}
 	if began && !slices.Contains(crash.begun, digest) && len(crash.begun) < maxParts {
 		crash.begun = append(crash.begun, digest)
 	}
 	d.Crashed(now, engine, []string{digest})
 }
 
-// reportRequests returns the requests at a crash that the others are told: those that no answer clears, unless parts explain the crash.
-// They are told of an answer that had begun later than of others, unless it has become suspected of another crash: an engine answers
-// far more requests than it begins, and parts may explain the crash soon.
+// RequestBlocked reports whether the request must not be sent.
+func (d *Detector) RequestBlocked(now time.Time, request Request) bool {
+	return d.isPoisoned(now, request.Digest) && !d.isOutweighed(request.Digest, request.Parts)
+}
+
+// reportRequests returns the requests at a crash that the others are told: those that no answer clears, unless something else explains
+// their crashes and more. They are told of an answer that had begun later than of others, unless it has become suspected of another
+// crash: an engine answers far more requests than it begins, and parts may explain the crash soon.
 func (d *Detector) reportRequests(now time.Time, crash *seenCrash, instances int) (digests []string) {
-	if d.config.IsExplained(now, crash.Engine) {
-		return nil
-	}
-	waits := d.config.MayBeExplained != nil && d.config.MayBeExplained(crash.Engine) && now.Sub(crash.at) < begunReportDelay(d.config.Name, crash.Engine, instances)
+	mayBeExplained := d.config.MayBeExplained != nil && d.config.MayBeExplained(crash.Engine)
+	waits := mayBeExplained && now.Sub(crash.at) < begunReportDelay(d.config.Name, crash.Engine, instances)
 	for _, digest := range crash.Parts {
 		waits := waits && slices.Contains(crash.begun, digest) && !slices.Contains(crash.reported, digest) && !d.isSuspectedElsewhere(digest, crash.Engine)
-		if !waits && !d.isCleared(crash, digest) {
+		if !waits && !d.isCleared(crash, digest) && !d.isOutweighed(digest, crash.promptParts[digest]) {
 			digests = append(digests, digest)
 		}
 	}
 	return digests
 }
 
-// isOutweighed reports whether another request explains all crashes under a poisoned one, and crashes besides. Two requests that share
-// all their crashes explain none of each other's.
-func (d *Detector) isOutweighed(digest string) bool {
-	own := d.index.suspected[digest]
-	for engine := range own {
-		for other := range d.index.reports[engine] {
-			if len(d.index.suspected[other]) > len(own) && d.index.isExplainedBy(digest, other) {
-				return true
-			}
-		}
-		return false
-	}
-	return false
+// isOutweighed reports whether another request, or a part that the prompt of this one does not have, explains all its crashes, and
+// crashes besides. What shares all crashes explains none of the other's.
+func (d *Detector) isOutweighed(digest string, promptParts []string) bool {
+	return d.index.outweighs(d.index.suspected[digest], nil) || d.isOutweighedElsewhere(digest, promptParts)
 }
 
 // makeRoom removes a part from a crash that is full if the new part is suspected of another crash and the removed one is not: an engine
@@ -59,6 +60,7 @@
 	}
 	removed := crash.Parts[i]
 	crash.Parts = slices.Delete(crash.Parts, i, i+1)
+	delete(crash.promptParts, removed)
 	crash.begun = slices.DeleteFunc(crash.begun, func(digest string) bool { return digest == removed })
 	d.forget(Crash{Engine: crash.Engine, Parts: []string{removed}})
 }
