Tell of requests whose answers had begun at least a second later

An engine's crash ends many answers, and each was told to the store at once in small fleets, where all instances get the announcement anyway; their records, which are written less often the longer they are, also hold the parts that are cleared. The delay is a second at least now, in which parts may explain the crash. The bounds of TestLargeFleetLearnsOfCrashingRequestInTime and TestSharingStaysWithinLimits hold as before.

--- a/rail/poison/pace.go
+++ b/rail/poison/pace.go
@@ -24,6 +24,8 @@
 	// begunDelayPerInstance times the number of other instances is how much longer an instance waits before it tells the others of
 	// requests whose answers had begun, so that they are not told if the answers that were not whole explain the crash.
 	begunDelayPerInstance = 10 * time.Millisecond
+	// minBegunDelay is the minimum of that. In a small fleet all instances get the announcement of a crash.
+	minBegunDelay = time.Second
 	// maxBegunDelay is the maximum of that.
 	maxBegunDelay = 2 * time.Second
 	// clearDelayPerInstance times the number of other instances is the maximum time that an instance waits for others to clear a part.
@@ -49,7 +51,8 @@
 
 // begunReportDelay returns how long an instance waits before it tells the others of requests whose answers had begun at a crash.
 func begunReportDelay(self, engine string, instances int) time.Duration {
-	return answerReportDelay(self, engine, instances) + min(time.Duration(instances-1)*begunDelayPerInstance, maxBegunDelay)
+	longer := max(time.Duration(instances-1)*begunDelayPerInstance, minBegunDelay)
+	return answerReportDelay(self, engine, instances) + min(longer, maxBegunDelay)
 }
 
 // clearDelay returns how long an instance waits for another one to clear a part before it does so itself. It differs between instances,
