Deliver a server's failure that is ready at the deadline

Callers got 504 where a server had answered 500: the first attempt's response was dropped when the deadline passed during the second one (found by review).

Change: the end of the time ends the attempts, and what is held is delivered.

--- a/comfreyrail/internal/gateway/forward/plain.go
+++ b/comfreyrail/internal/gateway/forward/plain.go
@@ -28,7 +28,7 @@
 		}
 		held, err := f.attemptPlain(ctx, j, server)
 		if err != nil && ctx.Err() != nil {
-			return j.timeoutResponse()
+			break
 		}
 		if err == nil && held.succeeded() {
 			return j.deliver(ctx, w, held)
