--- a/comfreyrail/internal/gateway/forward/panic_probe_test.go
+++ b/comfreyrail/internal/gateway/forward/panic_probe_test.go
@@ -58,5 +58,5 @@
 	one := newServer(t, "one", respond)
 	one.card = "card"
 	g := newGatewayWith(t, options, one)
-	_, _, _ = g.sendParts(t, "r1", "shared", "own")
+	_ = g.sendPrompt(t, "r1", "shared", "own")
 }
