Tell callers refused for lack of memory to come back after new requests had room

Cause: the wait was the time in which as many requests start as were refused lately. But half of those that start, or more, are new ones, so the callers came back while there was still no room, were refused for good and took the places of others. All whose wait was cut by their deadline came back after exactly 0.3 of the time left.

The part of the time until the deadline is drawn from 0.24 to 0.3.

--- a/comfreyrail/internal/gateway/forward/outcome.go
+++ b/comfreyrail/internal/gateway/forward/outcome.go
@@ -49,12 +49,13 @@
 	return response
 }
 
-// maxRetryFraction is the largest part of the time until its deadline that a request is told to wait for room.
-const maxRetryFraction = 0.3
+// Parts of the time until its deadline that a request is told to wait for room at most. The part is drawn between them.
+const minRetryFraction, maxRetryFraction = 0.24, 0.3
 
 // noRoomRetryAfter returns the delay before a retry for lack of memory, by the wait of all those refused lately.
 func (j *job) noRoomRetryAfter(wait time.Duration) time.Duration {
-	longest := scale(time.Until(j.deadline), maxRetryFraction)
+	fraction := minRetryFraction + (maxRetryFraction-minRetryFraction)*rand.Float64()
+	longest := scale(time.Until(j.deadline), fraction)
 	return max(min(jitter(wait/2, rand.Float64()), longest), jitter(retryAfter, rand.Float64()))
 }
 
--- a/rail/headroom/doc.go
+++ b/rail/headroom/doc.go
@@ -8,5 +8,5 @@
 // share of the memory that all workspaces hold, and more than its usual share, which is learned while nothing is refused.
 //
 // A Limiter also says how long refused requests should wait: as long as it would take to serve all those refused lately, in
-// proportion to those that started.
+// proportion to those that started, of which a part are new requests.
 package headroom
