Give engines that are back the layers that are missing, not those of stale entries

Cause: the entry of an engine that has crashed is listed until it lapses, about three seconds, which is when the first is back. The plan counted the others as holders of their layers.

Change: engines of which the last probe failed, in the last three seconds, don't count in the plan for empty engines; if half of the holders seem lost, all count, as this instance may be disconnected. Moves of engines that hold layers still count all.

TestEngineIsLostAfterFailedProbe and TestEngineThatRefusesConnectionsGetsNoMoreRequests cover what counts as lost.

--- a/comfreyrail/internal/gateway/forward/poison.go
+++ b/comfreyrail/internal/gateway/forward/poison.go
@@ -159,6 +159,14 @@
 	}
 }
 
+// EngineLost reports whether an engine did not respond to its last probe, so that it is probably gone even if it is still listed.
+func (f *Forwarder) EngineLost(server backend.Server) bool {
+	f.selector.mu.Lock()
+	defer f.selector.mu.Unlock()
+	engines := f.selector.engines[server.Service]
+	return engines != nil && engines.chooser.IsLost(f.config.Clock.Now(), server.ID)
+}
+
 // isConnectionEnd reports whether an error means that the other side ended the connection.
 func isConnectionEnd(err error) bool {
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errEmptyStream} {
--- a/comfreyrail/internal/gateway/forward/refusal_test.go
+++ b/comfreyrail/internal/gateway/forward/refusal_test.go
@@ -117,10 +117,16 @@
 	engine.card = "card"
 	_ = engine.listener.Close()
 	g := newGateway(t, useEngines, engine)
+	if g.forwarder.EngineLost(engine.entry()) {
+		t.Error("got an engine that is lost before any request")
+	}
 	for i := range 2 {
 		response, got, _ := g.sendParts(t, fmt.Sprint("r", i), "last")
 		if want := "no-room\n"; got != want || response.StatusCode != http.StatusServiceUnavailable {
 			t.Errorf("request %d: got status %d, %q, want %d, %q", i, response.StatusCode, got, http.StatusServiceUnavailable, want)
 		}
 	}
+	if !g.forwarder.EngineLost(engine.entry()) {
+		t.Error("got an engine that is not lost after it refused a connection")
+	}
 }
--- a/comfreyrail/internal/gateway/placer/notices.go
+++ b/comfreyrail/internal/gateway/placer/notices.go
@@ -22,3 +22,26 @@
 func (p *Placer) isWaiting(engine backend.Server) bool {
 	return p.config.Waiting != nil && p.config.Waiting(engine)
 }
+
+// withoutLost returns the engines without those that hold layers but are probably gone. It returns all if those are half of the engines
+// that hold layers, or more, since this instance itself may be disconnected.
+func (p *Placer) withoutLost(engines []backend.Server) []backend.Server {
+	if p.config.Lost == nil {
+		return engines
+	}
+	holders := 0
+	var left []backend.Server
+	for _, engine := range engines {
+		if engine.Layers.Len() > 0 {
+			holders++
+			if p.config.Lost(engine) {
+				continue
+			}
+		}
+		left = append(left, engine)
+	}
+	if lost := len(engines) - len(left); 2*lost >= holders {
+		return engines
+	}
+	return left
+}
--- a/comfreyrail/internal/gateway/placer/placer.go
+++ b/comfreyrail/internal/gateway/placer/placer.go
@@ -49,6 +49,8 @@
 	Leaving func(server backend.Server) bool
 	// Waiting reports whether an engine has said that it wants no requests now; nil means that none has.
 	Waiting func(server backend.Server) bool
+	// Lost reports whether an engine is probably gone although it is still listed; nil means that none is.
+	Lost func(server backend.Server) bool
 	// Random returns numbers in [0, 1); nil uses the global source.
 	Random func() float64
 	// Log is the logger.
@@ -124,7 +126,7 @@
 			continue
 		}
 		pending := p.pending(servers)
-		plan := placement.Plan(service.Engine, servers, pending)
+		plan := placement.Plan(service.Engine, p.withoutLost(servers), pending)
 		if move, ok := placement.Rebalance(service.Engine, servers, pending); p.moveIsDue(service.Name, ok, time.Now()) {
 			plan = append(plan, move)
 		}
--- a/comfreyrail/internal/gateway/process/providers.go
+++ b/comfreyrail/internal/gateway/process/providers.go
@@ -145,10 +145,10 @@
 	}
 }
 
-func providePlacer(cfg settings.Gateway, cat *catalog.Catalog, lease placer.LeaseConfig, engines *platform.Engines, noticeKeeper *notices.Keeper, log *logrus.Entry) *placer.Placer {
+func providePlacer(cfg settings.Gateway, cat *catalog.Catalog, lease placer.LeaseConfig, engines *platform.Engines, noticeKeeper *notices.Keeper, forwarder *forward.Forwarder, log *logrus.Entry) *placer.Placer {
 	return placer.NewPlacer(placer.Config{
 		Name: cfg.Name, Catalog: cat, Lease: lease, OrderLoad: engines.OrderLoad,
-		FetchState: engines.FetchState, Leaving: noticeKeeper.Leaving, Waiting: noticeKeeper.Waiting,
+		FetchState: engines.FetchState, Leaving: noticeKeeper.Leaving, Waiting: noticeKeeper.Waiting, Lost: forwarder.EngineLost,
 		Refused: func(err error) bool {
 			return errors.Is(err, platform.ErrStateChanged) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrInvalid)
 		},
--- a/rail/pipeline/health.go
+++ b/rail/pipeline/health.go
@@ -17,6 +17,8 @@
 	recentProgressTime = 300 * time.Millisecond
 	// deadDuration is how long an engine counts as dead after a failed probe, unless it responds to a probe before.
 	deadDuration = time.Second
+	// lostDuration is how long an engine counts as lost after a failed probe, unless it responds to a probe before.
+	lostDuration = 3 * time.Second
 	// gapRatioEvents is the number of events over which the moving average of the ratio of gaps to expected gaps is
 	// taken.
 	gapRatioEvents = 256
@@ -100,6 +102,13 @@
 // one since.
 func (h *health) isDead(now time.Time) bool { return now.Sub(h.probeFailedAt) < deadDuration }
 
+// IsLost reports whether a probe of the engine with the ID failed within the last lostDuration and the engine has not responded to one
+// since. It is probably gone, even if it is still listed.
+func (c *Chooser) IsLost(now time.Time, id string) bool {
+	state := c.states[id]
+	return state != nil && now.Sub(state.health.probeFailedAt) < lostDuration
+}
+
 // MarkSuspected records a failure of the engine at the address, which is then suspected.
 func (c *Chooser) MarkSuspected(now time.Time, address string) {
 	for _, server := range c.servers {
--- a/rail/pipeline/health_test.go
+++ b/rail/pipeline/health_test.go
@@ -185,3 +185,20 @@
 		t.Error("got a suspected engine after the trial made progress, want one that is not suspected")
 	}
 }
+
+// Guards against an engine that counts as lost before a probe of it has failed, after it has responded to one, or for ever.
+func TestEngineIsLostAfterFailedProbe(t *testing.T) {
+	c := newChooser(engines("a", "large", 4), 1)
+	const id = "a-large-1"
+	if c.IsLost(start, id) || c.IsLost(start, "unknown") {
+		t.Error("got a lost engine before a probe")
+	}
+	c.ProbeFailed(start, id)
+	if !c.IsLost(start.Add(lostDuration-time.Millisecond), id) || c.IsLost(start.Add(lostDuration), id) {
+		t.Errorf("got an engine that is not lost for %v after a failed probe", lostDuration)
+	}
+	c.ProbeSucceeded(start.Add(time.Second), id, ProbeResponse{Slowness: 1})
+	if c.IsLost(start.Add(time.Second), id) {
+		t.Error("got a lost engine after it has responded")
+	}
+}
