--- a/rail/headroom/headroom_test.go
+++ b/rail/headroom/headroom_test.go
@@ -1,6 +1,7 @@
 package headroom
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -20,10 +21,11 @@
 // servedRatios maps "workspace/urgency" to the fraction of the requests that were served.
 type servedRatios map[string]float64
 
-// minute is a minute of requests.
+// minute is a minute of requests, or less.
 type minute struct {
 	load    float64       // the memory that the requests need as a multiple of the memory there is
 	weights map[Class]int // the requests are in proportion to the weights of their classes
+	length  time.Duration // zero means a minute
 }
 
 // classes returns each class as often as its weight.
@@ -62,7 +64,7 @@
 	var running []request
 	sent, served := make(map[string]float64), make(servedRatios)
 	interval := time.Duration(float64(duration) / (size * m.load))
-	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(interval) {
+	for now := begin; now.Before(begin.Add(cmp.Or(m.length, time.Minute))); now = now.Add(interval) {
 		remaining := running[:0]
 		for _, req := range running {
 			if now.Before(req.ends) {
@@ -120,7 +122,8 @@
 }
 
 // TestLargeWorkspaceInABurstOfAll guards against refusing nearly all requests of the workspace that always sends the most when all
-// workspaces send more, and against refusing those of small ones when it alone does.
+// workspaces send more, also when the first refusals come soon after the start, and against refusing those of small ones when it alone
+// does.
 func TestLargeWorkspaceInABurstOfAll(t *testing.T) {
 	weightsOf := func(large int) map[Class]int {
 		weights := map[Class]int{{Workspace: "large", Urgency: 1}: large}
@@ -129,18 +132,22 @@
 		}
 		return weights
 	}
+	all, alone := minute{load: 2, weights: weightsOf(16)}, minute{load: 2, weights: weightsOf(84)}
 	tests := []struct {
 		name                     string
+		before                   time.Duration // the time with the usual requests
 		burst                    minute
 		lowestLarge, lowestSmall float64
 	}{
-		{"all workspaces", minute{load: 2, weights: weightsOf(16)}, 0.35, 0.35},
-		{"the large one alone", minute{load: 2, weights: weightsOf(84)}, 0.3, 0.9},
+		{"all workspaces", time.Minute, all, 0.35, 0.35},
+		{"the large one alone", time.Minute, alone, 0.3, 0.9},
+		{"all workspaces, 4 s after the start", 4 * time.Second, all, 0.35, 0.35},
+		{"the large one alone, 4 s after the start", 4 * time.Second, alone, 0.3, 0.9},
 	}
 	for _, test := range tests {
 		limiter := New(testConfig)
-		simulateMinute(limiter, start, minute{load: 0.5, weights: weightsOf(16)})
-		got := simulateMinute(limiter, start.Add(time.Minute), test.burst)
+		simulateMinute(limiter, start, minute{load: 0.5, weights: weightsOf(16), length: test.before})
+		got := simulateMinute(limiter, start.Add(test.before), test.burst)
 		if got["large/1"] < test.lowestLarge {
 			t.Errorf("%s: got %.2f of the large workspace's requests served, want at least %.2f", test.name, got["large/1"], test.lowestLarge)
 		}
