Keep the crashes that block a request when others need room

Callers' requests that crash servers were sent again, although three crashes under them were known, once 32 other crashes had been seen, or 256 heard of: the oldest crash made room, also for crashes whose requests had all been answered. Now the oldest that may be spared makes room: no part of it is suspected of another crash. Only the older half is looked at, so that new crashes always have room to add up.

--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -20,7 +20,7 @@
 	ReportTTL = 5 * time.Minute
 	// clearMargin is how long before a crash became known an engine may have survived the parts that this clears of the crash.
 	clearMargin = 3 * time.Second
-	// maxCrashes is the maximum number of crashes in a report; the oldest are left out.
+	// maxCrashes is the maximum number of crashes in a report; old ones are left out.
 	maxCrashes = 32
 	// maxParts is the maximum number of parts in a crash.
 	maxParts = 32
@@ -130,20 +130,36 @@
 	d.learn(now, engine, d.seen(now, engine).add(parts))
 }
 
-// seen returns the crash of an engine as this instance saw it, without parts if it is new. The oldest crash makes room for a new one.
+// seen returns the crash of an engine as this instance saw it, without parts if it is new. An old crash makes room for a new one.
 func (d *Detector) seen(now time.Time, engine string) *seenCrash {
 	i := slices.IndexFunc(d.crashes, func(c seenCrash) bool { return c.Engine == engine })
 	if i >= 0 {
 		return &d.crashes[i]
 	}
 	if len(d.crashes) == maxCrashes {
-		d.forget(d.crashes[0].Crash)
-		d.crashes = d.crashes[1:]
+		i = d.dispensable(len(d.crashes), func(i int) Crash { return d.crashes[i].Crash })
+		d.forget(d.crashes[i].Crash)
+		d.crashes = slices.Delete(d.crashes, i, i+1)
 	}
 	d.crashes = append(d.crashes, seenCrash{Crash: Crash{Engine: engine}, at: now})
 	return &d.crashes[len(d.crashes)-1]
 }
 
+// dispensable returns which of a number of crashes, oldest first, makes room for a new one: the oldest of the first half of which no
+// part is suspected of another crash as well, or else the oldest. Crashes that block a part, or soon may, thus outlast others.
+func (d *Detector) dispensable(crashes int, crash func(i int) Crash) int {
+	for i := range crashes / 2 {
+		candidate := crash(i)
+		isNeeded := func(part string) bool {
+			return d.index.suspected[part][candidate.Engine] && d.isSuspectedElsewhere(part, candidate.Engine)
+		}
+		if !slices.ContainsFunc(candidate.Parts, isNeeded) {
+			return i
+		}
+	}
+	return 0
+}
+
 // learn adds parts of a crash that a report lists, and clears those of the new ones that an engine has survived.
 func (d *Detector) learn(now time.Time, engine string, parts []string) {
 	for _, part := range d.index.add(now, engine, parts) {
--- a/rail/poison/heard.go
+++ b/rail/poison/heard.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// maxHeard is the maximum number of crashes that a Detector keeps as heard; the oldest are left out.
+// maxHeard is the maximum number of crashes that a Detector keeps as heard; old ones are left out.
 const maxHeard = 256
 
 // heardCrash is a crash of which another instance told at once, before its report was known.
@@ -25,7 +25,7 @@
 	}
 }
 
-// hear returns the crash of an engine as another instance told it, without parts if it is new. The oldest crash makes room for a new
+// hear returns the crash of an engine as another instance told it, without parts if it is new. An old crash makes room for a new
 // one.
 func (d *Detector) hear(now time.Time, from, engine string) *seenCrash {
 	i := slices.IndexFunc(d.heard, func(c heardCrash) bool { return c.from == from && c.Engine == engine })
@@ -33,8 +33,9 @@
 		return &d.heard[i].seenCrash
 	}
 	if len(d.heard) == maxHeard {
-		d.forget(d.heard[0].Crash)
-		d.heard = d.heard[1:]
+		i = d.dispensable(len(d.heard), func(i int) Crash { return d.heard[i].Crash })
+		d.forget(d.heard[i].Crash)
+		d.heard = slices.Delete(d.heard, i, i+1)
 	}
 	d.heard = append(d.heard, heardCrash{from: from, seenCrash: seenCrash{Crash: Crash{Engine: engine}, at: now}})
 	return &d.heard[len(d.heard)-1].seenCrash
