Keep the parts of prompts of those requests only that a crash lists

Others weren't told of crashes under a request whose prompt has parts if 32 requests that had just been answered ended at the same crash before it: their parts filled the room, so that its own part seemed to explain its crashes. The store, and instances that join, then didn't learn of the request. The parts, and whether an answer had begun, are kept once the crash lists the request.

TestOwnPartExcusesNoReportedRequest failed before: none of three crashes was told.

--- a/rail/poison/remembered_test.go
+++ b/rail/poison/remembered_test.go
@@ -43,3 +43,22 @@
 		}
 	}
 }
+
+// Guards against a request of whose crash the others aren't told, because the parts of its prompt weren't kept beside those of requests that
+// had just been answered, so that its own part seemed to explain the crashes.
+func TestOwnPartExcusesNoReportedRequest(t *testing.T) {
+	f := NewFinder("a")
+	for i := range 2 * maxParts {
+		answered(f, 0, fmt.Sprint("hot", i))
+	}
+	request := Request{Digest: "crashing", Parts: []string{"own"}}
+	for engine := range MinRequestCrashes {
+		for i := range 2 * maxParts {
+			f.Crashed(start, fmt.Sprint("engine", engine), Request{Digest: fmt.Sprint("hot", i)}, false)
+		}
+		f.Crashed(start, fmt.Sprint("engine", engine), request, false)
+	}
+	if got := len(f.Evidence(start, 1).Requests.Crashes); got != MinRequestCrashes {
+		t.Errorf("got %d crashes under the request told, want %d", got, MinRequestCrashes)
+	}
+}
--- a/rail/poison/whole.go
+++ b/rail/poison/whole.go
@@ -10,16 +10,17 @@
 	digest := request.Digest
 	crash := d.seen(now, engine)
 	d.makeRoom(crash, digest)
+	d.Crashed(now, engine, []string{digest})
+	if !slices.Contains(crash.Parts, digest) {
+		return // it has just been answered, or there is no room
+	}
 	if crash.promptParts == nil {
 		crash.promptParts = make(map[string][]string)
 	}
-	if len(crash.promptParts) < maxParts {
-		crash.promptParts[digest] = request.Parts
-	}
-	if began && !slices.Contains(crash.begun, digest) && len(crash.begun) < maxParts {
+	crash.promptParts[digest] = request.Parts
+	if began && !slices.Contains(crash.begun, digest) {
 		crash.begun = append(crash.begun, digest)
 	}
-	d.Crashed(now, engine, []string{digest})
 }
 
 // RequestBlocked reports whether the request must not be sent.
