Probe a server again that did not answer the probe of its crash

A crash under a request didn't count if the refusal of the probe was later than 150 ms, or lost, and the entry of the server ran out more than 3 s after: on a slow or lossy link, or at an instance without processor time, each such crash let the request reach one more server. Such a server is probed again at each check within these 3 s, one probe at a time, with a timeout within which a lost packet is sent again. A server that stays silent hasn't crashed, as before.

--- a/comfreyrail/internal/gateway/quarantine/doubt.go
+++ b/comfreyrail/internal/gateway/quarantine/doubt.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -15,19 +16,23 @@
 	doubtTTL = 3 * time.Second
 	// maxDoubts is the maximum number of such connections that are kept; the oldest make room.
 	maxDoubts = 256
+	// reprobeTimeout is the timeout of the further probes of a server that did not answer the first, within which a lost packet is sent
+	// again.
+	reprobeTimeout = 1200 * time.Millisecond
 )
 
-// doubt is a connection that ended before a request was answered, to a server that accepted another one: it lives on, or its next
-// incarnation has started.
+// doubt is a connection that ended before a request was answered, to a server that accepted another one, and lives on or is the next
+// incarnation, or that did not answer the probe.
 type doubt struct {
 	server  backend.Server
 	request poison.Request
 	began   bool
+	silent  bool // whether the server must be probed again
 	until   time.Time
 }
 
 // doubtLater keeps an ended connection until it is known whether the server has started again.
-func (k *Keeper) doubtLater(server backend.Server, request poison.Request, began bool) {
+func (k *Keeper) doubtLater(server backend.Server, request poison.Request, began, silent bool) {
 	if request.Digest == "" {
 		return
 	}
@@ -37,7 +42,7 @@
 	if len(k.doubts) == maxDoubts {
 		k.doubts = slices.Delete(k.doubts, 0, 1)
 	}
-	k.doubts = append(k.doubts, doubt{server: server, request: request, began: began, until: time.Now().Add(doubtTTL)})
+	k.doubts = append(k.doubts, doubt{server: server, request: request, began: began, silent: silent, until: time.Now().Add(doubtTTL)})
 }
 
 // resolveDoubts records the crashes of the servers whose incarnation is no longer the one that the snapshot lists, and forgets the
@@ -59,6 +64,50 @@
 	}
 }
 
+// probeDoubts probes the silent servers again, one probe of each at a time.
+func (k *Keeper) probeDoubts(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, d := range k.doubts {
+		if name := incarnation(d.server); d.silent && !k.reprobed[name] {
+			k.reprobed[name] = true
+			go k.probeAgain(ctx, d.server)
+		}
+	}
+}
+
+// probeAgain probes a silent server. If it refuses connections, the crash is recorded; if it accepts one, its doubts remain as those of
+// other servers that are alive.
+func (k *Keeper) probeAgain(ctx context.Context, server backend.Server) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			k.config.Log.WithField("panic", reason).Error("the probe of a silent server panicked")
+		}
+	}()
+	crashed, silent := k.refusesConnections(ctx, server, reprobeTimeout)
+	var confirmed []doubt
+	k.mu.Lock()
+	delete(k.reprobed, incarnation(server))
+	for i := range k.doubts {
+		if d := &k.doubts[i]; incarnation(d.server) == incarnation(server) {
+			d.silent = d.silent && silent
+		}
+	}
+	if crashed {
+		k.doubts = slices.DeleteFunc(k.doubts, func(d doubt) bool {
+			isConfirmed := incarnation(d.server) == incarnation(server)
+			if isConfirmed {
+				confirmed = append(confirmed, d)
+			}
+			return isConfirmed
+		})
+	}
+	k.mu.Unlock()
+	for _, d := range confirmed {
+		k.recordCrash(d.server, d.request, d.began)
+	}
+}
+
 // compareListed reports whether a snapshot no longer lists an incarnation of a server, or another server at its address, and whether
 // it lists it as draining.
 func compareListed(snapshot *catalog.Snapshot, server backend.Server) (isReplaced, isDraining bool) {
--- a/comfreyrail/internal/gateway/quarantine/doubt_test.go
+++ b/comfreyrail/internal/gateway/quarantine/doubt_test.go
@@ -55,7 +55,7 @@
 func TestDoubtsAreBounded(t *testing.T) {
 	k := newKeeper(t, new(shared), "a", nil)
 	for i := range 2 * maxDoubts {
-		k.doubtLater(backend.Server{ID: fmt.Sprint(i)}, poison.Request{Digest: fmt.Sprint(i)}, false)
+		k.doubtLater(backend.Server{ID: fmt.Sprint(i)}, poison.Request{Digest: fmt.Sprint(i)}, false, false)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/comfreyrail/internal/gateway/quarantine/probe.go
+++ b/comfreyrail/internal/gateway/quarantine/probe.go
@@ -25,6 +25,7 @@
 	at      time.Time
 	done    chan struct{} // closed once crashed is set
 	crashed bool
+	silent  bool // whether the probe got no answer in time
 }
 
 // isDone reports whether crashed is set.
@@ -40,19 +41,19 @@
 // incarnation identifies a start of an engine.
 func incarnation(server backend.Server) string { return fmt.Sprintf("%s@%d", server.ID, server.Born) }
 
-// probe reports whether a server refuses connections now. Requests whose connections ended together share a probe. One that found
+// probe reports whether a server refuses connections now, and whether it does not answer. Requests whose connections ended together share a probe. One that found
 // the engine crashed is reused; one that found it alive counts only for connections that had ended before it started.
-func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed bool) {
+func (k *Keeper) probe(ctx context.Context, server backend.Server) (crashed, silent bool) {
 	endedAt := time.Now()
 	for {
 		probe, first := k.lastProbe(incarnation(server), endedAt)
 		if first {
-			probe.crashed = k.refusesConnections(ctx, server)
+			probe.crashed, probe.silent = k.refusesConnections(ctx, server, probeTimeout)
 			close(probe.done)
 		}
 		<-probe.done
 		if probe.crashed || !probe.at.Before(endedAt) {
-			return probe.crashed
+			return probe.crashed, probe.silent
 		}
 	}
 }
@@ -77,25 +78,25 @@
 	return probe, true
 }
 
-// refusesConnections probes an engine and counts it if it has crashed.
-func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server) bool {
-	ctx, cancel := k.config.Clock.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+// refusesConnections probes an engine and counts it if it has crashed. It also reports whether the probe got no answer in time.
+func (k *Keeper) refusesConnections(ctx context.Context, server backend.Server, timeout time.Duration) (crashed, silent bool) {
+	ctx, cancel := k.config.Clock.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
-	err := k.connect(ctx, server)
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	err := k.connect(ctx, server, timeout)
+	crashed = errors.Is(err, syscall.ECONNREFUSED)
 	if crashed {
 		metrics.GetOrRegisterCounter("quarantine.crashes", k.config.Metrics).Inc(1)
 	}
-	return crashed
+	return crashed, ctx.Err() != nil
 }
 
 // connect requests the state of an engine, or opens a connection to another server.
-func (k *Keeper) connect(ctx context.Context, server backend.Server) error {
+func (k *Keeper) connect(ctx context.Context, server backend.Server, timeout time.Duration) error {
 	if !k.isPlain(server) {
 		_, err := k.config.FetchState(ctx, server)
 		return err
 	}
-	conn, err := k.config.Clock.Dialer(probeTimeout)(ctx, "tcp", server.Address)
+	conn, err := k.config.Clock.Dialer(timeout)(ctx, "tcp", server.Address)
 	if err != nil {
 		return err
 	}
--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -52,7 +52,8 @@
 	finder   *poison.Finder
 	evidence map[string]poison.Evidence // of the snapshot that the finder knows
 	probes   map[string]*crashProbe     // by engine
-	doubts   []doubt                    // ended connections to servers that were alive
+	doubts   []doubt                    // ended connections to servers that were alive or silent
+	reprobed map[string]bool            // the silent servers that are being probed again
 	waiting  map[*waitingRequest]bool   // requests that wait for the begin of an answer
 }
 
@@ -60,7 +61,7 @@
 func New(config Config) *Keeper {
 	return &Keeper{
 		config: config, changed: make(chan struct{}, 1), finder: poison.NewFinder(config.Name), probes: make(map[string]*crashProbe),
-		waiting: make(map[*waitingRequest]bool), announcer: newAnnouncer(),
+		waiting: make(map[*waitingRequest]bool), announcer: newAnnouncer(), reprobed: make(map[string]bool),
 	}
 }
 
@@ -96,8 +97,9 @@
 // ConnectionEnded records that the connection to a server has ended before a request was answered, and whether the answer had begun. It
 // probes the server and returns whether it has crashed. Of an empty request nothing is recorded.
 func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool) {
-	if !k.probe(ctx, server) {
-		k.doubtLater(server, request, began)
+	crashed, silent := k.probe(ctx, server)
+	if !crashed {
+		k.doubtLater(server, request, began, silent)
 		return false
 	}
 	k.recordCrash(server, request, began)
@@ -154,6 +156,7 @@
 		}
 		snapshot := k.config.Snapshot()
 		k.resolveDoubts(snapshot)
+		k.probeDoubts(ctx)
 		p.forgetIfRestored(snapshot.Era)
 		instances := max(len(snapshot.Instances), 1)
 		report := k.report(instances)
