Log the number of events that a caller got

The lines "done" and "broken off" named one event fewer than were sent, or none, with no time of the first one, for a stream that ended after its first read: it looked as if its headers had been sent without any event.

TestReasonAgainstAnotherAttemptIsLogged checks the number and failed before in all three cases.

--- a/comfreyrail/internal/gateway/forward/denied_test.go
+++ b/comfreyrail/internal/gateway/forward/denied_test.go
@@ -19,7 +19,8 @@
 	_ = conn.Close()
 }
 
-// Guards against a stream that ends without its last event, and a log line from which nobody learns why it wasn't continued.
+// Guards against a stream that ends without its last event, and a log line from which nobody learns why it wasn't continued and how much
+// of it was sent.
 func TestReasonAgainstAnotherAttemptIsLogged(t *testing.T) {
 	noBudget := func(config *BudgetConfig) { config.Window = retry.WindowBudgetConfig{Period: 10 * time.Second} }
 	tests := []struct {
@@ -42,6 +43,9 @@
 				t.Fatalf("got the whole response %q, want it broken off", body)
 			}
 			line := hook.LastEntry()
+			if got := line.Data["events"]; got != 1 {
+				t.Errorf("got %v events in the line %q, want the one that was sent", got, line.Message)
+			}
 			if got := line.Data["denied"]; got != test.want {
 				t.Errorf("got the line %q with the reason %v, want %q", line.Message, got, test.want)
 			}
--- a/comfreyrail/internal/gateway/forward/stream.go
+++ b/comfreyrail/internal/gateway/forward/stream.go
@@ -264,7 +264,7 @@
 		f.cancelSuccession(j)
 		f.recordEvent(j, a, arrivedAt)
 		f.recordProgress(a, f.silence(a))
-		j.recordData(arrivedAt, events)
+		j.recordData(arrivedAt)
 		j.positionUnknown = j.out.positionUnknown
 		a.checkAt = arrivedAt.Add(firstCheck(j, a))
 	}
@@ -280,9 +280,9 @@
 	a.progressAt, a.probeBackoff = f.config.Clock.Now(), 0
 }
 
-// recordData records the arrival of data, with the number of events that were written before it.
-func (j *job) recordData(now time.Time, events int) {
-	j.events = events
+// recordData records the arrival of data and the number of events that have been written.
+func (j *job) recordData(now time.Time) {
+	j.events = j.out.count
 	if j.timeToFirstData == 0 {
 		j.timeToFirstData = now.Sub(j.startedAt)
 	} else {
