--- a/comfreyrail/internal/gateway/forward/begun_stream_test.go
+++ b/comfreyrail/internal/gateway/forward/begun_stream_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -41,13 +40,7 @@
 			}
 			g := newGateway(t, modify, newServer(t, "one", endless))
 			start := time.Now()
-			request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.url+"/single/", strings.NewReader("question"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			request.Header.Set("Id", "r1")
-			request.Header.Set("Timeout", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
-			response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+			response, err := post(context.Background(), t, g.url+"/single/", callerTimeout)
 			if err != nil {
 				t.Fatalf("got no response: %v", err)
 			}
--- a/comfreyrail/internal/gateway/forward/harness_test.go
+++ b/comfreyrail/internal/gateway/forward/harness_test.go
@@ -347,6 +347,20 @@
 	return c
 }
 
+// post sends a request to a URL on a connection of its own, with the time that its caller states. A zero time is not stated.
+func post(ctx context.Context, t *testing.T, url string, timeout time.Duration) (response *http.Response, err error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", "r1")
+	if timeout > 0 {
+		request.Header.Set("Timeout", strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
+	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+}
+
 // send sends a request and returns the response, the body and whether the body was complete.
 func (g *gateway) send(t *testing.T, path, key string) (response *http.Response, body string, complete bool) {
 	t.Helper()
--- a/comfreyrail/internal/gateway/forward/late_start_test.go
+++ b/comfreyrail/internal/gateway/forward/late_start_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -75,13 +73,7 @@
 			t.Cleanup(proxy.Close)
 			ctx, cancel := context.WithTimeout(context.Background(), callerTime)
 			defer cancel()
-			request, err := http.NewRequestWithContext(ctx, http.MethodPost, proxy.URL+test.path, strings.NewReader("question"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			request.Header.Set("Id", "r1")
-			request.Header.Set("Timeout", strconv.FormatInt(test.timeout.Milliseconds(), 10))
-			response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+			response, err := post(ctx, t, proxy.URL+test.path, test.timeout)
 			if err != nil {
 				t.Fatalf("got no response: %v", err)
 			}
