Block the parts of a prompt that crashes engines for a short time only

Sound prompts were refused for five minutes if they share a part with a prompt that crashes engines as a whole: all crashes under that part are explained by the request, and all of the request by the part, so that neither excused the other, and nothing clears a part that isn't sent. If the blocked request comes again and again at the instance, which a sound one doesn't, such a part is blocked for 10 s after the last crash, as with fewer crashes, and then tried.

TestPartOfRepeatedRequestIsBlockedBriefly failed before: the part was still blocked after 11 s.

--- a/rail/poison/detector.go
+++ b/rail/poison/detector.go
@@ -12,7 +12,7 @@
 	// blocked.
 	MinCrashes = 2
 	// confirmingCrashes is the number of such engines from which on the part stays blocked as long as the crashes count. With
-	// fewer, which may be a coincidence, it is blocked for suspicionTTL after the last one.
+	// fewer, which may be a coincidence, it is blocked for suspicionTTL after the last one; also if the cause is in doubt.
 	confirmingCrashes = 3
 	// suspicionTTL is how long a part with fewer crashes is blocked.
 	suspicionTTL = 10 * time.Second
@@ -40,6 +40,9 @@
 	// IsOutweighed reports whether other evidence explains all crashes of the engines and besides, by something that a request with the
 	// given other parts does not have. Nil means that there is none.
 	IsOutweighed func(engines map[string]bool, others []string) bool
+	// IsInDoubt reports whether other evidence explains all crashes of the engines, so that a part is blocked for suspicionTTL after the
+	// last one only, however many they are. Nil means that there never is.
+	IsInDoubt func(engines map[string]bool) bool
 	// WholeRequests means that each part is the digest of a request, so that a request has no other part which explains its crashes.
 	WholeRequests bool
 	// MayBeExplained reports whether other evidence of an engine's crash is known, so that the others are told of requests whose
@@ -390,7 +393,8 @@
 
 // suspectedUntil returns when a part is no longer blocked under which the engines crashed, or zero if it stays blocked.
 func (d *Detector) suspectedUntil(engines map[string]bool) (until time.Time) {
-	if len(engines) >= confirmingCrashes {
+	isInDoubt := d.config.IsInDoubt != nil && d.config.IsInDoubt(engines)
+	if len(engines) >= confirmingCrashes && !isInDoubt {
 		return until
 	}
 	for engine := range engines {
--- a/rail/poison/finder.go
+++ b/rail/poison/finder.go
@@ -17,13 +17,16 @@
 	begins   *Detector
 	answers  *Detector
 	requests *Detector
+	repeats  map[string]repeats // of blocked requests, by digest
 }
 
 // NewFinder returns a Finder of the instance with the name.
 func NewFinder(self string) *Finder {
-	f := &Finder{}
-	f.begins = New(Config{Name: self, MinCrashes: MinCrashes, IsOutweighed: f.requestOutweighs})
-	f.answers = New(Config{Name: self, MinCrashes: minAnswerCrashes, IsExplained: f.begins.explains, IsOutweighed: f.requestOutweighs})
+	f := &Finder{repeats: make(map[string]repeats)}
+	f.begins = New(Config{Name: self, MinCrashes: MinCrashes, IsOutweighed: f.requestOutweighs, IsInDoubt: f.repeatExplains})
+	f.answers = New(Config{
+		Name: self, MinCrashes: minAnswerCrashes, IsExplained: f.begins.explains, IsOutweighed: f.requestOutweighs, IsInDoubt: f.repeatExplains,
+	})
 	f.requests = New(Config{
 		Name: self, MinCrashes: MinRequestCrashes, WholeRequests: true, IsOutweighed: f.partOutweighs,
 		MayBeExplained: func(engine string) bool { return f.begins.knows(engine) || f.answers.knows(engine) },
@@ -109,6 +112,7 @@
 // Blocked returns why the request must not be sent, and false if it may be.
 func (f *Finder) Blocked(now time.Time, request Request) (cause Cause, ok bool) {
 	if request.Digest != "" && f.requests.RequestBlocked(now, request) {
+		f.countRepeat(now, request.Digest)
 		return Cause{Digest: request.Digest}, true
 	}
 	if cause.Part, ok = f.begins.Blocked(now, request.Parts); ok {
