--- a/rail/poison/beside_test.go
+++ b/rail/poison/beside_test.go
@@ -52,3 +52,32 @@
 		}
 	}
 }
+
+// Guards against a sound request that is blocked since it was in progress at some of the crashes under a part of prompts whose answers had
+// begun.
+func TestPartOfBegunAnswersExcusesRequest(t *testing.T) {
+	f := NewFinder("a")
+	for i := range MinRequestCrashes + 1 {
+		engine := fmt.Sprint("engine", i)
+		f.Crashed(start, engine, Request{Parts: []string{"poisoned"}}, true)
+		if i < MinRequestCrashes {
+			f.Crashed(start, engine, Request{Digest: "sound", Parts: []string{"shared"}}, true)
+		}
+	}
+	if cause, ok := f.Blocked(start, Request{Digest: "sound"}); ok {
+		t.Errorf("got the request blocked because of %v, want it sent", cause)
+	}
+}
+
+// Guards against instances that tell each other of requests which have been answered.
+func TestAnsweredRequestIsNotReported(t *testing.T) {
+	f := NewFinder("a")
+	f.Crashed(start, "engine", Request{Digest: "hot"}, false)
+	if got := f.Evidence(start, 1).Requests.Crashes; len(got) != 1 {
+		t.Fatalf("got %v reported, want the crash", got)
+	}
+	f.Answered(start.Add(time.Second), Request{Digest: "hot"})
+	if got := f.Evidence(start.Add(time.Second), 1).Requests.Crashes; len(got) != 0 {
+		t.Errorf("got %v reported after an answer, want nothing", got)
+	}
+}
