--- a/comfreyrail/internal/gateway/quarantine/quarantine.go
+++ b/comfreyrail/internal/gateway/quarantine/quarantine.go
@@ -48,13 +48,13 @@
 	changed   chan struct{} // receives an element when the own report may have changed
 	announcer *announcer
 
-	mu       sync.Mutex
-	finder   *poison.Finder
-	evidence map[string]poison.Evidence // of the snapshot that the finder knows
-	probes   map[string]*crashProbe     // by engine
-	doubts   []doubt                    // ended connections to servers that were alive or silent
-	reprobed map[string]bool            // the silent servers that are being probed again
-	waiting  map[*waitingRequest]bool   // requests that wait for the begin of an answer
+	mu          sync.Mutex
+	finder      *poison.Finder
+	evidence    map[string]poison.Evidence // of the snapshot that the finder knows
+	probes      map[string]*crashProbe     // by engine
+	unconfirmed []unconfirmedCrash         // ended connections to servers that were alive or silent
+	reprobed    map[string]bool            // the silent servers that are being probed again
+	waiting     map[*waitingRequest]bool   // requests that wait for the begin of an answer
 }
 
 // New returns a Keeper, which shares what it sees while Serve runs.
@@ -99,7 +99,7 @@
 func (k *Keeper) ConnectionEnded(ctx context.Context, server backend.Server, request poison.Request, began bool) (crashed bool) {
 	crashed, silent := k.probe(ctx, server)
 	if !crashed {
-		k.doubtLater(server, request, began, silent)
+		k.keepUnconfirmed(server, request, began, silent)
 		return false
 	}
 	k.recordCrash(server, request, began)
@@ -155,8 +155,8 @@
 		case <-ticker.C:
 		}
 		snapshot := k.config.Snapshot()
-		k.resolveDoubts(snapshot)
-		k.probeDoubts(ctx)
+		k.resolveUnconfirmed(snapshot)
+		k.reprobeUnconfirmed(ctx)
 		p.forgetIfRestored(snapshot.Era)
 		instances := max(len(snapshot.Instances), 1)
 		report := k.report(instances)
--- a/comfreyrail/internal/gateway/quarantine/slow_probe_test.go
+++ b/comfreyrail/internal/gateway/quarantine/slow_probe_test.go
@@ -74,12 +74,12 @@
 					t.Errorf("%s: got a crash at once, want it unknown", test.name)
 				}
 			}
-			time.Sleep(doubtTTL)
+			time.Sleep(unconfirmedTTL)
 			if _, got := k.Blocked(poison.Request{Digest: "digest"}); got != test.crashed {
 				t.Errorf("%s lost: got blocked %v, want %v", test.name, got, test.crashed)
 			}
 			cancel()
-			time.Sleep(doubtTTL)
+			time.Sleep(unconfirmedTTL)
 			synctest.Wait()
 		})
 	}
--- a/comfreyrail/internal/gateway/quarantine/doubt.go
+++ b/comfreyrail/internal/gateway/quarantine/unconfirmed.go
@@ -10,20 +10,20 @@
 	"github.com/comfreyrail/comfreyrail/rail/poison"
 )
 
-// Limits of what is kept of connections that ended to servers which were alive then.
+// Limits of the crashes that are unconfirmed.
 const (
-	// doubtTTL is how long after the end of a connection the incarnation that a server's entry names may change.
-	doubtTTL = 3 * time.Second
-	// maxDoubts is the maximum number of such connections that are kept; the oldest make room.
-	maxDoubts = 256
+	// unconfirmedTTL is how long after the end of a connection the incarnation that a server's entry names may change.
+	unconfirmedTTL = 3 * time.Second
+	// maxUnconfirmed is the maximum number of such connections that are kept; the oldest make room.
+	maxUnconfirmed = 256
 	// reprobeTimeout is the timeout of the further probes of a server that did not answer the first, within which a lost packet is sent
 	// again.
 	reprobeTimeout = 1200 * time.Millisecond
 )
 
-// doubt is a connection that ended before a request was answered, to a server that accepted another one, and lives on or is the next
-// incarnation, or that did not answer the probe.
-type doubt struct {
+// unconfirmedCrash is a connection that ended before a request was answered, to a server that accepted another one, and lives on or is the
+// next incarnation, or that did not answer the probe.
+type unconfirmedCrash struct {
 	server  backend.Server
 	request poison.Request
 	began   bool
@@ -31,27 +31,27 @@
 	until   time.Time
 }
 
-// doubtLater keeps an ended connection until it is known whether the server has started again.
-func (k *Keeper) doubtLater(server backend.Server, request poison.Request, began, silent bool) {
+// keepUnconfirmed keeps an ended connection until it is known whether the server has started again.
+func (k *Keeper) keepUnconfirmed(server backend.Server, request poison.Request, began, silent bool) {
 	if request.Digest == "" {
 		return
 	}
 	request = poison.Request{Digest: request.Digest} // too weak for parts, of which fewer crashes count
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(k.doubts) == maxDoubts {
-		k.doubts = slices.Delete(k.doubts, 0, 1)
+	if len(k.unconfirmed) == maxUnconfirmed {
+		k.unconfirmed = slices.Delete(k.unconfirmed, 0, 1)
 	}
-	k.doubts = append(k.doubts, doubt{server: server, request: request, began: began, silent: silent, until: time.Now().Add(doubtTTL)})
+	k.unconfirmed = append(k.unconfirmed, unconfirmedCrash{server: server, request: request, began: began, silent: silent, until: time.Now().Add(unconfirmedTTL)})
 }
 
-// resolveDoubts records the crashes of the servers whose incarnation is no longer the one that the snapshot lists, and forgets the
+// resolveUnconfirmed records the crashes of the servers whose incarnation is no longer the one that the snapshot lists, and forgets the
 // connections that ended long ago or to servers that are leaving.
-func (k *Keeper) resolveDoubts(snapshot *catalog.Snapshot) {
+func (k *Keeper) resolveUnconfirmed(snapshot *catalog.Snapshot) {
 	k.mu.Lock()
 	now := time.Now()
-	var replaced []doubt
-	k.doubts = slices.DeleteFunc(k.doubts, func(d doubt) bool {
+	var replaced []unconfirmedCrash
+	k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(d unconfirmedCrash) bool {
 		isReplaced, isDraining := compareListed(snapshot, d.server)
 		if isReplaced {
 			replaced = append(replaced, d)
@@ -64,11 +64,11 @@
 	}
 }
 
-// probeDoubts probes the silent servers again, one probe of each at a time.
-func (k *Keeper) probeDoubts(ctx context.Context) {
+// reprobeUnconfirmed probes the silent servers again, one probe of each at a time.
+func (k *Keeper) reprobeUnconfirmed(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, d := range k.doubts {
+	for _, d := range k.unconfirmed {
 		if name := incarnation(d.server); d.silent && !k.reprobed[name] {
 			k.reprobed[name] = true
 			go k.probeAgain(ctx, d.server)
@@ -76,7 +76,7 @@
 	}
 }
 
-// probeAgain probes a silent server. If it refuses connections, the crash is recorded; if it accepts one, its doubts remain as those of
+// probeAgain probes a silent server. If it refuses connections, the crash is recorded; if it accepts one, its crashes stay unconfirmed as those of
 // other servers that are alive.
 func (k *Keeper) probeAgain(ctx context.Context, server backend.Server) {
 	defer func() {
@@ -85,16 +85,16 @@
 		}
 	}()
 	crashed, silent := k.refusesConnections(ctx, server, reprobeTimeout)
-	var confirmed []doubt
+	var confirmed []unconfirmedCrash
 	k.mu.Lock()
 	delete(k.reprobed, incarnation(server))
-	for i := range k.doubts {
-		if d := &k.doubts[i]; incarnation(d.server) == incarnation(server) {
+	for i := range k.unconfirmed {
+		if d := &k.unconfirmed[i]; incarnation(d.server) == incarnation(server) {
 			d.silent = d.silent && silent
 		}
 	}
 	if crashed {
-		k.doubts = slices.DeleteFunc(k.doubts, func(d doubt) bool {
+		k.unconfirmed = slices.DeleteFunc(k.unconfirmed, func(d unconfirmedCrash) bool {
 			isConfirmed := incarnation(d.server) == incarnation(server)
 			if isConfirmed {
 				confirmed = append(confirmed, d)
--- a/comfreyrail/internal/gateway/quarantine/doubt_test.go
+++ b/comfreyrail/internal/gateway/quarantine/unconfirmed_test.go
@@ -41,7 +41,7 @@
 			k.ConnectionEnded(context.Background(), server, request, false)
 			servers["app"] = append(servers["app"], test.listed(server)...)
 		}
-		k.resolveDoubts(&catalog.Snapshot{Servers: servers})
+		k.resolveUnconfirmed(&catalog.Snapshot{Servers: servers})
 		if _, got := k.Blocked(poison.Request{Digest: "digest"}); got != test.crashed {
 			t.Errorf("%s: got blocked %v, want %v", test.name, got, test.crashed)
 		}
@@ -52,14 +52,14 @@
 }
 
 // Guards against memory that grows with each connection that ends.
-func TestDoubtsAreBounded(t *testing.T) {
+func TestUnconfirmedCrashesAreBounded(t *testing.T) {
 	k := newKeeper(t, new(shared), "a", nil)
-	for i := range 2 * maxDoubts {
-		k.doubtLater(backend.Server{ID: fmt.Sprint(i)}, poison.Request{Digest: fmt.Sprint(i)}, false, false)
+	for i := range 2 * maxUnconfirmed {
+		k.keepUnconfirmed(backend.Server{ID: fmt.Sprint(i)}, poison.Request{Digest: fmt.Sprint(i)}, false, false)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if got := len(k.doubts); got > maxDoubts {
-		t.Errorf("got %d ended connections kept, want %d at most", got, maxDoubts)
+	if got := len(k.unconfirmed); got > maxUnconfirmed {
+		t.Errorf("got %d ended connections kept, want %d at most", got, maxUnconfirmed)
 	}
 }
