--- a/comfreyrail/internal/gateway/quarantine/unconfirmed.go
+++ b/comfreyrail/internal/gateway/quarantine/unconfirmed.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// probeAgain probes a silent server. If it refuses connections, the crash is recorded; if it accepts one, its crashes stay unconfirmed as those of
-// other servers that are alive.
+// probeAgain probes a silent server. If it refuses connections, the crash is recorded; if it accepts one, its crashes stay
+// unconfirmed as those of other servers that are alive.
 func (k *Keeper) probeAgain(ctx context.Context, server backend.Server) {
 	defer func() {
 		if reason := recover(); reason != nil {
